Set up modules, core types and the first path in the chosen shape

Cause: the repository was empty. Change: four Maven modules with a package for each peer, the messages between processes as immutable records, bounded rings and duties, and the health route as one path from HTTP through a ring and a duty to a pure lifecycle decision.

--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/Names.java
@@ -0,0 +1,26 @@
+package org.crocusturn.core;
+
+import java.util.Objects;
+import java.util.regex.Pattern;
+
+/** Checks the names that operators and processes choose. */
+final class Names {
+    /** Letters, digits, dot, hyphen and underscore are safe in paths, headers and log lines. */
+    private static final Pattern VALID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+
+    private Names() {}
+
+    static String check(String value, String what) {
+        Objects.requireNonNull(value, what);
+        if (!VALID.matcher(value).matches()) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.MALFORMED_REQUEST,
+                    what
+                            + " \""
+                            + value
+                            + "\" must have 1 to 100 letters, digits, dots, hyphens or underscores"
+                            + " and start with a letter or digit");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/callers/Access.java
@@ -0,0 +1,7 @@
+package org.crocusturn.core.callers;
+
+/** States whether a statement may change data. */
+public enum Access {
+    READ,
+    WRITE
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/callers/Role.java
@@ -0,0 +1,7 @@
+package org.crocusturn.core.callers;
+
+/** Is the part that an endpoint plays in a group. */
+public enum Role {
+    PRIMARY,
+    REPLICA
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/EntryReport.java
@@ -0,0 +1,46 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+
+/**
+ * Tells the control leader how an entry host fares; every report is answered by an update.
+ *
+ * @param host the entry host
+ * @param incarnation random number drawn at the start of the process
+ * @param dataCentre where it stands
+ * @param linkAddress IP address and port where other entry hosts reach it
+ * @param sequence number of the report, growing from 1
+ * @param knownVersion version of the state that it has
+ * @param leases group leases that it holds or released since the last answered report
+ * @param demands rate tokens that it needs
+ * @param suspects endpoints that refused or reset a connection since the last report
+ * @param leaving whether it stops and wants to hand its leases over
+ */
+public record EntryReport(
+        HostId host,
+        long incarnation,
+        DataCentreId dataCentre,
+        String linkAddress,
+        long sequence,
+        long knownVersion,
+        List<HeldLease> leases,
+        List<TokenDemand> demands,
+        Set<EndpointId> suspects,
+        boolean leaving)
+        implements PeerMessage {
+    /** Copies the collections. */
+    public EntryReport {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(linkAddress, "linkAddress");
+        leases = List.copyOf(leases);
+        demands = List.copyOf(demands);
+        suspects = Set.copyOf(suspects);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Membership.java
@@ -0,0 +1,32 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.List;
+import java.util.Optional;
+import org.crocusturn.core.HostId;
+
+/**
+ * Lists the control hosts of the consensus group.
+ *
+ * @param members voters and learners, each host once
+ */
+public record Membership(List<Member> members) {
+    /** Copies the list. */
+    public Membership {
+        members = List.copyOf(members);
+    }
+
+    /** Returns the members that vote. */
+    public List<Member> voters() {
+        return members.stream().filter(Member::voter).toList();
+    }
+
+    /** Returns the number of voters that make a majority. */
+    public int majority() {
+        return voters().size() / 2 + 1;
+    }
+
+    /** Returns the member of a host, if there is one. */
+    public Optional<Member> member(HostId host) {
+        return members.stream().filter(m -> m.host().equals(host)).findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ProposalReply.java
@@ -0,0 +1,19 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.operators.ChangeOutcome;
+
+/**
+ * Answers a forwarded proposal once its command is committed and applied.
+ *
+ * @param id id of the proposal
+ * @param outcome what became of it; a refusal with verdict "may have run" if the leader does not
+ *     know
+ */
+public record ProposalReply(long id, ChangeOutcome outcome) implements PeerMessage {
+    /** Checks that the outcome is not null. */
+    public ProposalReply {
+        Objects.requireNonNull(outcome, "outcome");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ForwardedReply.java
@@ -0,0 +1,18 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.callers.Outcome;
+
+/**
+ * Answers a forwarded request.
+ *
+ * @param id id of the request
+ * @param outcome its end
+ */
+public record ForwardedReply(long id, Outcome outcome) implements PeerMessage {
+    /** Checks that the outcome is not null. */
+    public ForwardedReply {
+        Objects.requireNonNull(outcome, "outcome");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/GroupRecord.java
@@ -0,0 +1,56 @@
+package org.crocusturn.core.operators;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+
+/**
+ * Is what control hosts agreed on about one database group.
+ *
+ * @param id name of the group
+ * @param term current term; 0 before the first promotion
+ * @param primary primary of the term; empty before the first promotion and while a failover goes on
+ * @param startIndex index at which the term began; later indexes belong to the term
+ * @param leaseholder entry host that the lease is assigned to, if any
+ * @param lastEpoch greatest epoch assigned so far; 0 before the first assignment
+ */
+public record GroupRecord(
+        GroupId id,
+        long term,
+        Optional<EndpointId> primary,
+        long startIndex,
+        Optional<Leaseholder> leaseholder,
+        long lastEpoch) {
+    /** Checks that no part is null. */
+    public GroupRecord {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(primary, "primary");
+        Objects.requireNonNull(leaseholder, "leaseholder");
+    }
+
+    /** Creates the record of a group that has neither primary nor leaseholder. */
+    public static GroupRecord of(GroupId id) {
+        return new GroupRecord(id, 0, Optional.empty(), 0, Optional.empty(), 0);
+    }
+
+    /** Returns a copy with a leaseholder and its epoch. */
+    public GroupRecord withLeaseholder(Leaseholder holder) {
+        return new GroupRecord(id, term, primary, startIndex, Optional.of(holder), holder.epoch());
+    }
+
+    /** Returns a copy without a leaseholder. */
+    public GroupRecord withoutLeaseholder() {
+        return new GroupRecord(id, term, primary, startIndex, Optional.empty(), lastEpoch);
+    }
+
+    /** Returns a copy with a new term and no primary. */
+    public GroupRecord withFailover(long newTerm) {
+        return new GroupRecord(id, newTerm, Optional.empty(), startIndex, leaseholder, lastEpoch);
+    }
+
+    /** Returns a copy with the primary of the current term. */
+    public GroupRecord withPrimary(EndpointId endpoint, long start) {
+        return new GroupRecord(id, term, Optional.of(endpoint), start, leaseholder, lastEpoch);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/PlacementKey.java
@@ -0,0 +1,18 @@
+package org.crocusturn.core.operators;
+
+import java.util.Objects;
+import org.crocusturn.core.WorkspaceId;
+
+/**
+ * Names a workspace's data within one service.
+ *
+ * @param workspace the workspace
+ * @param service name of the service
+ */
+public record PlacementKey(WorkspaceId workspace, String service) {
+    /** Checks that no part is null. */
+    public PlacementKey {
+        Objects.requireNonNull(workspace, "workspace");
+        Objects.requireNonNull(service, "service");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/ring/BoundedRing.java
@@ -0,0 +1,101 @@
+package org.crocusturn.core.ring;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Joins the threads of two duties with a queue of fixed capacity.
+ *
+ * <p>A full ring refuses new elements, an empty one blocks the reader; neither side spins. Safe for
+ * any number of writers and readers.
+ *
+ * @param <T> type of the elements
+ */
+public final class BoundedRing<T> {
+    private final Object[] mSlots;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mNotEmpty = mLock.newCondition();
+    private int mHead;
+    private int mCount;
+
+    private BoundedRing(int capacity) {
+        mSlots = new Object[capacity];
+    }
+
+    /**
+     * Creates an empty ring.
+     *
+     * @param capacity greatest number of waiting elements, at least 1
+     */
+    public static <T> BoundedRing<T> withCapacity(int capacity) {
+        if (capacity < 1) {
+            throw new IllegalArgumentException("capacity " + capacity + " must be at least 1");
+        }
+        return new BoundedRing<>(capacity);
+    }
+
+    /** Adds an element at the end and returns true, or returns false if the ring is full. */
+    public boolean offer(T element) {
+        Objects.requireNonNull(element, "element");
+        mLock.lock();
+        try {
+            if (mCount == mSlots.length) {
+                return false;
+            }
+            mSlots[(mHead + mCount) % mSlots.length] = element;
+            mCount++;
+            mNotEmpty.signal();
+            return true;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /**
+     * Takes the first element, waiting for one until the timeout has passed.
+     *
+     * @param timeoutNanos longest wait in nanoseconds; 0 or less does not wait
+     * @throws InterruptedException if the thread was interrupted while it waited
+     */
+    public Optional<T> poll(long timeoutNanos) throws InterruptedException {
+        long remaining = timeoutNanos;
+        mLock.lockInterruptibly();
+        try {
+            while (mCount == 0) {
+                if (remaining <= 0) {
+                    return Optional.empty();
+                }
+                remaining = mNotEmpty.awaitNanos(remaining);
+            }
+            return Optional.of(removeFirst());
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Returns the number of waiting elements. */
+    public int size() {
+        mLock.lock();
+        try {
+            return mCount;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Returns the greatest number of waiting elements. */
+    public int capacity() {
+        return mSlots.length;
+    }
+
+    @SuppressWarnings("unchecked")
+    private T removeFirst() {
+        T first = (T) mSlots[mHead];
+        mSlots[mHead] = null;
+        mHead = (mHead + 1) % mSlots.length;
+        mCount--;
+        return first;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/ring/Duty.java
@@ -0,0 +1,121 @@
+package org.crocusturn.core.ring;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Runs a {@link DutyHandler} on one thread that takes events from a bounded ring.
+ *
+ * <p>Events can be offered from any thread. A handler that throws is reported to the error consumer
+ * and goes on with the next event.
+ *
+ * @param <E> type of the events
+ */
+public final class Duty<E> {
+    /** Time between timer calls after one that failed, in nanoseconds. */
+    private static final long TIMER_RETRY_NANOS = 10_000_000;
+
+    /** Events handled between two timer calls, so that a busy ring cannot delay the timer. */
+    private static final int BATCH = 64;
+
+    private final String mName;
+    private final BoundedRing<E> mRing;
+    private final DutyHandler<E> mHandler;
+    private final Consumer<RuntimeException> mOnError;
+    private final ExecutorService mExecutor;
+
+    private Duty(
+            String name, int capacity, DutyHandler<E> handler, Consumer<RuntimeException> onError) {
+        mName = name;
+        mRing = BoundedRing.withCapacity(capacity);
+        mHandler = handler;
+        mOnError = onError;
+        mExecutor =
+                Executors.newSingleThreadExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, name);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+    }
+
+    /**
+     * Creates a duty and starts its thread.
+     *
+     * @param name name of the thread
+     * @param capacity capacity of the ring
+     * @param handler does the work
+     * @param onError told about each exception that the handler throws
+     */
+    public static <E> Duty<E> start(
+            String name, int capacity, DutyHandler<E> handler, Consumer<RuntimeException> onError) {
+        Objects.requireNonNull(handler, "handler");
+        Duty<E> duty = new Duty<>(name, capacity, handler, onError);
+        duty.mExecutor.execute(duty::run);
+        return duty;
+    }
+
+    /** Hands over an event and returns true, or returns false if the ring is full. */
+    public boolean offer(E event) {
+        return mRing.offer(event);
+    }
+
+    /** Returns the number of waiting events. */
+    public int backlog() {
+        return mRing.size();
+    }
+
+    /** Interrupts the thread and waits until it has ended or the timeout has passed. */
+    public boolean stop(Duration timeout) {
+        mExecutor.shutdownNow();
+        try {
+            return mExecutor.awaitTermination(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private void run() {
+        long nextNanos = System.nanoTime();
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                Optional<E> event = mRing.poll(nextNanos - System.nanoTime());
+                for (int n = 0; event.isPresent(); n++) {
+                    handle(event.get());
+                    event = n < BATCH ? mRing.poll(0) : Optional.empty();
+                }
+                nextNanos = timer(System.nanoTime());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(E event) {
+        try {
+            mHandler.onEvent(event);
+        } catch (RuntimeException e) {
+            mOnError.accept(e);
+        }
+    }
+
+    private long timer(long nowNanos) {
+        try {
+            return mHandler.onTimer(nowNanos);
+        } catch (RuntimeException e) {
+            mOnError.accept(e);
+            return nowNanos + TIMER_RETRY_NANOS;
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "Duty[" + mName + "]";
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/platform/LifecycleTest.java
@@ -0,0 +1,28 @@
+package org.crocusturn.core.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a stop that cuts requests or never ends. */
+class LifecycleTest {
+    private static final Duration DELAY = Duration.ofSeconds(1);
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+
+    @ParameterizedTest
+    @CsvSource({
+        "LEAVING, 999, 3, LEAVING",
+        "LEAVING, 1000, 3, DRAINING",
+        "DRAINING, 1000, 3, DRAINING",
+        "DRAINING, 0, 0, STOPPED",
+        "DRAINING, 5000, 3, STOPPED",
+        "SERVING, 9000, 0, SERVING"
+    })
+    void movesWithTimeAndWork(Phase phase, long elapsedMillis, int busy, Phase expected) {
+        Lifecycle before = new Lifecycle(phase, 100);
+        long now = 100 + Duration.ofMillis(elapsedMillis).toNanos();
+        assertEquals(expected, before.at(now, DELAY, busy, LIMIT).phase());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP front end for callers. */
+package org.crocusturn.daemon.callers;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/package-info.java
@@ -0,0 +1,2 @@
+/** Links between entry hosts. */
+package org.crocusturn.daemon.entryhosts;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpAnswer.java
@@ -0,0 +1,43 @@
+package org.crocusturn.daemon.net;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Is one whole HTTP answer.
+ *
+ * @param status status code
+ * @param headers headers besides length and connection; names in lower case
+ * @param body body; not copied, so that it must not be changed
+ * @param close whether the connection is closed after it
+ */
+public record HttpAnswer(int status, Map<String, String> headers, byte[] body, boolean close) {
+    /** Copies the headers. */
+    public HttpAnswer {
+        Objects.requireNonNull(body, "body");
+        headers = Map.copyOf(headers);
+    }
+
+    /** Creates an answer with a JSON body. */
+    public static HttpAnswer json(int status, byte[] body) {
+        return new HttpAnswer(status, Map.of("content-type", "application/json"), body, false);
+    }
+
+    /** Returns the value of a header, if it was sent. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name.toLowerCase(java.util.Locale.ROOT)));
+    }
+
+    /** Returns a copy with one more header. */
+    public HttpAnswer withHeader(String name, String value) {
+        Map<String, String> copy = new java.util.HashMap<>(headers);
+        copy.put(name.toLowerCase(java.util.Locale.ROOT), value);
+        return new HttpAnswer(status, copy, body, close);
+    }
+
+    /** Returns a copy after which the connection is closed. */
+    public HttpAnswer withClose() {
+        return new HttpAnswer(status, headers, body, true);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -0,0 +1,208 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+
+/**
+ * Is a client's HTTP/1.1 connection that carries one request at a time.
+ *
+ * <p>Safe for any thread. A connection that lost an answer is closed and never used again, so that
+ * a late answer cannot reach another request.
+ */
+public final class HttpClientConnection implements AutoCloseable {
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+
+    private final Channel mChannel;
+    private final AnswerHandler mHandler;
+
+    private HttpClientConnection(Channel channel, AnswerHandler handler) {
+        mChannel = channel;
+        mHandler = handler;
+    }
+
+    /** Opens a connection; the future fails with verdict "not run" if it cannot be opened. */
+    public static CompletableFuture<HttpClientConnection> connect(
+            NetThreads threads, InetSocketAddress address, Duration timeout) {
+        AnswerHandler handler = new AnswerHandler();
+        CompletableFuture<HttpClientConnection> result = new CompletableFuture<>();
+        new Bootstrap()
+                .group(threads.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(initializer(handler))
+                .connect(address)
+                .addListener(
+                        (io.netty.channel.ChannelFuture done) -> {
+                            if (done.isSuccess()) {
+                                result.complete(new HttpClientConnection(done.channel(), handler));
+                            } else {
+                                result.completeExceptionally(notConnected(address, done.cause()));
+                            }
+                        });
+        return result;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request request to send
+     * @param timeout time for the whole answer; when it has passed, the connection is closed
+     * @return the answer; the future fails with a {@link CrocusturnException} that has the verdict
+     */
+    public CompletableFuture<HttpAnswer> send(HttpRequest request, Duration timeout) {
+        CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        mChannel.eventLoop().execute(() -> sendInLoop(request, timeout, result));
+        return result;
+    }
+
+    /** Returns whether the connection is open. */
+    public boolean isOpen() {
+        return mChannel.isActive();
+    }
+
+    /** Calls an action when the connection is closed, or at once if it is. */
+    public void onClosed(Runnable action) {
+        mChannel.closeFuture().addListener(done -> action.run());
+    }
+
+    @Override
+    public void close() {
+        mChannel.close();
+    }
+
+    private void sendInLoop(
+            HttpRequest request, Duration timeout, CompletableFuture<HttpAnswer> result) {
+        if (!mChannel.isActive() || !mHandler.begin(result)) {
+            result.completeExceptionally(
+                    CrocusturnException.notRun(
+                            ErrorCode.UNAVAILABLE, "the connection is closed or busy"));
+            return;
+        }
+        var timer =
+                mChannel.eventLoop()
+                        .schedule(
+                                () -> mHandler.giveUp(mChannel, "no answer in time"),
+                                timeout.toNanos(),
+                                TimeUnit.NANOSECONDS);
+        result.whenComplete((answer, error) -> timer.cancel(false));
+        mChannel.writeAndFlush(encode(request))
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                mHandler.giveUp(mChannel, "the request could not be written");
+                            }
+                        });
+    }
+
+    private FullHttpRequest encode(HttpRequest request) {
+        FullHttpRequest encoded =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(request.method()),
+                        request.path(),
+                        io.netty.buffer.Unpooled.wrappedBuffer(request.body()));
+        request.headers().forEach((name, value) -> encoded.headers().set(name, value));
+        encoded.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        encoded.headers()
+                .set(
+                        HttpHeaderNames.HOST,
+                        Addresses.format((InetSocketAddress) mChannel.remoteAddress()));
+        return encoded;
+    }
+
+    private static CrocusturnException notConnected(InetSocketAddress address, Throwable cause) {
+        return CrocusturnException.causedBy(
+                Failure.notRun(
+                        ErrorCode.UNAVAILABLE, "cannot connect to " + Addresses.format(address)),
+                cause);
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(AnswerHandler handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                        .addLast(handler);
+            }
+        };
+    }
+
+    /** Matches the answer with the only open request; belongs to the event loop. */
+    private static final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private CompletableFuture<HttpAnswer> mWaiting;
+
+        private boolean begin(CompletableFuture<HttpAnswer> result) {
+            if (mWaiting != null) {
+                return false;
+            }
+            mWaiting = result;
+            return true;
+        }
+
+        private void giveUp(Channel channel, String reason) {
+            channel.close();
+            CompletableFuture<HttpAnswer> waiting = mWaiting;
+            mWaiting = null;
+            if (waiting != null) {
+                waiting.completeExceptionally(CrocusturnException.of(Failure.mayHaveRun(reason)));
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (mWaiting == null || response.decoderResult().isFailure()) {
+                giveUp(context.channel(), "the answer is not valid");
+                return;
+            }
+            byte[] body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+            Map<String, String> headers = new HashMap<>();
+            response.headers()
+                    .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+            boolean close = !io.netty.handler.codec.http.HttpUtil.isKeepAlive(response);
+            CompletableFuture<HttpAnswer> waiting = mWaiting;
+            mWaiting = null;
+            if (close) {
+                context.close();
+            }
+            waiting.complete(new HttpAnswer(response.status().code(), headers, body, close));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            giveUp(context.channel(), "the connection was closed before the answer");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            giveUp(context.channel(), "the connection failed: " + cause.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
@@ -0,0 +1,15 @@
+package org.crocusturn.daemon.net;
+
+/** Is a request that waits for its answer. */
+public interface HttpExchange {
+    /** Returns the request. */
+    HttpRequest request();
+
+    /**
+     * Answers the request.
+     *
+     * <p>Can be called from any thread. Answers leave the connection in the order of the requests.
+     * Only the first call counts.
+     */
+    void respond(HttpAnswer answer);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -0,0 +1,96 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+
+/** Serves HTTP/1.1 with keep-alive and pipelining. */
+public final class HttpServer implements AutoCloseable {
+    private static final int MAX_INITIAL_LINE = 4_096;
+    private static final int MAX_HEADERS = 16_384;
+    private static final int BACKLOG = 1_024;
+
+    private final Channel mChannel;
+    private final ChannelGroup mConnections;
+
+    private HttpServer(Channel channel, ChannelGroup connections) {
+        mChannel = channel;
+        mConnections = connections;
+    }
+
+    /**
+     * Binds a port and starts to serve.
+     *
+     * @param threads I/O threads
+     * @param address address to bind; port 0 chooses a free one
+     * @param limits limits of each connection
+     * @param handler takes the requests
+     */
+    public static HttpServer start(
+            NetThreads threads, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        Channel channel =
+                new ServerBootstrap()
+                        .group(threads.group())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer(limits, handler, connections))
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+        return new HttpServer(channel, connections);
+    }
+
+    /** Returns the address that is bound. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    /** Stops to accept connections; open ones go on. */
+    public void stopAccepting() {
+        mChannel.close().syncUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        stopAccepting();
+        mConnections.close().awaitUninterruptibly();
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(
+            HttpLimits limits, HttpHandler handler, ChannelGroup connections) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                if (connections.size() >= limits.maxConnections()) {
+                    channel.close();
+                    return;
+                }
+                connections.add(channel);
+                channel.pipeline()
+                        .addLast(
+                                new HttpServerCodec(
+                                        new HttpDecoderConfig()
+                                                .setMaxInitialLineLength(MAX_INITIAL_LINE)
+                                                .setMaxHeaderSize(MAX_HEADERS)))
+                        .addLast(new HttpServerConnection(limits, handler));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/Json.java
@@ -0,0 +1,78 @@
+package org.crocusturn.daemon.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+
+/** Reads and writes JSON with the limits that all interfaces share. */
+public final class Json {
+    /** Deeper nesting is refused, so that hostile bodies cannot exhaust the stack. */
+    private static final int MAX_DEPTH = 32;
+
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder(
+                            com.fasterxml.jackson.core.JsonFactory.builder()
+                                    .streamReadConstraints(
+                                            StreamReadConstraints.builder()
+                                                    .maxNestingDepth(MAX_DEPTH)
+                                                    .build())
+                                    .enable(
+                                            com.fasterxml.jackson.core.StreamReadFeature
+                                                    .STRICT_DUPLICATE_DETECTION)
+                                    .build())
+                    .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private Json() {}
+
+    /** Returns a new object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @throws CrocusturnException if the bytes are not JSON; says where, not what was found
+     */
+    public static JsonNode read(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            if (node == null || node.isMissingNode()) {
+                throw malformed("the body is empty");
+            }
+            return node;
+        } catch (JsonProcessingException e) {
+            throw malformed(
+                    "the body is not valid JSON"
+                            + (e.getLocation() == null
+                                    ? ""
+                                    : " at line "
+                                            + e.getLocation().getLineNr()
+                                            + ", column "
+                                            + e.getLocation().getColumnNr()));
+        } catch (IOException e) {
+            throw malformed("the body cannot be read");
+        }
+    }
+
+    /** Writes a value. */
+    public static byte[] write(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree cannot be written", e);
+        }
+    }
+
+    private static CrocusturnException malformed(String message) {
+        return CrocusturnException.notRun(ErrorCode.MALFORMED_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
@@ -0,0 +1,34 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/** Owns the I/O threads of a process. */
+public final class NetThreads implements AutoCloseable {
+    private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
+
+    private final EventLoopGroup mGroup;
+
+    private NetThreads(EventLoopGroup group) {
+        mGroup = group;
+    }
+
+    /** Starts a number of I/O threads. */
+    public static NetThreads start(String name, int threads) {
+        return new NetThreads(
+                new NioEventLoopGroup(threads, new DefaultThreadFactory(name + "-io", true)));
+    }
+
+    /** Returns the event loops, for servers and clients of this package and its users. */
+    public EventLoopGroup group() {
+        return mGroup;
+    }
+
+    @Override
+    public void close() {
+        mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' HTTP interface, YAML files and command line. */
+package org.crocusturn.daemon.operators;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemons and the program that starts them; start at {@code Main}. */
+package org.crocusturn.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/HealthRoutes.java
@@ -0,0 +1,39 @@
+package org.crocusturn.daemon.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import org.crocusturn.core.ring.Duty;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.HttpExchange;
+import org.crocusturn.daemon.net.HttpHandler;
+
+/** Hands health requests to the lifecycle duty and all others to the next handler. */
+public final class HealthRoutes implements HttpHandler {
+    private static final int UNAVAILABLE = 503;
+
+    private final Duty<LifecycleEvent> mDuty;
+    private final HttpHandler mNext;
+
+    private HealthRoutes(Duty<LifecycleEvent> duty, HttpHandler next) {
+        mDuty = duty;
+        mNext = next;
+    }
+
+    /** Creates the handler. */
+    public static HealthRoutes create(Duty<LifecycleEvent> duty, HttpHandler next) {
+        return new HealthRoutes(
+                Objects.requireNonNull(duty, "duty"), Objects.requireNonNull(next, "next"));
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        if (!exchange.request().route().startsWith("/health/")) {
+            mNext.handle(exchange);
+        } else if (!mDuty.offer(new LifecycleEvent.HealthAsked(exchange))) {
+            exchange.respond(
+                    HttpAnswer.json(
+                            UNAVAILABLE,
+                            "{\"status\":\"overloaded\"}".getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Health routes, metrics and the signals of the platform. */
+package org.crocusturn.daemon.platform;
