--- a/core/src/main/java/org/crocusturn/core/Names.java
+++ b/core/src/main/java/org/crocusturn/core/Names.java
@@ -4,13 +4,20 @@
 import java.util.regex.Pattern;
 
 /** Checks the names that operators and processes choose. */
-final class Names {
+public final class Names {
     /** Letters, digits, dot, hyphen and underscore are safe in paths, headers and log lines. */
     private static final Pattern VALID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
 
     private Names() {}
 
-    static String check(String value, String what) {
+    /**
+     * Returns the value if it is a valid name.
+     *
+     * @param value name to check
+     * @param what what the name stands for, used in the message
+     * @throws CrocusturnException if the name is not valid
+     */
+    public static String check(String value, String what) {
         Objects.requireNonNull(value, what);
         if (!VALID.matcher(value).matches()) {
             throw CrocusturnException.notRun(
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/CommandLine.java
@@ -0,0 +1,305 @@
+package org.crocusturn.daemon.operators;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Names;
+import org.crocusturn.core.Verdict;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.settings.FaultsException;
+import org.crocusturn.daemon.settings.Secret;
+import org.crocusturn.daemon.settings.SettingsReader;
+import org.crocusturn.daemon.settings.YamlValue;
+
+/** Runs one command of the command line. */
+public final class CommandLine {
+    private static final byte[] NO_BODY = {};
+    private static final int CHANGE_ID_BYTES = 8;
+    private static final String SECRET_VARIABLE = "CROCUSTURN_OPERATOR_SECRET";
+
+    private final DaemonCommands mDaemons;
+    private final Map<String, String> mEnvironment;
+    private final PrintStream mOut;
+    private final PrintStream mErr;
+    private final SecureRandom mRandom = new SecureRandom();
+
+    private CommandLine(
+            DaemonCommands daemons,
+            Map<String, String> environment,
+            PrintStream out,
+            PrintStream err) {
+        mDaemons = daemons;
+        mEnvironment = Map.copyOf(environment);
+        mOut = out;
+        mErr = err;
+    }
+
+    /**
+     * Creates a command line.
+     *
+     * @param daemons runs the daemons
+     * @param environment environment variables
+     * @param out gets the results
+     * @param err gets the complaints
+     */
+    public static CommandLine create(
+            DaemonCommands daemons,
+            Map<String, String> environment,
+            PrintStream out,
+            PrintStream err) {
+        return new CommandLine(daemons, environment, out, err);
+    }
+
+    /** Runs a command and returns its exit status. */
+    public ExitStatus run(String... arguments) {
+        ArgumentParser parser = CommandLineParser.create();
+        try {
+            return run(parser.parseArgs(arguments));
+        } catch (HelpScreenException e) {
+            return ExitStatus.DONE;
+        } catch (ArgumentParserException e) {
+            parser.handleError(e, new java.io.PrintWriter(mErr, true));
+            return ExitStatus.USAGE;
+        } catch (FaultsException e) {
+            mErr.println(e.getMessage());
+            return ExitStatus.REFUSED;
+        } catch (CrocusturnException e) {
+            return refused(e.failure());
+        } catch (IllegalArgumentException e) {
+            mErr.println("crocusturn: " + e.getMessage());
+            return ExitStatus.USAGE;
+        } catch (IOException e) {
+            mErr.println("crocusturn: cannot read " + e.getMessage());
+            return ExitStatus.USAGE;
+        }
+    }
+
+    private ExitStatus run(Namespace given) throws IOException {
+        String action = given.getString("action");
+        String command = given.getString("command") + (action == null ? "" : " " + action);
+        switch (command) {
+            case "entry" -> mDaemons.runEntry(readEntry(path(given, "settings")));
+            case "control" -> mDaemons.runControl(readControl(path(given, "settings")));
+            case "check" -> {
+                return check(given);
+            }
+            case "version" -> version(given);
+            case "status" ->
+                    show(given, send(given, "GET", "/v1/status", Optional.empty(), NO_BODY));
+            case "apply" ->
+                    change(
+                            given,
+                            "POST",
+                            "/v1/configuration",
+                            Files.readAllBytes(path(given, "file")));
+            case "key issue" -> issueKey(given);
+            case "key withdraw" ->
+                    change(given, "DELETE", "/v1/keys/" + name(given, "key"), NO_BODY);
+            case "data-centre drain", "data-centre restore" ->
+                    change(
+                            given,
+                            "POST",
+                            "/v1/data-centres/" + name(given, "name") + "/" + action,
+                            NO_BODY);
+            case "member add" ->
+                    change(
+                            given,
+                            "POST",
+                            "/v1/members",
+                            Json.write(
+                                    Json.object()
+                                            .put("host", given.getString("host"))
+                                            .put("address", given.getString("address"))));
+            case "member remove" ->
+                    change(given, "DELETE", "/v1/members/" + name(given, "host"), NO_BODY);
+            default -> {
+                mErr.println("crocusturn: " + command + " needs the script bin/crocusturn");
+                return ExitStatus.USAGE;
+            }
+        }
+        return ExitStatus.DONE;
+    }
+
+    private ExitStatus refused(Failure failure) {
+        mErr.println("crocusturn: " + failure.message());
+        if (failure.verdict() == Verdict.NOT_RUN) {
+            return ExitStatus.REFUSED;
+        }
+        mErr.println("crocusturn: it may be done; send it again with the same --change-id");
+        return ExitStatus.UNKNOWN;
+    }
+
+    /**
+     * Takes no change id: each call draws a new key; one whose issue is unknown can be withdrawn.
+     */
+    private void issueKey(Namespace given) throws IOException {
+        NewKey key = NewKey.draw(mRandom);
+        String changeId = changeId(given);
+        mErr.println("crocusturn: change id " + changeId + ", key id " + key.id());
+        byte[] body =
+                Json.write(
+                        Json.object()
+                                .put("id", key.id())
+                                .put("hash", key.hash())
+                                .put("workspace", given.getString("workspace")));
+        sendTwice(given, "POST", "/v1/keys", changeId, body);
+        ObjectNode result =
+                Json.object()
+                        .put("id", key.id())
+                        .put("key", key.key())
+                        .put("workspace", given.getString("workspace"));
+        show(given, result);
+    }
+
+    private void change(Namespace given, String method, String route, byte[] body)
+            throws IOException {
+        String changeId = changeId(given);
+        mErr.println("crocusturn: change id " + changeId);
+        show(given, sendTwice(given, method, route, changeId, body));
+    }
+
+    /** Sends a change again once if its outcome is unknown; the change id makes that safe. */
+    private JsonNode sendTwice(
+            Namespace given, String method, String route, String changeId, byte[] body)
+            throws IOException {
+        try {
+            return send(given, method, route, Optional.of(changeId), body);
+        } catch (CrocusturnException e) {
+            if (e.failure().verdict() == Verdict.NOT_RUN) {
+                throw e;
+            }
+            return send(given, method, route, Optional.of(changeId), body);
+        }
+    }
+
+    private JsonNode send(
+            Namespace given, String method, String route, Optional<String> changeId, byte[] body)
+            throws IOException {
+        List<URI> hosts =
+                Arrays.stream(given.getString("operator").split(",")).map(URI::create).toList();
+        String file = given.getString("secret_file");
+        Secret secret =
+                file == null
+                        ? Secret.of(
+                                Optional.ofNullable(mEnvironment.get(SECRET_VARIABLE))
+                                        .orElseThrow(
+                                                () ->
+                                                        new IllegalArgumentException(
+                                                                "give --secret-file or set "
+                                                                        + SECRET_VARIABLE)))
+                        : Secret.ofFile(Path.of(file));
+        return OperatorClient.create(hosts, secret).send(method, route, changeId, body);
+    }
+
+    private ExitStatus check(Namespace given) throws IOException {
+        Path file = path(given, "file");
+        String text = Files.readString(file);
+        try {
+            String kind = kind(given.getString("kind"), text);
+            switch (kind) {
+                case "entry" -> readEntry(file);
+                case "control" -> readControl(file);
+                default -> ConfigurationReader.read(text);
+            }
+            ObjectNode result = Json.object().put("file", file.toString()).put("kind", kind);
+            show(given, result.put("valid", true));
+            return ExitStatus.DONE;
+        } catch (FaultsException e) {
+            if (!given.getBoolean("json")) {
+                throw e;
+            }
+            ObjectNode result = Json.object().put("file", file.toString()).put("valid", false);
+            ArrayNode faults = result.putArray("faults");
+            e.faults()
+                    .forEach(
+                            f ->
+                                    faults.addObject()
+                                            .put("line", f.line())
+                                            .put("path", f.path())
+                                            .put("value", f.value())
+                                            .put("allowed", f.allowed()));
+            mOut.println(result);
+            return ExitStatus.REFUSED;
+        }
+    }
+
+    private static String kind(String given, String text) {
+        if (given != null) {
+            return given;
+        }
+        Set<String> fields = YamlValue.parse(text, new ArrayList<>()).map().keySet();
+        if (fields.contains("dataFolder") || fields.contains("members")) {
+            return "control";
+        }
+        return fields.contains("callers") ? "entry" : "configuration";
+    }
+
+    private void version(Namespace given) {
+        String version = CommandLine.class.getPackage().getImplementationVersion();
+        show(given, Json.object().put("version", version == null ? "development" : version));
+    }
+
+    private void show(Namespace given, JsonNode result) {
+        if (given.getBoolean("json")) {
+            mOut.println(result);
+        } else {
+            TextForm.lines(result).forEach(mOut::println);
+        }
+    }
+
+    private String changeId(Namespace given) {
+        String id = given.getString("change_id");
+        if (id != null) {
+            return id;
+        }
+        byte[] random = new byte[CHANGE_ID_BYTES];
+        mRandom.nextBytes(random);
+        return HexFormat.of().formatHex(random);
+    }
+
+    private static org.crocusturn.daemon.settings.EntrySettings readEntry(Path file)
+            throws IOException {
+        return SettingsReader.readEntry(Files.readString(file), folder(file));
+    }
+
+    private static org.crocusturn.daemon.settings.ControlSettings readControl(Path file)
+            throws IOException {
+        return SettingsReader.readControl(Files.readString(file), folder(file));
+    }
+
+    /** Returns a name that is safe as a part of a route. */
+    private static String name(Namespace given, String argument) {
+        try {
+            return Names.check(given.getString(argument), argument);
+        } catch (CrocusturnException e) {
+            throw new IllegalArgumentException(e.failure().message(), e);
+        }
+    }
+
+    private static Path folder(Path file) {
+        return file.toAbsolutePath().getParent();
+    }
+
+    private static Path path(Namespace given, String name) {
+        return Path.of(given.getString(name));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationReader.java
@@ -0,0 +1,177 @@
+package org.crocusturn.daemon.operators;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.Names;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+import org.crocusturn.daemon.settings.Fault;
+import org.crocusturn.daemon.settings.FaultsException;
+import org.crocusturn.daemon.settings.YamlValue;
+
+/** Reads the operators' configuration file; a file with any fault is refused as a whole. */
+public final class ConfigurationReader {
+    private static final int MAX_INSTANCES = 15;
+    private static final int MAX_SLOTS = 10_000;
+    private static final int MAX_CONNECTIONS = 100_000;
+    private static final long MAX_BURST = 1_000_000_000L;
+    private static final String NAME_RULE =
+            "1 to 100 letters, digits, dots, hyphens or underscores, first a letter or digit";
+
+    private final List<Fault> mFaults = new ArrayList<>();
+
+    private ConfigurationReader() {}
+
+    /**
+     * Reads a configuration.
+     *
+     * @param text content of the file
+     * @throws FaultsException if the file has faults; it names all that were found
+     */
+    public static Configuration read(String text) {
+        return new ConfigurationReader().readFile(text);
+    }
+
+    private Configuration readFile(String text) {
+        YamlValue file =
+                YamlValue.parse(text, mFaults)
+                        .knows("version", "dataCentres", "openRoutes", "services", "workspaces");
+        long version = file.required("version").number(1, 1, Long.MAX_VALUE);
+        List<YamlValue> centres = file.required("dataCentres").list();
+        List<DataCentreId> dataCentres =
+                centres.stream().flatMap(v -> name(v, DataCentreId::of).stream()).toList();
+        unique(centres, v -> v.text(""));
+        List<YamlValue> serviceValues = file.required("services").list();
+        List<Service> services = serviceValues.stream().flatMap(v -> service(v).stream()).toList();
+        unique(serviceValues, v -> v.optional("name").text(""));
+        Map<String, Service> byName =
+                services.stream()
+                        .collect(Collectors.toMap(Service::name, s -> s, (first, next) -> first));
+        List<YamlValue> workspaceValues = file.required("workspaces").list();
+        List<Workspace> workspaces =
+                workspaceValues.stream().flatMap(v -> workspace(v, byName).stream()).toList();
+        unique(workspaceValues, v -> v.optional("name").text(""));
+        List<String> openRoutes = openRoutes(file.optional("openRoutes"));
+        if (!mFaults.isEmpty()) {
+            throw FaultsException.of(mFaults);
+        }
+        return new Configuration(version, dataCentres, workspaces, services, openRoutes);
+    }
+
+    private Optional<Service> service(YamlValue value) {
+        value.knows(
+                "name",
+                "instances",
+                "databases",
+                "slots",
+                "connections",
+                "acknowledge",
+                "withoutToken");
+        Optional<String> name = name(value.required("name"), text -> Names.check(text, "name"));
+        List<YamlValue> databases = value.required("databases").list();
+        databases.forEach(v -> name(v, text -> Names.check(text, "name")));
+        unique(databases, v -> v.text(""));
+        long instances = value.required("instances").number(1, 1, MAX_INSTANCES);
+        long slots = value.required("slots").number(1, 1, MAX_SLOTS);
+        long connections = value.required("connections").number(2, 2, MAX_CONNECTIONS);
+        String acknowledge =
+                oneOf(value.optional("acknowledge"), "durable", Set.of("durable", "primary"));
+        String withoutToken =
+                oneOf(value.optional("withoutToken"), "primary", Set.of("primary", "replica"));
+        return name.map(
+                n ->
+                        new Service(
+                                n,
+                                databases.stream().map(v -> v.text("")).toList(),
+                                (int) instances,
+                                (int) slots,
+                                (int) connections,
+                                acknowledge.equals("durable")
+                                        ? AcknowledgeMode.DURABLE
+                                        : AcknowledgeMode.PRIMARY,
+                                withoutToken.equals("replica")));
+    }
+
+    private Optional<Workspace> workspace(YamlValue value, Map<String, Service> services) {
+        value.knows("name", "rate", "burst", "services", "databases");
+        Optional<WorkspaceId> name = name(value.required("name"), WorkspaceId::of);
+        double rate = value.required("rate").rate();
+        long burst = value.required("burst").number(1, 1, MAX_BURST);
+        List<YamlValue> used = value.required("services").list();
+        used.stream()
+                .filter(v -> !services.containsKey(v.text("")))
+                .forEach(v -> v.fault("a service of this file"));
+        unique(used, v -> v.text(""));
+        Set<String> usedNames = used.stream().map(v -> v.text("")).collect(Collectors.toSet());
+        Map<String, YamlValue> chosen = value.optional("databases").map();
+        chosen.forEach((service, database) -> checkChoice(service, database, usedNames, services));
+        Map<String, String> databases =
+                chosen.entrySet().stream()
+                        .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().text("")));
+        return name.map(id -> new Workspace(id, new RateLimit(rate, burst), usedNames, databases));
+    }
+
+    private void checkChoice(
+            String service, YamlValue database, Set<String> used, Map<String, Service> services) {
+        Service known = services.get(service);
+        if (known == null || !used.contains(service)) {
+            database.fault("a database of a service that the workspace uses");
+        } else if (!known.databases().contains(database.text(""))) {
+            database.fault("one of " + String.join(", ", known.databases()));
+        }
+    }
+
+    private List<String> openRoutes(YamlValue value) {
+        List<YamlValue> routes = value.list();
+        unique(routes, v -> v.text(""));
+        return routes.stream()
+                .map(
+                        v ->
+                                v.text(
+                                        "/",
+                                        "a path that starts with / and is not under /v1 or"
+                                                + " /health",
+                                        path ->
+                                                path.matches("/[A-Za-z0-9._/-]{0,200}")
+                                                        && !path.startsWith("/v1")
+                                                        && !path.startsWith("/health")))
+                .toList();
+    }
+
+    private static String oneOf(YamlValue value, String absent, Set<String> allowed) {
+        String list = allowed.stream().sorted().collect(Collectors.joining(" or "));
+        return value.text(absent, list, allowed::contains);
+    }
+
+    private static <T> Optional<T> name(YamlValue value, Function<String, T> factory) {
+        if (!value.present()) {
+            return Optional.empty();
+        }
+        String text = value.text("?");
+        try {
+            return Optional.of(factory.apply(text));
+        } catch (CrocusturnException e) {
+            value.fault(NAME_RULE);
+            return Optional.empty();
+        }
+    }
+
+    private static void unique(List<YamlValue> values, Function<YamlValue, String> key) {
+        Set<String> seen = new HashSet<>();
+        values.stream()
+                .filter(v -> !seen.add(key.apply(v)))
+                .forEach(v -> v.fault("each name once"));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/NewKey.java
@@ -0,0 +1,54 @@
+package org.crocusturn.daemon.operators;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HexFormat;
+
+/**
+ * Is a caller's key that was just drawn; only its hash leaves the operator's machine.
+ *
+ * @param id public name of the key
+ * @param key the key itself, shown once
+ */
+public record NewKey(String id, String key) {
+    /** 256 random bits make guessing hopeless, so that a plain hash is enough to store. */
+    private static final int KEY_BYTES = 32;
+
+    private static final int ID_BYTES = 6;
+
+    /** Draws a key. */
+    public static NewKey draw(SecureRandom random) {
+        byte[] key = new byte[KEY_BYTES];
+        byte[] id = new byte[ID_BYTES];
+        random.nextBytes(key);
+        random.nextBytes(id);
+        return new NewKey(
+                "key-" + HexFormat.of().formatHex(id),
+                Base64.getUrlEncoder().withoutPadding().encodeToString(key));
+    }
+
+    /** Returns the SHA-256 of the key in lower-case hexadecimal digits. */
+    public String hash() {
+        return hash(key);
+    }
+
+    /** Returns the SHA-256 of any key text in lower-case hexadecimal digits. */
+    public static String hash(String key) {
+        try {
+            return HexFormat.of()
+                    .formatHex(
+                            MessageDigest.getInstance("SHA-256")
+                                    .digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "NewKey[" + id + "]";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorAnswers.java
@@ -0,0 +1,135 @@
+package org.crocusturn.daemon.operators;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
+import org.crocusturn.core.operators.ChangeOutcome;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.settings.Fault;
+
+/** Encodes the answers of the operators' interface; they hold neither keys nor their hashes. */
+final class OperatorAnswers {
+    private static final int OK = 200;
+
+    private OperatorAnswers() {}
+
+    static HttpAnswer outcome(ChangeOutcome outcome) {
+        return outcome.refusal()
+                .map(OperatorAnswers::failure)
+                .orElseGet(
+                        () ->
+                                HttpAnswer.json(
+                                        OK,
+                                        Json.write(
+                                                Json.object()
+                                                        .put("changeId", outcome.changeId())
+                                                        .put("accepted", true)
+                                                        .put("version", outcome.version()))));
+    }
+
+    static HttpAnswer failure(Failure failure) {
+        return HttpAnswer.json(status(failure), Json.write(body(failure)));
+    }
+
+    static HttpAnswer faults(List<Fault> faults) {
+        Failure failure =
+                Failure.notRun(
+                        ErrorCode.MALFORMED_REQUEST,
+                        "the file has " + faults.size() + " faults; nothing was changed");
+        ObjectNode body = body(failure);
+        ArrayNode list = body.putArray("faults");
+        faults.forEach(
+                f ->
+                        list.addObject()
+                                .put("line", f.line())
+                                .put("path", f.path())
+                                .put("value", f.value())
+                                .put("allowed", f.allowed()));
+        return HttpAnswer.json(status(failure), Json.write(body));
+    }
+
+    static HttpAnswer status(ControlStatus status) {
+        ObjectNode body = Json.object();
+        body.put("host", status.host().value()).put("leads", status.leads());
+        status.leader().ifPresent(leader -> body.put("leader", leader.value()));
+        body.put("term", status.term())
+                .put("version", status.state().version())
+                .put("configuration", status.state().configuration().version());
+        ArrayNode members = body.putArray("members");
+        status.membership()
+                .members()
+                .forEach(
+                        m ->
+                                members.addObject()
+                                        .put("host", m.host().value())
+                                        .put("address", m.linkAddress())
+                                        .put("voter", m.voter()));
+        ArrayNode entryHosts = body.putArray("entryHosts");
+        status.entryHosts().stream().sorted().forEach(h -> entryHosts.add(h.value()));
+        ArrayNode drained = body.putArray("drained");
+        status.state().drained().stream().sorted().forEach(d -> drained.add(d.value()));
+        ArrayNode endpoints = body.putArray("endpoints");
+        status.state().endpoints().values().stream()
+                .sorted(java.util.Comparator.comparing(EndpointRecord::id))
+                .forEach(e -> endpoint(endpoints.addObject(), e));
+        ArrayNode groups = body.putArray("groups");
+        status.state().groups().values().stream()
+                .sorted(java.util.Comparator.comparing(GroupRecord::id))
+                .forEach(g -> group(groups.addObject(), g));
+        ArrayNode keys = body.putArray("keys");
+        status.state().keys().values().stream()
+                .sorted(java.util.Comparator.comparing(k -> k.id()))
+                .forEach(
+                        k ->
+                                keys.addObject()
+                                        .put("id", k.id())
+                                        .put("workspace", k.workspace().value()));
+        return HttpAnswer.json(OK, Json.write(body));
+    }
+
+    private static void endpoint(ObjectNode node, EndpointRecord endpoint) {
+        node.put("endpoint", endpoint.id().value())
+                .put("service", endpoint.service())
+                .put("dataCentre", endpoint.dataCentre().value())
+                .put("address", endpoint.address())
+                .put("leaving", endpoint.leaving());
+    }
+
+    private static void group(ObjectNode node, GroupRecord group) {
+        node.put("group", group.id().toString()).put("term", group.term());
+        group.primary().ifPresent(p -> node.put("primary", p.value()));
+        group.leaseholder()
+                .ifPresent(h -> node.put("leaseholder", h.host().value()).put("epoch", h.epoch()));
+    }
+
+    private static ObjectNode body(Failure failure) {
+        ObjectNode body =
+                Json.object()
+                        .put("code", failure.code().wireName())
+                        .put("message", failure.message())
+                        .put("verdict", failure.verdict().wireName());
+        failure.retryAfter().ifPresent(d -> body.put("retryAfterMillis", d.toMillis()));
+        return body;
+    }
+
+    private static int status(Failure failure) {
+        if (failure.verdict() == Verdict.MAY_HAVE_RUN) {
+            return 504;
+        }
+        return switch (failure.code()) {
+            case MALFORMED_REQUEST -> 400;
+            case KEY_REFUSED -> 401;
+            case FORBIDDEN -> 403;
+            case NOT_FOUND -> 404;
+            case CONFLICT -> 409;
+            case TOO_LARGE -> 413;
+            default -> 503;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
@@ -0,0 +1,133 @@
+package org.crocusturn.daemon.operators;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.settings.Secret;
+
+/** Sends operators' requests to control hosts; the same change id makes each resend safe. */
+public final class OperatorClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final List<URI> mControlHosts;
+    private final Secret mSecret;
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(CONNECT_TIMEOUT)
+                    .build();
+
+    private OperatorClient(List<URI> controlHosts, Secret secret) {
+        mControlHosts = List.copyOf(controlHosts);
+        mSecret = secret;
+    }
+
+    /** Creates a client that tries the control hosts in order. */
+    public static OperatorClient create(List<URI> controlHosts, Secret secret) {
+        return new OperatorClient(controlHosts, secret);
+    }
+
+    /**
+     * Sends a request; each control host is tried once while the answer says "not run".
+     *
+     * @param method HTTP method
+     * @param route path from the root
+     * @param changeId id of the change, empty for queries
+     * @param body body, empty if there is none
+     * @return the JSON of the successful answer
+     * @throws CrocusturnException if it is refused, or if its outcome is unknown
+     */
+    public JsonNode send(String method, String route, Optional<String> changeId, byte[] body) {
+        Failure last = Failure.notRun(ErrorCode.UNAVAILABLE, "no control host was named");
+        boolean unknown = false;
+        for (URI host : mControlHosts) {
+            try {
+                return sendTo(host, method, route, changeId, body);
+            } catch (CrocusturnException e) {
+                last = e.failure();
+                boolean tryNext =
+                        last.code() == ErrorCode.UNAVAILABLE
+                                || last.code() == ErrorCode.OVERLOADED
+                                || last.code() == ErrorCode.OUTCOME_UNKNOWN;
+                unknown |= last.code() == ErrorCode.OUTCOME_UNKNOWN;
+                if (!tryNext) {
+                    throw e;
+                }
+            }
+        }
+        throw CrocusturnException.of(
+                unknown && changeId.isPresent() ? Failure.mayHaveRun(last.message()) : last);
+    }
+
+    private JsonNode sendTo(
+            URI host, String method, String route, Optional<String> changeId, byte[] body) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(host.resolve(route))
+                        .timeout(REQUEST_TIMEOUT)
+                        .header(
+                                "Authorization",
+                                "Bearer "
+                                        + new String(
+                                                mSecret.bytes(),
+                                                java.nio.charset.StandardCharsets.UTF_8))
+                        .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+        changeId.ifPresent(id -> request.header("Crocusturn-Change-Id", id));
+        try {
+            HttpResponse<byte[]> response =
+                    mClient.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+            JsonNode answer = Json.read(response.body());
+            if (response.statusCode() == OK) {
+                return answer;
+            }
+            throw CrocusturnException.of(failure(response.statusCode(), answer));
+        } catch (java.net.ConnectException e) {
+            throw CrocusturnException.notRun(ErrorCode.UNAVAILABLE, "cannot connect to " + host);
+        } catch (IOException e) {
+            throw CrocusturnException.of(Failure.mayHaveRun("the answer of " + host + " was lost"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw CrocusturnException.of(Failure.mayHaveRun("interrupted"));
+        }
+    }
+
+    private static Failure failure(int status, JsonNode answer) {
+        StringBuilder message = new StringBuilder(answer.path("message").asText("refused"));
+        answer.path("faults")
+                .forEach(
+                        f ->
+                                message.append("\nline ")
+                                        .append(f.path("line").asInt())
+                                        .append(": ")
+                                        .append(f.path("path").asText())
+                                        .append(": found ")
+                                        .append(f.path("value").asText())
+                                        .append(", allowed is ")
+                                        .append(f.path("allowed").asText()));
+        if (answer.path("verdict").asText().equals("may_have_run")) {
+            return Failure.mayHaveRun(message.toString());
+        }
+        return Failure.notRun(
+                status == UNAVAILABLE ? ErrorCode.UNAVAILABLE : code(answer), message.toString());
+    }
+
+    private static ErrorCode code(JsonNode answer) {
+        String name = answer.path("code").asText();
+        return java.util.Arrays.stream(ErrorCode.values())
+                .filter(c -> c.wireName().equals(name))
+                .findFirst()
+                .orElse(ErrorCode.INTERNAL);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorDuty.java
@@ -0,0 +1,228 @@
+package org.crocusturn.daemon.operators;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.Names;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.ChangeOutcome;
+import org.crocusturn.core.operators.ControlCommand.ApplyConfiguration;
+import org.crocusturn.core.operators.ControlCommand.IssueKey;
+import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
+import org.crocusturn.core.operators.ControlCommand.SetDataCentreDrained;
+import org.crocusturn.core.operators.ControlCommand.WithdrawKey;
+import org.crocusturn.core.operators.KeyRecord;
+import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.HttpExchange;
+import org.crocusturn.daemon.net.HttpRequest;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.settings.FaultsException;
+
+/** Decodes operators' requests, proposes their changes and answers them. */
+public final class OperatorDuty implements DutyHandler<OperatorEvent> {
+    private static final Logger LOG = LogManager.getLogger(OperatorDuty.class);
+
+    /** Header with the id of a change; a resend with the same id gets the first answer. */
+    static final String CHANGE_ID = "crocusturn-change-id";
+
+    private static final long IDLE_NANOS = 1_000_000_000L;
+
+    private final ControlAccess mControl;
+    private final Predicate<OperatorEvent> mOwnRing;
+
+    private OperatorDuty(ControlAccess control, Predicate<OperatorEvent> ownRing) {
+        mControl = control;
+        mOwnRing = ownRing;
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param control control host that decides
+     * @param ownRing offers an event to the ring of this duty
+     */
+    public static OperatorDuty create(ControlAccess control, Predicate<OperatorEvent> ownRing) {
+        return new OperatorDuty(
+                Objects.requireNonNull(control, "control"),
+                Objects.requireNonNull(ownRing, "ownRing"));
+    }
+
+    @Override
+    public void onEvent(OperatorEvent event) {
+        if (event instanceof OperatorEvent.Asked asked) {
+            ask(asked.exchange());
+        } else if (event instanceof OperatorEvent.Decided decided) {
+            decided.exchange().respond(OperatorAnswers.outcome(decided.outcome()));
+        } else if (event instanceof OperatorEvent.StatusKnown known) {
+            known.exchange().respond(OperatorAnswers.status(known.status()));
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        return nowNanos + IDLE_NANOS;
+    }
+
+    private void ask(HttpExchange exchange) {
+        try {
+            route(exchange);
+        } catch (FaultsException e) {
+            exchange.respond(OperatorAnswers.faults(e.faults()));
+        } catch (CrocusturnException e) {
+            exchange.respond(OperatorAnswers.failure(e.failure()));
+        } catch (IllegalArgumentException e) {
+            exchange.respond(
+                    OperatorAnswers.failure(
+                            Failure.notRun(ErrorCode.MALFORMED_REQUEST, e.getMessage())));
+        }
+    }
+
+    private void route(HttpExchange exchange) {
+        HttpRequest request = exchange.request();
+        List<String> parts = List.of(request.route().substring(1).split("/", -1));
+        String route =
+                request.method()
+                        + " "
+                        + String.join("/", parts.subList(0, Math.min(2, parts.size())));
+        switch (route) {
+            case "GET v1/status" -> status(exchange);
+            case "POST v1/configuration" ->
+                    propose(
+                            exchange,
+                            new ApplyConfiguration(
+                                    changeId(request),
+                                    ConfigurationReader.read(
+                                            new String(request.body(), StandardCharsets.UTF_8))));
+            case "POST v1/keys" -> propose(exchange, issueKey(request));
+            case "DELETE v1/keys" ->
+                    propose(exchange, new WithdrawKey(changeId(request), part(parts, 2, 3)));
+            case "POST v1/data-centres" -> propose(exchange, setDrained(request, parts));
+            case "POST v1/members" -> addMember(exchange);
+            case "DELETE v1/members" ->
+                    answerLater(
+                            exchange,
+                            "remove control host " + part(parts, 2, 3),
+                            mControl.removeMember(HostId.of(part(parts, 2, 3))));
+            default ->
+                    throw CrocusturnException.notRun(
+                            ErrorCode.NOT_FOUND,
+                            "no route " + request.method() + " " + request.route());
+        }
+    }
+
+    private void status(HttpExchange exchange) {
+        mControl.status()
+                .whenComplete(
+                        (status, error) -> {
+                            if (error != null
+                                    || !mOwnRing.test(
+                                            new OperatorEvent.StatusKnown(exchange, status))) {
+                                exchange.respond(
+                                        OperatorAnswers.failure(
+                                                Failure.notRun(
+                                                        ErrorCode.UNAVAILABLE,
+                                                        "the status is not available")));
+                            }
+                        });
+    }
+
+    private void addMember(HttpExchange exchange) {
+        JsonNode body = Json.read(exchange.request().body());
+        HostId host = HostId.of(text(body, "host"));
+        String address = Addresses.format(Addresses.parse(text(body, "address")));
+        answerLater(exchange, "add control host " + host, mControl.addMember(host, address));
+    }
+
+    private static OperatorCommand issueKey(HttpRequest request) {
+        JsonNode body = Json.read(request.body());
+        String hash = text(body, "hash");
+        if (!hash.matches("[0-9a-f]{64}")) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.MALFORMED_REQUEST,
+                    "hash must be a SHA-256 in 64 lower-case hexadecimal digits");
+        }
+        String id = Names.check(text(body, "id"), "key id");
+        return new IssueKey(
+                changeId(request),
+                new KeyRecord(id, hash, WorkspaceId.of(text(body, "workspace"))));
+    }
+
+    private static OperatorCommand setDrained(HttpRequest request, List<String> parts) {
+        String action = part(parts, 3, 4);
+        if (!action.equals("drain") && !action.equals("restore")) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.NOT_FOUND, "the last part of the route must be drain or restore");
+        }
+        return new SetDataCentreDrained(
+                changeId(request), DataCentreId.of(parts.get(2)), action.equals("drain"));
+    }
+
+    private void propose(HttpExchange exchange, OperatorCommand command) {
+        answerLater(
+                exchange,
+                command.getClass().getSimpleName() + " with change id " + command.changeId(),
+                mControl.propose(command));
+    }
+
+    private void answerLater(
+            HttpExchange exchange, String what, CompletableFuture<ChangeOutcome> outcome) {
+        outcome.whenComplete(
+                (result, error) -> {
+                    ChangeOutcome known = error == null ? result : unknown();
+                    LOG.info(
+                            "operators: {} {}",
+                            what,
+                            known.refusal()
+                                    .map(f -> "refused: " + f.message())
+                                    .orElse("accepted at version " + known.version()));
+                    if (!mOwnRing.test(new OperatorEvent.Decided(exchange, known))) {
+                        exchange.respond(OperatorAnswers.outcome(known));
+                    }
+                });
+    }
+
+    private static ChangeOutcome unknown() {
+        return new ChangeOutcome(
+                "", 0, Optional.of(Failure.mayHaveRun("the outcome of the change is unknown")));
+    }
+
+    private static String changeId(HttpRequest request) {
+        String id =
+                request.header(CHANGE_ID)
+                        .orElseThrow(
+                                () ->
+                                        CrocusturnException.notRun(
+                                                ErrorCode.MALFORMED_REQUEST,
+                                                "header Crocusturn-Change-Id is required"));
+        return Names.check(id, "change id");
+    }
+
+    private static String part(List<String> parts, int index, int size) {
+        if (parts.size() != size) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.NOT_FOUND, "the route must have " + size + " parts");
+        }
+        return parts.get(index);
+    }
+
+    private static String text(JsonNode body, String field) {
+        JsonNode value = body.get(field);
+        if (value == null || !value.isTextual()) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.MALFORMED_REQUEST, "field " + field + " must be a text");
+        }
+        return value.textValue();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorRoutes.java
@@ -0,0 +1,47 @@
+package org.crocusturn.daemon.operators;
+
+import java.util.Objects;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.ring.Duty;
+import org.crocusturn.daemon.net.HttpExchange;
+import org.crocusturn.daemon.net.HttpHandler;
+import org.crocusturn.daemon.settings.Secret;
+
+/** Lets in operators who present the secret, and hands their requests to the operators' duty. */
+public final class OperatorRoutes implements HttpHandler {
+    private static final String BEARER = "Bearer ";
+
+    private final Secret mSecret;
+    private final Duty<OperatorEvent> mDuty;
+
+    private OperatorRoutes(Secret secret, Duty<OperatorEvent> duty) {
+        mSecret = secret;
+        mDuty = duty;
+    }
+
+    /** Creates the handler. */
+    public static OperatorRoutes create(Secret secret, Duty<OperatorEvent> duty) {
+        return new OperatorRoutes(
+                Objects.requireNonNull(secret, "secret"), Objects.requireNonNull(duty, "duty"));
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        boolean known =
+                exchange.request()
+                        .header("authorization")
+                        .filter(value -> value.startsWith(BEARER))
+                        .map(value -> mSecret.matches(value.substring(BEARER.length())))
+                        .orElse(false);
+        if (!known) {
+            exchange.respond(
+                    OperatorAnswers.failure(
+                            Failure.notRun(ErrorCode.KEY_REFUSED, "the operator secret is wrong")));
+        } else if (!mDuty.offer(new OperatorEvent.Asked(exchange))) {
+            exchange.respond(
+                    OperatorAnswers.failure(
+                            Failure.notRun(ErrorCode.OVERLOADED, "too many requests wait")));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/TextForm.java
@@ -0,0 +1,39 @@
+package org.crocusturn.daemon.operators;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+
+/** Writes a JSON answer as lines for people. */
+final class TextForm {
+    private TextForm() {}
+
+    static List<String> lines(JsonNode node) {
+        return node.properties().stream()
+                .flatMap(field -> field(field.getKey(), field.getValue()))
+                .toList();
+    }
+
+    private static Stream<String> field(String name, JsonNode value) {
+        if (!value.isArray()) {
+            return Stream.of(name + ": " + value.asText());
+        }
+        if (value.isEmpty()) {
+            return Stream.of(name + ": none");
+        }
+        return Stream.concat(
+                Stream.of(name + ":"),
+                StreamSupport.stream(value.spliterator(), false).map(e -> "  " + element(e)));
+    }
+
+    private static String element(JsonNode value) {
+        if (!value.isObject()) {
+            return value.asText();
+        }
+        return value.properties().stream()
+                .map(field -> field.getKey() + "=" + field.getValue().asText())
+                .collect(Collectors.joining(" "));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
@@ -0,0 +1,150 @@
+package org.crocusturn.daemon.platform;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import org.crocusturn.daemon.net.HttpAnswer;
+
+/**
+ * Holds the metrics of one process; no label ever holds a key.
+ *
+ * <p>Safe for any thread.
+ */
+public final class Metrics {
+    private static final int OK = 200;
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mRequests =
+            Counter.builder()
+                    .name("crocusturn_requests")
+                    .help("Requests by workspace, verdict and role of the serving copy")
+                    .labelNames("workspace", "verdict", "role")
+                    .register(mRegistry);
+    private final Counter mRefusals =
+            Counter.builder()
+                    .name("crocusturn_refusals")
+                    .help("Refused or failed requests by reason")
+                    .labelNames("reason")
+                    .register(mRegistry);
+    private final Histogram mLatency =
+            Histogram.builder()
+                    .name("crocusturn_request_seconds")
+                    .help("Time from a whole request to its answer")
+                    .labelNames("access")
+                    .register(mRegistry);
+    private final Histogram mQueueTime =
+            Histogram.builder()
+                    .name("crocusturn_queue_seconds")
+                    .help("Time that requests waited for a token and a slot")
+                    .register(mRegistry);
+    private final Gauge mConfiguration =
+            Gauge.builder()
+                    .name("crocusturn_configuration_version")
+                    .help("Version of the configuration in force")
+                    .register(mRegistry);
+    private final Gauge mState =
+            Gauge.builder()
+                    .name("crocusturn_state_version")
+                    .help("Version of the replicated state that this process has")
+                    .register(mRegistry);
+    private final Gauge mLeases =
+            Gauge.builder()
+                    .name("crocusturn_group_leases")
+                    .help("Group leases held by this host, or granted by this leader")
+                    .register(mRegistry);
+    private final Gauge mFresh =
+            Gauge.builder()
+                    .name("crocusturn_fresh")
+                    .help("1 while the freshness lease is valid")
+                    .register(mRegistry);
+    private final Gauge mLeads =
+            Gauge.builder()
+                    .name("crocusturn_leads")
+                    .help("1 while this control host leads")
+                    .register(mRegistry);
+    private final Counter mGrants =
+            Counter.builder()
+                    .name("crocusturn_tokens_granted")
+                    .help("Rate tokens granted or received")
+                    .labelNames("workspace")
+                    .register(mRegistry);
+    private final Histogram mFailoverGap =
+            Histogram.builder()
+                    .name("crocusturn_failover_seconds")
+                    .help("Time from the start of a failover to its new primary")
+                    .register(mRegistry);
+
+    private Metrics() {}
+
+    /** Creates metrics that are all zero. */
+    public static Metrics create() {
+        return new Metrics();
+    }
+
+    /** Counts a request and its latency in seconds. */
+    public void request(
+            String workspace, String verdict, String role, String access, double seconds) {
+        mRequests.labelValues(workspace, verdict, role).inc();
+        mLatency.labelValues(access).observe(seconds);
+    }
+
+    /** Counts a refusal. */
+    public void refusal(String reason) {
+        mRefusals.labelValues(reason).inc();
+    }
+
+    /** Notes how long a request waited, in seconds. */
+    public void queued(double seconds) {
+        mQueueTime.observe(seconds);
+    }
+
+    /** Notes what this process knows of the replicated state. */
+    public void versions(long configuration, long state) {
+        mConfiguration.set(configuration);
+        mState.set(state);
+    }
+
+    /** Notes the number of group leases. */
+    public void leases(int count) {
+        mLeases.set(count);
+    }
+
+    /** Notes whether the freshness lease is valid. */
+    public void fresh(boolean valid) {
+        mFresh.set(valid ? 1 : 0);
+    }
+
+    /** Notes whether this control host leads. */
+    public void leads(boolean leads) {
+        mLeads.set(leads ? 1 : 0);
+    }
+
+    /** Counts granted tokens. */
+    public void granted(String workspace, long tokens) {
+        mGrants.labelValues(workspace).inc(tokens);
+    }
+
+    /** Notes the length of a failover, in seconds. */
+    public void failover(double seconds) {
+        mFailoverGap.observe(seconds);
+    }
+
+    /** Returns the answer to a scrape in the Prometheus text format. */
+    public HttpAnswer scrape() {
+        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            writer.write(out, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new HttpAnswer(
+                OK, Map.of("content-type", writer.getContentType()), out.toByteArray(), false);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
@@ -0,0 +1,47 @@
+package org.crocusturn.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.HostId;
+
+/**
+ * Is the settings file of a control host.
+ *
+ * @param host name of the host
+ * @param dataCentre where it stands
+ * @param dataFolder folder of its durable state
+ * @param link IP address and port for control hosts and entry hosts
+ * @param operators IP address and port of the operators' interface
+ * @param endpoints IP address and port where endpoints announce themselves
+ * @param platform health, metrics and planned stop
+ * @param members control hosts at the first start of the deployment, this one included
+ * @param bootstrap whether an empty data folder means a new deployment; if not, it means a lost
+ *     disk
+ * @param linkSecret secret that all processes of the system share
+ * @param operatorSecret secret that operators present
+ * @param announcementSecret secret that endpoints present
+ */
+public record ControlSettings(
+        HostId host,
+        DataCentreId dataCentre,
+        Path dataFolder,
+        InetSocketAddress link,
+        InetSocketAddress operators,
+        InetSocketAddress endpoints,
+        PlatformSettings platform,
+        List<PeerAddress> members,
+        boolean bootstrap,
+        Secret linkSecret,
+        Secret operatorSecret,
+        Secret announcementSecret) {
+    /** Copies the list. */
+    public ControlSettings {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(dataFolder, "dataFolder");
+        members = List.copyOf(members);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/Fault.java
@@ -0,0 +1,26 @@
+package org.crocusturn.daemon.settings;
+
+import java.util.Objects;
+
+/**
+ * Is one fault of a settings or configuration file.
+ *
+ * @param line line of the value, from 1; 0 if the fault has no line
+ * @param path path of the value, such as {@code workspaces[2].rate}
+ * @param value what was found
+ * @param allowed what is allowed
+ */
+public record Fault(int line, String path, String value, String allowed) {
+    /** Checks that no part is null. */
+    public Fault {
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(value, "value");
+        Objects.requireNonNull(allowed, "allowed");
+    }
+
+    @Override
+    public String toString() {
+        String where = line > 0 ? "line " + line + ": " : "";
+        return where + path + ": found " + value + ", allowed is " + allowed;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/Secret.java
@@ -0,0 +1,68 @@
+package org.crocusturn.daemon.settings;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermission;
+import java.security.MessageDigest;
+import java.util.Set;
+
+/** Holds a secret that processes share; its text never appears in {@link #toString}. */
+public final class Secret {
+    private static final int LEAST_BYTES = 16;
+    private static final Set<PosixFilePermission> FOREIGN =
+            Set.of(
+                    PosixFilePermission.GROUP_WRITE,
+                    PosixFilePermission.OTHERS_READ,
+                    PosixFilePermission.OTHERS_WRITE);
+
+    private final byte[] mBytes;
+
+    private Secret(byte[] bytes) {
+        mBytes = bytes;
+    }
+
+    /** Creates a secret from its text. */
+    public static Secret of(String text) {
+        return new Secret(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Reads a secret from a file; white space around it does not count.
+     *
+     * @throws IllegalArgumentException if the file cannot be read, others can read it, or the
+     *     secret has fewer than 16 bytes
+     */
+    public static Secret ofFile(Path file) {
+        try {
+            if (Files.getPosixFilePermissions(file).stream().anyMatch(FOREIGN::contains)) {
+                throw new IllegalArgumentException(
+                        "file " + file + " must not be readable by others (chmod 600)");
+            }
+            String text = Files.readString(file).strip();
+            if (text.getBytes(StandardCharsets.UTF_8).length < LEAST_BYTES) {
+                throw new IllegalArgumentException(
+                        "file " + file + " must hold at least " + LEAST_BYTES + " bytes");
+            }
+            return of(text);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("file " + file + " cannot be read", e);
+        }
+    }
+
+    /** Returns a copy of the bytes. */
+    public byte[] bytes() {
+        return mBytes.clone();
+    }
+
+    /** Returns whether a text is this secret; takes the same time for any text of equal length. */
+    public boolean matches(String text) {
+        return MessageDigest.isEqual(mBytes, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public String toString() {
+        return "Secret[hidden]";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/YamlValue.java
@@ -0,0 +1,316 @@
+package org.crocusturn.daemon.settings;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
+
+/**
+ * Is a value of a YAML file with its path and line.
+ *
+ * <p>Reading never stops at a fault: a query that finds a fault notes it in the list that the whole
+ * file shares and returns a stand-in value, so that one run names all faults.
+ */
+public final class YamlValue {
+    private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|min)");
+    private static final int MAX_FILE_CHARACTERS = 8 << 20;
+    private static final int MAX_DEPTH = 20;
+    private static final int MAX_SHOWN = 60;
+
+    private final Node mNode;
+    private final String mPath;
+    private final List<Fault> mFaults;
+
+    private YamlValue(Node node, String path, List<Fault> faults) {
+        mNode = node;
+        mPath = path;
+        mFaults = faults;
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param faults collects the faults of the whole file
+     * @throws FaultsException if the text is no YAML at all
+     */
+    public static YamlValue parse(String text, List<Fault> faults) {
+        LoaderOptions options = new LoaderOptions();
+        options.setAllowDuplicateKeys(false);
+        options.setNestingDepthLimit(MAX_DEPTH);
+        options.setCodePointLimit(MAX_FILE_CHARACTERS);
+        options.setMaxAliasesForCollections(0);
+        try {
+            Node node =
+                    new Yaml(new SafeConstructor(options)).compose(new java.io.StringReader(text));
+            if (node == null) {
+                throw FaultsException.of(
+                        List.of(new Fault(1, "file", "nothing", "a YAML mapping")));
+            }
+            return new YamlValue(node, "", faults);
+        } catch (MarkedYAMLException e) {
+            int line = e.getProblemMark() == null ? 0 : e.getProblemMark().getLine() + 1;
+            throw FaultsException.of(
+                    List.of(new Fault(line, "file", "text that is not YAML", e.getProblem())));
+        } catch (YAMLException e) {
+            throw FaultsException.of(
+                    List.of(new Fault(0, "file", "text that is not YAML", "a YAML mapping")));
+        }
+    }
+
+    /** Returns the path from the root of the file, such as {@code workspaces[2].rate}. */
+    public String path() {
+        return mPath;
+    }
+
+    /** Returns the line in the file, from 1, or 0 if the value is absent. */
+    public int line() {
+        return mNode == null || mNode.getStartMark() == null
+                ? 0
+                : mNode.getStartMark().getLine() + 1;
+    }
+
+    /** Returns whether the value is there and not null. */
+    public boolean present() {
+        return mNode != null && !Tag.NULL.equals(mNode.getTag());
+    }
+
+    /** Notes each field of the mapping that is not known. */
+    public YamlValue knows(String... fields) {
+        Set<String> known = Set.of(fields);
+        fieldNames()
+                .filter(tuple -> !known.contains(keyOf(tuple)))
+                .forEach(
+                        tuple ->
+                                mFaults.add(
+                                        new Fault(
+                                                tuple.getKeyNode().getStartMark().getLine() + 1,
+                                                child(keyOf(tuple)),
+                                                "an unknown field",
+                                                String.join(", ", fields))));
+        return this;
+    }
+
+    /** Returns a field that must be there. */
+    public YamlValue required(String field) {
+        YamlValue value = optional(field);
+        if (!value.present() && mNode instanceof MappingNode) {
+            mFaults.add(new Fault(line(), child(field), "nothing", "a value is required"));
+        }
+        return value;
+    }
+
+    /** Returns a field that may be missing. */
+    public YamlValue optional(String field) {
+        if (present() && !(mNode instanceof MappingNode)) {
+            noteOnce("a mapping");
+        }
+        Node node =
+                fieldNames()
+                        .filter(tuple -> keyOf(tuple).equals(field))
+                        .map(NodeTuple::getValueNode)
+                        .findFirst()
+                        .orElse(null);
+        return new YamlValue(node, child(field), mFaults);
+    }
+
+    /** Returns the elements of a list; an absent one is empty. */
+    public List<YamlValue> list() {
+        if (!present()) {
+            return List.of();
+        }
+        if (!(mNode instanceof SequenceNode sequence)) {
+            fault("a list");
+            return List.of();
+        }
+        List<Node> nodes = sequence.getValue();
+        return IntStream.range(0, nodes.size())
+                .mapToObj(n -> new YamlValue(nodes.get(n), mPath + "[" + n + "]", mFaults))
+                .toList();
+    }
+
+    /** Returns the fields of a mapping; an absent one is empty. */
+    public Map<String, YamlValue> map() {
+        Map<String, YamlValue> values = new HashMap<>();
+        if (present() && !(mNode instanceof MappingNode)) {
+            fault("a mapping");
+        }
+        fieldNames()
+                .forEach(
+                        tuple ->
+                                values.put(
+                                        keyOf(tuple),
+                                        new YamlValue(
+                                                tuple.getValueNode(),
+                                                child(keyOf(tuple)),
+                                                mFaults)));
+        return values;
+    }
+
+    /** Returns a text, or the default if it is absent. */
+    public String text(String absent) {
+        if (!present()) {
+            return absent;
+        }
+        if (mNode instanceof ScalarNode scalar) {
+            return scalar.getValue();
+        }
+        fault("a text");
+        return absent;
+    }
+
+    /** Returns a text that must satisfy a condition. */
+    public String text(String absent, String allowed, Predicate<String> condition) {
+        String value = text(absent);
+        if (present() && mNode instanceof ScalarNode && !condition.test(value)) {
+            fault(allowed);
+            return absent;
+        }
+        return value;
+    }
+
+    /** Returns a whole number within a range, or the default if it is absent. */
+    public long number(long absent, long least, long greatest) {
+        String allowed = "a whole number from " + least + " to " + greatest;
+        return converted(absent, allowed, Long::parseLong, n -> n >= least && n <= greatest);
+    }
+
+    /** Returns a truth value, or the default if it is absent. */
+    public boolean flag(boolean absent) {
+        return converted(
+                absent,
+                "true or false",
+                text -> {
+                    if (!text.equals("true") && !text.equals("false")) {
+                        throw new IllegalArgumentException(text);
+                    }
+                    return text.equals("true");
+                },
+                any -> true);
+    }
+
+    /** Returns a rate such as {@code 50/s}, in requests per second. */
+    public double rate() {
+        return converted(
+                1.0,
+                "requests per second, such as 50/s, from 0.001/s to 100000000/s",
+                text -> {
+                    if (!text.matches("[0-9]{1,9}(\\.[0-9]{1,3})?/s")) {
+                        throw new IllegalArgumentException(text);
+                    }
+                    return Double.parseDouble(text.substring(0, text.length() - 2));
+                },
+                rate -> rate >= 0.001 && rate <= 1e8);
+    }
+
+    /** Returns a duration such as {@code 250ms}, {@code 2s} or {@code 5min}. */
+    public Duration duration(Duration absent, Duration least, Duration greatest) {
+        return converted(
+                absent,
+                "a duration such as 250ms, 2s or 5min, from "
+                        + least.toMillis()
+                        + "ms to "
+                        + greatest.toMillis()
+                        + "ms",
+                YamlValue::parseDuration,
+                d -> d.compareTo(least) >= 0 && d.compareTo(greatest) <= 0);
+    }
+
+    /** Returns what a converter makes of the text; its IllegalArgumentException becomes a fault. */
+    public <T> T converted(
+            T absent, String allowed, Function<String, T> converter, Predicate<T> condition) {
+        if (!present()) {
+            return absent;
+        }
+        if (mNode instanceof ScalarNode scalar) {
+            try {
+                T value = converter.apply(scalar.getValue());
+                if (condition.test(value)) {
+                    return value;
+                }
+            } catch (IllegalArgumentException e) {
+                // The fault below tells what is allowed.
+            }
+        }
+        fault(allowed);
+        return absent;
+    }
+
+    /** Notes that this value is not allowed. */
+    public void fault(String allowed) {
+        mFaults.add(new Fault(line(), mPath.isEmpty() ? "file" : mPath, shown(), allowed));
+    }
+
+    private void noteOnce(String allowed) {
+        boolean noted = mFaults.stream().anyMatch(f -> f.path().equals(mPath));
+        if (!noted) {
+            fault(allowed);
+        }
+    }
+
+    private String shown() {
+        if (mNode instanceof ScalarNode scalar) {
+            String value = scalar.getValue();
+            return "\""
+                    + (value.length() > MAX_SHOWN ? value.substring(0, MAX_SHOWN) + "..." : value)
+                    + "\"";
+        }
+        if (mNode instanceof MappingNode) {
+            return "a mapping";
+        }
+        return mNode instanceof SequenceNode ? "a list" : "nothing";
+    }
+
+    private Stream<NodeTuple> fieldNames() {
+        return mNode instanceof MappingNode mapping ? mapping.getValue().stream() : Stream.empty();
+    }
+
+    private static String keyOf(NodeTuple tuple) {
+        return tuple.getKeyNode() instanceof ScalarNode scalar ? scalar.getValue() : "?";
+    }
+
+    private String child(String field) {
+        return mPath.isEmpty() ? field : mPath + "." + field;
+    }
+
+    private static Duration parseDuration(String text) {
+        Matcher matcher = DURATION.matcher(text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException(text);
+        }
+        long amount = Long.parseLong(matcher.group(1));
+        return switch (matcher.group(2)) {
+            case "ms" -> Duration.ofMillis(amount);
+            case "s" -> Duration.ofSeconds(amount);
+            default -> Duration.ofMinutes(amount);
+        };
+    }
+
+    @Override
+    public String toString() {
+        return mPath + "=" + shown();
+    }
+
+    /** Returns the texts of a list. */
+    public List<String> texts() {
+        return list().stream().map(v -> v.text("")).collect(Collectors.toList());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/operators/ConfigurationReaderTest.java
@@ -0,0 +1,89 @@
+package org.crocusturn.daemon.operators;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.daemon.settings.FaultsException;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against files that are applied in part, and against faults without line and path. */
+class ConfigurationReaderTest {
+    private static final String VALID =
+            """
+            version: 3
+            dataCentres: [north, south]
+            services:
+              - name: db
+                instances: 3
+                databases: [one, two]
+                slots: 2
+                connections: 16
+            workspaces:
+              - name: team
+                rate: 50/s
+                burst: 100
+                services: [db]
+                databases: {db: one}
+            """;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"amman", "zuid-holland"})
+    void readsExamples(String example) throws IOException {
+        Path file = Path.of("..", "examples", example, "configuration.yaml");
+        Configuration read = ConfigurationReader.read(Files.readString(file));
+        assertEquals(8, read.workspaces().size());
+        assertEquals(3, read.services().get(0).databases().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "version: 3|version: x|version|1",
+                "version: 3|version: 0|version|1",
+                "version: 3|version: 3\\nverzion: 3|verzion|2",
+                "[north, south]|[north, north]|dataCentres[1]|2",
+                "[north, south]|[north, 'so uth']|dataCentres[1]|2",
+                "instances: 3|instances: 99|services[0].instances|5",
+                "slots: 2|slots: many|services[0].slots|7",
+                "slots: 2|slot: 2|services[0].slots|4",
+                "connections: 16|connections: 16ms|services[0].connections|8",
+                "rate: 50/s|rate: 50|workspaces[0].rate|11",
+                "rate: 50/s|rate: 50/min|workspaces[0].rate|11",
+                "rate: 50/s|rate: -1/s|workspaces[0].rate|11",
+                "burst: 100|burst: 0|workspaces[0].burst|12",
+                "services: [db]|services: [other]|workspaces[0].services[0]|13",
+                "{db: one}|{db: nine}|workspaces[0].databases.db|14",
+                "{db: one}|{other: one}|workspaces[0].databases.other|14",
+                "name: team|name: {a: b}|workspaces[0].name|10"
+            })
+    void namesEachFault(String old, String replacement, String path, int line) {
+        String text = VALID.replace(old, replacement.replace("\\n", "\n"));
+        FaultsException e =
+                assertThrows(FaultsException.class, () -> ConfigurationReader.read(text));
+        assertTrue(
+                e.faults().stream().anyMatch(f -> f.path().equals(path) && f.line() == line),
+                () -> "expected " + path + " at line " + line + ", found " + e.faults());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "just text",
+                "[1, 2",
+                "a: &x [1]\nb: *x",
+                "a: 1\na: 2",
+                "!!java.io.File x"
+            })
+    void refusesWhatIsNoConfiguration(String text) {
+        assertThrows(FaultsException.class, () -> ConfigurationReader.read(text));
+    }
+}
