Add the protobuf encoding of messages and log records

Processes need one versioned encoding for the messages of core. Mapper classes convert one theme each, and PeerMessageCodec and ProtobufLogCodec turn every fault of received bytes into a CrocusturnException.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
@@ -0,0 +1,124 @@
+package org.crocusturn.daemon.wire;
+
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.daemon.generated.OperatorsProto;
+
+/** Converts the commands that change the replicated state. */
+final class CommandMapper {
+    private CommandMapper() {}
+
+    static OperatorsProto.ControlCommand encode(ControlCommand value) {
+        OperatorsProto.ControlCommand.Builder builder = OperatorsProto.ControlCommand.newBuilder();
+        if (value instanceof ControlCommand.OperatorCommand command) {
+            putOperatorCommand(builder, command);
+        } else if (value instanceof ControlCommand.RegisterEndpoint c) {
+            builder.setRegisterEndpoint(RecordMapper.encode(c.endpoint()));
+        } else if (value instanceof ControlCommand.RemoveEndpoint c) {
+            builder.getRemoveEndpointBuilder().setEndpoint(c.endpoint().value());
+        } else {
+            putGroupCommand(builder, value);
+        }
+        if (builder.getKindCase() == OperatorsProto.ControlCommand.KindCase.KIND_NOT_SET) {
+            throw new IllegalArgumentException("no encoding of " + value.getClass());
+        }
+        return builder.build();
+    }
+
+    static ControlCommand decode(OperatorsProto.ControlCommand value) {
+        return switch (value.getKindCase()) {
+            case APPLY_CONFIGURATION -> decode(value.getApplyConfiguration());
+            case ISSUE_KEY ->
+                    new ControlCommand.IssueKey(
+                            value.getIssueKey().getChangeId(),
+                            RecordMapper.decode(value.getIssueKey().getKey()));
+            case WITHDRAW_KEY ->
+                    new ControlCommand.WithdrawKey(
+                            value.getWithdrawKey().getChangeId(),
+                            value.getWithdrawKey().getKeyId());
+            case SET_DATA_CENTRE_DRAINED ->
+                    new ControlCommand.SetDataCentreDrained(
+                            value.getSetDataCentreDrained().getChangeId(),
+                            DataCentreId.of(value.getSetDataCentreDrained().getDataCentre()),
+                            value.getSetDataCentreDrained().getDrained());
+            case REGISTER_ENDPOINT ->
+                    new ControlCommand.RegisterEndpoint(
+                            RecordMapper.decode(value.getRegisterEndpoint()));
+            case REMOVE_ENDPOINT ->
+                    new ControlCommand.RemoveEndpoint(
+                            EndpointId.of(value.getRemoveEndpoint().getEndpoint()));
+            case ASSIGN_LEASE ->
+                    new ControlCommand.AssignLease(
+                            CommonMapper.decode(value.getAssignLease().getGroup()),
+                            RecordMapper.decode(value.getAssignLease().getLeaseholder()));
+            case RELEASE_LEASE ->
+                    new ControlCommand.ReleaseLease(
+                            CommonMapper.decode(value.getReleaseLease().getGroup()),
+                            value.getReleaseLease().getEpoch());
+            case BEGIN_FAILOVER ->
+                    new ControlCommand.BeginFailover(
+                            CommonMapper.decode(value.getBeginFailover().getGroup()),
+                            value.getBeginFailover().getTerm());
+            case COMPLETE_PROMOTION -> decode(value.getCompletePromotion());
+            case KIND_NOT_SET -> throw Wire.malformed("a command has no known kind");
+        };
+    }
+
+    private static void putOperatorCommand(
+            OperatorsProto.ControlCommand.Builder builder, ControlCommand.OperatorCommand value) {
+        if (value instanceof ControlCommand.ApplyConfiguration c) {
+            builder.getApplyConfigurationBuilder()
+                    .setChangeId(c.changeId())
+                    .setConfiguration(ConfigurationMapper.encode(c.configuration()));
+        } else if (value instanceof ControlCommand.IssueKey c) {
+            builder.getIssueKeyBuilder()
+                    .setChangeId(c.changeId())
+                    .setKey(RecordMapper.encode(c.key()));
+        } else if (value instanceof ControlCommand.WithdrawKey c) {
+            builder.getWithdrawKeyBuilder().setChangeId(c.changeId()).setKeyId(c.keyId());
+        } else if (value instanceof ControlCommand.SetDataCentreDrained c) {
+            builder.getSetDataCentreDrainedBuilder()
+                    .setChangeId(c.changeId())
+                    .setDataCentre(c.dataCentre().value())
+                    .setDrained(c.drained());
+        }
+    }
+
+    private static void putGroupCommand(
+            OperatorsProto.ControlCommand.Builder builder, ControlCommand value) {
+        if (value instanceof ControlCommand.AssignLease c) {
+            builder.getAssignLeaseBuilder()
+                    .setGroup(CommonMapper.encode(c.group()))
+                    .setLeaseholder(RecordMapper.encode(c.leaseholder()));
+        } else if (value instanceof ControlCommand.ReleaseLease c) {
+            builder.getReleaseLeaseBuilder()
+                    .setGroup(CommonMapper.encode(c.group()))
+                    .setEpoch(c.epoch());
+        } else if (value instanceof ControlCommand.BeginFailover c) {
+            builder.getBeginFailoverBuilder()
+                    .setGroup(CommonMapper.encode(c.group()))
+                    .setTerm(c.term());
+        } else if (value instanceof ControlCommand.CompletePromotion c) {
+            builder.getCompletePromotionBuilder()
+                    .setGroup(CommonMapper.encode(c.group()))
+                    .setTerm(c.term())
+                    .setPrimary(c.primary().value())
+                    .setStartIndex(c.startIndex());
+        }
+    }
+
+    private static ControlCommand decode(OperatorsProto.ApplyConfiguration value) {
+        Wire.require(value.hasConfiguration(), "configuration");
+        return new ControlCommand.ApplyConfiguration(
+                value.getChangeId(), ConfigurationMapper.decode(value.getConfiguration()));
+    }
+
+    private static ControlCommand decode(OperatorsProto.CompletePromotion value) {
+        return new ControlCommand.CompletePromotion(
+                CommonMapper.decode(value.getGroup()),
+                value.getTerm(),
+                EndpointId.of(value.getPrimary()),
+                value.getStartIndex());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
@@ -0,0 +1,90 @@
+package org.crocusturn.daemon.wire;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+import org.crocusturn.daemon.generated.OperatorsProto;
+
+/** Converts operators' configurations. */
+final class ConfigurationMapper {
+    private ConfigurationMapper() {}
+
+    static OperatorsProto.Configuration encode(Configuration value) {
+        OperatorsProto.Configuration.Builder builder =
+                OperatorsProto.Configuration.newBuilder()
+                        .setVersion(value.version())
+                        .addAllOpenRoutes(value.openRoutes());
+        value.dataCentres().forEach(d -> builder.addDataCentres(d.value()));
+        value.workspaces().forEach(w -> builder.addWorkspaces(encode(w)));
+        value.services().forEach(s -> builder.addServices(encode(s)));
+        return builder.build();
+    }
+
+    static Configuration decode(OperatorsProto.Configuration value) {
+        return new Configuration(
+                value.getVersion(),
+                value.getDataCentresList().stream().map(DataCentreId::of).toList(),
+                value.getWorkspacesList().stream().map(ConfigurationMapper::decode).toList(),
+                value.getServicesList().stream().map(ConfigurationMapper::decode).toList(),
+                value.getOpenRoutesList());
+    }
+
+    private static OperatorsProto.Workspace encode(Workspace value) {
+        OperatorsProto.Workspace.Builder builder =
+                OperatorsProto.Workspace.newBuilder()
+                        .setId(value.id().value())
+                        .setPerSecond(value.rate().perSecond())
+                        .setBurst(value.rate().burst());
+        value.services().stream().sorted().forEach(builder::addServices);
+        value.databases().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(
+                        e ->
+                                builder.addDatabases(
+                                        OperatorsProto.ServiceDatabase.newBuilder()
+                                                .setService(e.getKey())
+                                                .setDatabase(e.getValue())));
+        return builder.build();
+    }
+
+    private static Workspace decode(OperatorsProto.Workspace value) {
+        Map<String, String> databases = new HashMap<>();
+        value.getDatabasesList().forEach(d -> databases.put(d.getService(), d.getDatabase()));
+        return new Workspace(
+                WorkspaceId.of(value.getId()),
+                new RateLimit(value.getPerSecond(), value.getBurst()),
+                new HashSet<>(value.getServicesList()),
+                databases);
+    }
+
+    private static OperatorsProto.Service encode(Service value) {
+        return OperatorsProto.Service.newBuilder()
+                .setName(value.name())
+                .addAllDatabases(value.databases())
+                .setInstances(value.instances())
+                .setSlots(value.slots())
+                .setConnections(value.connections())
+                .setAcknowledge(
+                        OperatorsProto.Service.Acknowledge.valueOf(value.acknowledge().name()))
+                .setReplicaReadsWithoutToken(value.replicaReadsWithoutToken())
+                .build();
+    }
+
+    private static Service decode(OperatorsProto.Service value) {
+        return new Service(
+                value.getName(),
+                value.getDatabasesList(),
+                value.getInstances(),
+                value.getSlots(),
+                value.getConnections(),
+                AcknowledgeMode.valueOf(value.getAcknowledge().name()),
+                value.getReplicaReadsWithoutToken());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
@@ -0,0 +1,144 @@
+package org.crocusturn.daemon.wire;
+
+import static org.crocusturn.daemon.generated.PeerProto.Envelope.MessageCase;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.NotLeader;
+import org.crocusturn.core.controlhosts.ProposalReply;
+import org.crocusturn.core.entryhosts.ForwardedReply;
+import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.daemon.generated.PeerProto;
+
+/** Converts the messages between processes to bytes and back. */
+public final class PeerMessageCodec {
+    private static final List<MessageKind<?>> KINDS =
+            List.of(
+                    new MessageKind<>(
+                            EntryReport.class,
+                            MessageCase.ENTRY_REPORT,
+                            (e, m) -> e.setEntryReport(ReportMapper.encode(m)),
+                            e -> ReportMapper.decode(e.getEntryReport())),
+                    new MessageKind<>(
+                            ControlUpdate.class,
+                            MessageCase.CONTROL_UPDATE,
+                            (e, m) -> e.setControlUpdate(UpdateMapper.encode(m)),
+                            e -> UpdateMapper.decode(e.getControlUpdate())),
+                    new MessageKind<>(
+                            NotLeader.class,
+                            MessageCase.NOT_LEADER,
+                            (e, m) -> e.setNotLeader(ReportMapper.encode(m)),
+                            e -> ReportMapper.decode(e.getNotLeader())),
+                    new MessageKind<>(
+                            ConsensusMessage.VoteRequest.class,
+                            MessageCase.VOTE_REQUEST,
+                            (e, m) -> e.setVoteRequest(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getVoteRequest())),
+                    new MessageKind<>(
+                            ConsensusMessage.VoteReply.class,
+                            MessageCase.VOTE_REPLY,
+                            (e, m) -> e.setVoteReply(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getVoteReply())),
+                    new MessageKind<>(
+                            ConsensusMessage.AppendRequest.class,
+                            MessageCase.APPEND_REQUEST,
+                            (e, m) -> e.setAppendRequest(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getAppendRequest())),
+                    new MessageKind<>(
+                            ConsensusMessage.AppendReply.class,
+                            MessageCase.APPEND_REPLY,
+                            (e, m) -> e.setAppendReply(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getAppendReply())),
+                    new MessageKind<>(
+                            ConsensusMessage.InstallSnapshot.class,
+                            MessageCase.INSTALL_SNAPSHOT,
+                            (e, m) -> e.setInstallSnapshot(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getInstallSnapshot())),
+                    new MessageKind<>(
+                            ConsensusMessage.SnapshotReply.class,
+                            MessageCase.SNAPSHOT_REPLY,
+                            (e, m) -> e.setSnapshotReply(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getSnapshotReply())),
+                    new MessageKind<>(
+                            ConsensusMessage.TransferLeadership.class,
+                            MessageCase.TRANSFER_LEADERSHIP,
+                            (e, m) -> e.setTransferLeadership(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getTransferLeadership())),
+                    new MessageKind<>(
+                            ForwardedProposal.class,
+                            MessageCase.FORWARDED_PROPOSAL,
+                            (e, m) -> e.setForwardedProposal(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getForwardedProposal())),
+                    new MessageKind<>(
+                            ProposalReply.class,
+                            MessageCase.PROPOSAL_REPLY,
+                            (e, m) -> e.setProposalReply(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getProposalReply())),
+                    new MessageKind<>(
+                            ForwardedRequest.class,
+                            MessageCase.FORWARDED_REQUEST,
+                            (e, m) -> e.setForwardedRequest(RequestMapper.encode(m)),
+                            e -> RequestMapper.decode(e.getForwardedRequest())),
+                    new MessageKind<>(
+                            ForwardedReply.class,
+                            MessageCase.FORWARDED_REPLY,
+                            (e, m) -> e.setForwardedReply(AnswerMapper.encode(m)),
+                            e -> AnswerMapper.decode(e.getForwardedReply())));
+
+    private static final Map<Class<?>, MessageKind<?>> BY_TYPE =
+            KINDS.stream().collect(Collectors.toMap(MessageKind::type, Function.identity()));
+
+    private static final Map<MessageCase, MessageKind<?>> BY_FIELD =
+            KINDS.stream().collect(Collectors.toMap(MessageKind::field, Function.identity()));
+
+    private PeerMessageCodec() {}
+
+    /** Returns the types of message that have an encoding. */
+    public static Set<Class<?>> types() {
+        return BY_TYPE.keySet();
+    }
+
+    /**
+     * Returns the bytes of a message.
+     *
+     * @throws IllegalArgumentException if the type of the message has no encoding
+     */
+    public static byte[] encode(PeerMessage message) {
+        MessageKind<?> kind = BY_TYPE.get(message.getClass());
+        if (kind == null) {
+            throw new IllegalArgumentException("no encoding of " + message.getClass());
+        }
+        PeerProto.Envelope.Builder envelope =
+                PeerProto.Envelope.newBuilder().setVersion(Wire.VERSION);
+        kind.encode(envelope, message);
+        return envelope.build().toByteArray();
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @throws CrocusturnException if the bytes are malformed, of an unknown version or of an
+     *     unknown kind
+     */
+    public static PeerMessage decode(byte[] bytes) {
+        return Wire.read("message", () -> decode(PeerProto.Envelope.parseFrom(bytes)));
+    }
+
+    private static PeerMessage decode(PeerProto.Envelope envelope) {
+        Wire.requireVersion(envelope.getVersion());
+        MessageKind<?> kind = BY_FIELD.get(envelope.getMessageCase());
+        if (kind == null) {
+            throw Wire.malformed("the message has no known kind");
+        }
+        return kind.get().apply(envelope);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ProtobufLogCodec.java
@@ -0,0 +1,67 @@
+package org.crocusturn.daemon.wire;
+
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.controlhosts.LogEntry;
+import org.crocusturn.core.controlhosts.Snapshot;
+import org.crocusturn.daemon.generated.ControlHostsProto;
+
+/**
+ * Converts log entries and snapshots to the bytes that a control host stores.
+ *
+ * <p>Immutable. The bytes carry a version but no checksum.
+ */
+public final class ProtobufLogCodec {
+    private ProtobufLogCodec() {}
+
+    /** Creates the codec. */
+    public static ProtobufLogCodec create() {
+        return new ProtobufLogCodec();
+    }
+
+    /** Returns the bytes of a log entry. */
+    public byte[] encodeEntry(LogEntry entry) {
+        return ControlHostsProto.StoredEntry.newBuilder()
+                .setVersion(Wire.VERSION)
+                .setEntry(LogMapper.encode(entry))
+                .build()
+                .toByteArray();
+    }
+
+    /**
+     * Reads a log entry.
+     *
+     * @throws CrocusturnException if the bytes are malformed or of an unknown version
+     */
+    public LogEntry decodeEntry(byte[] bytes) {
+        return Wire.read("log entry", () -> entry(ControlHostsProto.StoredEntry.parseFrom(bytes)));
+    }
+
+    /** Returns the bytes of a snapshot; equal snapshots have equal bytes. */
+    public byte[] encodeSnapshot(Snapshot snapshot) {
+        return ControlHostsProto.StoredSnapshot.newBuilder()
+                .setVersion(Wire.VERSION)
+                .setSnapshot(LogMapper.encode(snapshot))
+                .build()
+                .toByteArray();
+    }
+
+    /**
+     * Reads a snapshot.
+     *
+     * @throws CrocusturnException if the bytes are malformed or of an unknown version
+     */
+    public Snapshot decodeSnapshot(byte[] bytes) {
+        return Wire.read(
+                "snapshot", () -> snapshot(ControlHostsProto.StoredSnapshot.parseFrom(bytes)));
+    }
+
+    private static LogEntry entry(ControlHostsProto.StoredEntry value) {
+        Wire.requireVersion(value.getVersion());
+        return LogMapper.decode(value.getEntry());
+    }
+
+    private static Snapshot snapshot(ControlHostsProto.StoredSnapshot value) {
+        Wire.requireVersion(value.getVersion());
+        return LogMapper.decode(value.getSnapshot());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
@@ -0,0 +1,114 @@
+package org.crocusturn.daemon.wire;
+
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.LeaseGrant;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.controlhosts.TokenGrant;
+import org.crocusturn.daemon.generated.ControlHostsProto;
+
+/** Converts the updates of the control leader. */
+final class UpdateMapper {
+    private UpdateMapper() {}
+
+    static ControlHostsProto.ControlUpdate encode(ControlUpdate value) {
+        ControlHostsProto.ControlUpdate.Builder builder =
+                ControlHostsProto.ControlUpdate.newBuilder()
+                        .setLeader(value.leader())
+                        .setSequence(value.sequence())
+                        .setVersion(value.version())
+                        .setState(encode(value.state()))
+                        .setFreshnessMillis(value.freshnessMillis());
+        value.leases().forEach(l -> builder.addLeases(encode(l)));
+        value.tokens().forEach(t -> builder.addTokens(encode(t)));
+        return builder.build();
+    }
+
+    static ControlUpdate decode(ControlHostsProto.ControlUpdate value) {
+        return new ControlUpdate(
+                value.getLeader(),
+                value.getSequence(),
+                value.getVersion(),
+                decode(value.getState()),
+                value.getFreshnessMillis(),
+                value.getLeasesList().stream().map(UpdateMapper::decode).toList(),
+                value.getTokensList().stream().map(UpdateMapper::decode).toList());
+    }
+
+    private static ControlHostsProto.StateUpdate encode(StateUpdate value) {
+        ControlHostsProto.StateUpdate.Builder builder = ControlHostsProto.StateUpdate.newBuilder();
+        if (value instanceof StateUpdate.Changes changes) {
+            changes.commands().forEach(c -> builder.getChangesBuilder().addCommands(encode(c)));
+            if (changes.commands().isEmpty()) {
+                builder.setChanges(ControlHostsProto.Changes.getDefaultInstance());
+            }
+        } else if (value instanceof StateUpdate.Replacement replacement) {
+            builder.setReplacement(StateMapper.encode(replacement.state()));
+        } else {
+            builder.setUnchanged(ControlHostsProto.Unchanged.getDefaultInstance());
+        }
+        return builder.build();
+    }
+
+    private static StateUpdate decode(ControlHostsProto.StateUpdate value) {
+        return switch (value.getKindCase()) {
+            case UNCHANGED -> new StateUpdate.Unchanged();
+            case CHANGES ->
+                    new StateUpdate.Changes(
+                            value.getChanges().getCommandsList().stream()
+                                    .map(UpdateMapper::decode)
+                                    .toList());
+            case REPLACEMENT ->
+                    new StateUpdate.Replacement(StateMapper.decode(value.getReplacement()));
+            case KIND_NOT_SET -> throw Wire.malformed("a state update has no known kind");
+        };
+    }
+
+    private static ControlHostsProto.VersionedCommand encode(StateUpdate.VersionedCommand value) {
+        return ControlHostsProto.VersionedCommand.newBuilder()
+                .setVersion(value.version())
+                .setCommand(CommandMapper.encode(value.command()))
+                .build();
+    }
+
+    private static StateUpdate.VersionedCommand decode(ControlHostsProto.VersionedCommand value) {
+        return new StateUpdate.VersionedCommand(
+                value.getVersion(), CommandMapper.decode(value.getCommand()));
+    }
+
+    private static ControlHostsProto.LeaseGrant encode(LeaseGrant value) {
+        return ControlHostsProto.LeaseGrant.newBuilder()
+                .setGroup(CommonMapper.encode(value.group()))
+                .setEpoch(value.epoch())
+                .setDurationMillis(value.durationMillis())
+                .setAcknowledgeTerm(value.acknowledgeTerm())
+                .setMove(value.move())
+                .build();
+    }
+
+    private static LeaseGrant decode(ControlHostsProto.LeaseGrant value) {
+        return new LeaseGrant(
+                CommonMapper.decode(value.getGroup()),
+                value.getEpoch(),
+                value.getDurationMillis(),
+                value.getAcknowledgeTerm(),
+                value.getMove());
+    }
+
+    private static ControlHostsProto.TokenGrant encode(TokenGrant value) {
+        return ControlHostsProto.TokenGrant.newBuilder()
+                .setWorkspace(value.workspace().value())
+                .setId(value.id())
+                .setTokens(value.tokens())
+                .setDurationMillis(value.durationMillis())
+                .build();
+    }
+
+    private static TokenGrant decode(ControlHostsProto.TokenGrant value) {
+        return new TokenGrant(
+                WorkspaceId.of(value.getWorkspace()),
+                value.getId(),
+                value.getTokens(),
+                value.getDurationMillis());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/Wire.java
@@ -0,0 +1,49 @@
+package org.crocusturn.daemon.wire;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+
+/** Turns every fault of received bytes into a {@link CrocusturnException}. */
+final class Wire {
+    /**
+     * Version of all messages and stored records; raised when old readers would misread new ones.
+     */
+    static final int VERSION = 1;
+
+    private Wire() {}
+
+    /** Reads bytes; the records' own checks count as faults of the bytes. */
+    static <T> T read(String what, Reader<T> reader) {
+        try {
+            return reader.read();
+        } catch (InvalidProtocolBufferException | RuntimeException e) {
+            throw CrocusturnException.causedBy(
+                    Failure.notRun(
+                            ErrorCode.MALFORMED_REQUEST, what + " is malformed: " + e.getMessage()),
+                    e);
+        }
+    }
+
+    static void requireVersion(int version) {
+        if (version != VERSION) {
+            throw malformed("version " + version + " is unknown, expected " + VERSION);
+        }
+    }
+
+    static void require(boolean present, String field) {
+        if (!present) {
+            throw malformed("field " + field + " is missing");
+        }
+    }
+
+    static CrocusturnException malformed(String message) {
+        return CrocusturnException.notRun(ErrorCode.MALFORMED_REQUEST, message);
+    }
+
+    /** Reads one value. */
+    interface Reader<T> {
+        T read() throws InvalidProtocolBufferException;
+    }
+}
