Add authenticated links and bound the memory of HTTP connections

Links between processes start with a mutual HMAC challenge-response, and every later frame is numbered and authenticated with a key of the session. Idle links send heartbeats and silent ones are closed.

The HTTP server had faults: one read could dispatch thousands of pipelined requests past the limit, bodies in chunks of one byte held a read buffer each, a slowly sent head was limited by the idle timeout only, requests after Connection: close were still run, an interim 100 could overtake an earlier answer, and a caller that read nothing kept its connection for ever. Each is now bounded.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/DrainWatch.java
@@ -0,0 +1,64 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Closes a connection whose other end reads its answers too slowly.
+ *
+ * <p>Belongs to the event loop of the connection.
+ */
+final class DrainWatch {
+    /** Bytes that a caller has to read in each period; less would hold answers for hours. */
+    private static final long MIN_DRAINED_BYTES = 16_384;
+
+    private final Duration mPeriod;
+    private Future<?> mTimer;
+    private long mAllowedBytes;
+
+    DrainWatch(Duration period) {
+        mPeriod = period;
+    }
+
+    /** Starts a period if bytes wait for the other end and none runs. */
+    void start(ChannelHandlerContext context) {
+        long waiting = waitingBytes(context.channel());
+        if (mTimer != null || waiting == 0) {
+            return;
+        }
+        mAllowedBytes = waiting - Math.min(waiting, MIN_DRAINED_BYTES);
+        mTimer =
+                context.executor()
+                        .schedule(() -> check(context), mPeriod.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts bytes that were added during the period. */
+    void added(long bytes) {
+        mAllowedBytes += bytes;
+    }
+
+    void cancel() {
+        if (mTimer != null) {
+            mTimer.cancel(false);
+            mTimer = null;
+        }
+    }
+
+    private void check(ChannelHandlerContext context) {
+        mTimer = null;
+        if (waitingBytes(context.channel()) > mAllowedBytes) {
+            context.close();
+        } else {
+            start(context);
+        }
+    }
+
+    private static long waitingBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/FailureAnswer.java
@@ -0,0 +1,61 @@
+package org.crocusturn.daemon.net;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
+
+/** Converts failures to HTTP answers; the only place that knows the status of an error code. */
+public final class FailureAnswer {
+    private static final int UNAVAILABLE = 503;
+    private static final int OUTCOME_UNKNOWN = 504;
+    private static final long MILLIS_IN_SECOND = 1_000;
+
+    private FailureAnswer() {}
+
+    /** Returns the answer for a failure, with a {@code retry-after} header if a time is known. */
+    public static HttpAnswer of(Failure failure) {
+        ObjectNode body =
+                Json.object()
+                        .put("code", failure.code().wireName())
+                        .put("message", failure.message())
+                        .put("verdict", failure.verdict().wireName());
+        failure.retryAfter().ifPresent(d -> body.put("retryAfterMillis", d.toMillis()));
+        HttpAnswer answer = HttpAnswer.json(status(failure), Json.write(body));
+        if (failure.code() == ErrorCode.KEY_REFUSED) {
+            answer = answer.withHeader("www-authenticate", "Bearer");
+        }
+        return failure.retryAfter().isEmpty()
+                ? answer
+                : answer.withHeader("retry-after", seconds(failure.retryAfter().get()));
+    }
+
+    /** Returns the status of a failure; 503 always means that the request did not run. */
+    public static int status(Failure failure) {
+        int status = status(failure.code());
+        boolean unsure =
+                failure.verdict() == Verdict.MAY_HAVE_RUN && failure.code() != ErrorCode.INTERNAL;
+        boolean ran = status == UNAVAILABLE && failure.verdict() != Verdict.NOT_RUN;
+        return unsure || ran ? OUTCOME_UNKNOWN : status;
+    }
+
+    private static int status(ErrorCode code) {
+        return switch (code) {
+            case MALFORMED_REQUEST, DATABASE_REFUSED, SESSION_INVALID -> 400;
+            case KEY_REFUSED -> 401;
+            case FORBIDDEN -> 403;
+            case NOT_FOUND -> 404;
+            case CONFLICT, SESSION_LOST, TRANSACTION_LOST -> 409;
+            case TOO_LARGE -> 413;
+            case RATE_LIMITED -> 429;
+            case OVERLOADED, UNAVAILABLE, MOVED, TIMED_OUT -> UNAVAILABLE;
+            case OUTCOME_UNKNOWN -> OUTCOME_UNKNOWN;
+            case INTERNAL -> 500;
+        };
+    }
+
+    private static String seconds(Duration delay) {
+        return Long.toString((delay.toMillis() + MILLIS_IN_SECOND - 1) / MILLIS_IN_SECOND);
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
@@ -5,6 +5,12 @@
     /** Returns the request. */
     HttpRequest request();
 
+    /**
+     * Tells that {@link #request} will not be called again, so that headers and body need not be
+     * kept until the answer.
+     */
+    default void forgetRequest() {}
+
     /**
      * Answers the request.
      *
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 
@@ -83,13 +84,18 @@
                     return;
                 }
                 connections.add(channel);
+                HttpServerConnection connection = new HttpServerConnection(limits, handler);
                 channel.pipeline()
+                        .addLast(new FirstByteWatcher(connection))
                         .addLast(
                                 new HttpServerCodec(
                                         new HttpDecoderConfig()
                                                 .setMaxInitialLineLength(MAX_INITIAL_LINE)
                                                 .setMaxHeaderSize(MAX_HEADERS)))
-                        .addLast(new HttpServerConnection(limits, handler));
+                        // One read can hold thousands of requests; they wait here while the
+                        // connection takes no more.
+                        .addLast(new FlowControlHandler())
+                        .addLast(connection);
             }
         };
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -1,11 +1,10 @@
 package org.crocusturn.daemon.net;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -13,72 +12,82 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
 
 /**
  * Collects the requests of one connection and sends their answers in order.
  *
- * <p>All state belongs to the event loop of the connection.
+ * <p>All state belongs to the event loop of the connection. The connection stops to read while too
+ * many requests or bytes of their bodies wait for answers, or while the other end does not read.
  */
 final class HttpServerConnection extends SimpleChannelInboundHandler<HttpObject> {
-    /** Headers with a meaning for admission; two values of one could be read differently. */
-    private static final java.util.Set<String> SINGLE =
-            java.util.Set.of("authorization", "crocusturn-session", "content-length", "host");
+    private static final Logger LOG = LogManager.getLogger(HttpServerConnection.class);
+
+    /**
+     * Time in which the other end may close after the last answer; closing at once would reset the
+     * connection and could destroy the answer while the other end still sends.
+     */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
+    /** Estimate of the bytes that an answer has besides its body. */
+    private static final int HEAD_BYTES = 512;
 
     private final HttpLimits mLimits;
     private final HttpHandler mHandler;
     private final ArrayDeque<PendingExchange> mPending = new ArrayDeque<>();
-    private io.netty.handler.codec.http.HttpRequest mHead;
-    private CompositeByteBuf mBody;
-    private boolean mTooLong;
-    private boolean mClosing;
-    private io.netty.util.concurrent.Future<?> mTimeout;
+    private final ConnectionDeadline mDeadline = new ConnectionDeadline();
+    private final DrainWatch mDrain;
+    private ChannelHandlerContext mContext;
+    private RequestCollector mCollector;
+    private long mPendingBytes;
+    private boolean mReceiving;
+    private boolean mContinueDue;
+    private boolean mStopped;
+    private boolean mFinished;
 
     HttpServerConnection(HttpLimits limits, HttpHandler handler) {
         mLimits = limits;
         mHandler = handler;
+        mDrain = new DrainWatch(limits.requestTimeout());
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mContext = context;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        restartTimeout(context, mLimits.idleTimeout().toMillis());
+        update();
         context.fireChannelActive();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelTimeout();
-        releaseBody();
+        mStopped = true;
+        mFinished = true;
+        mDeadline.cancel();
+        mDrain.cancel();
+        mPending.clear();
+        dropRequest();
         context.fireChannelInactive();
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (mClosing) {
-            return;
-        }
-        if (message.decoderResult().isFailure()) {
-            refuse(context, 400, "malformed_request", "the request is not valid HTTP/1.1");
-            return;
-        }
-        if (message instanceof io.netty.handler.codec.http.HttpRequest head) {
-            begin(context, head);
-        }
-        if (message instanceof HttpContent content && mHead != null) {
-            append(context, content.content());
-            if (message instanceof LastHttpContent && !mClosing) {
-                finish(context);
-            }
-        }
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        flushReady();
+        context.fireChannelWritabilityChanged();
     }
 
     @Override
@@ -86,129 +95,136 @@
         context.close();
     }
 
-    private void begin(
-            ChannelHandlerContext context, io.netty.handler.codec.http.HttpRequest head) {
-        mHead = head;
-        mBody = context.alloc().compositeBuffer(Integer.MAX_VALUE);
-        mTooLong = false;
-        restartTimeout(context, mLimits.requestTimeout().toMillis());
-        if (HttpUtil.getContentLength(head, 0L) > mLimits.maxBodyBytes()) {
-            refuseTooLong(context);
-        } else if (HttpUtil.is100ContinueExpected(head)) {
-            context.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-        }
+    /** Tells that bytes arrived. */
+    void onBytes() {
+        mReceiving = true;
+        update();
     }
 
-    private void append(ChannelHandlerContext context, ByteBuf part) {
-        if (mTooLong || mBody == null) {
-            return;
-        }
-        if (mBody.readableBytes() + part.readableBytes() > mLimits.maxBodyBytes()) {
-            refuseTooLong(context);
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mStopped) {
             return;
         }
-        if (part.isReadable()) {
-            mBody.addComponent(true, part.retain());
+        try {
+            if (message.decoderResult().isFailure()) {
+                throw CrocusturnException.notRun(
+                        ErrorCode.MALFORMED_REQUEST, "the request is not valid HTTP/1.1");
+            }
+            if (message instanceof io.netty.handler.codec.http.HttpRequest head) {
+                begin(head);
+            }
+            if (message instanceof HttpContent content && mCollector != null) {
+                mCollector.append(content.content());
+                if (message instanceof LastHttpContent) {
+                    finish();
+                }
+            }
+        } catch (CrocusturnException e) {
+            refuse(e.failure());
         }
     }
 
-    private void refuseTooLong(ChannelHandlerContext context) {
-        mTooLong = true;
-        refuse(
-                context,
-                413,
-                "too_large",
-                "the body is longer than " + mLimits.maxBodyBytes() + " bytes");
+    private void begin(io.netty.handler.codec.http.HttpRequest head) {
+        mCollector = RequestCollector.begin(head, mLimits.maxBodyBytes(), mContext.alloc());
+        mContinueDue = mCollector.expectsContinue();
+        sendContinueIfDue();
     }
 
-    private void finish(ChannelHandlerContext context) {
-        byte[] body = new byte[mBody.readableBytes()];
-        mBody.readBytes(body);
-        Map<String, String> headers = new HashMap<>();
-        for (Map.Entry<String, String> header : mHead.headers()) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (headers.put(name, header.getValue()) != null && SINGLE.contains(name)) {
-                refuse(context, 400, "malformed_request", "header " + name + " is repeated");
-                return;
-            }
-        }
-        boolean keepAlive = HttpUtil.isKeepAlive(mHead);
-        HttpRequest request = new HttpRequest(mHead.method().name(), mHead.uri(), headers, body);
-        releaseBody();
-        mHead = null;
-        PendingExchange exchange = new PendingExchange(context, request, keepAlive);
+    private void finish() {
+        boolean keepAlive = mCollector.keepsAlive();
+        HttpRequest request = mCollector.finish();
+        mCollector = null;
+        mContinueDue = false;
+        mReceiving = false;
+        mStopped = !keepAlive;
+        PendingExchange exchange = new PendingExchange(request);
         mPending.add(exchange);
-        cancelTimeout();
-        if (mPending.size() >= mLimits.maxPipelined()) {
-            context.channel().config().setAutoRead(false);
+        mPendingBytes += request.body().length;
+        update();
+        try {
+            mHandler.handle(exchange);
+        } catch (RuntimeException e) {
+            LOG.error("net: the handler of a request failed", e);
+            exchange.respond(
+                    FailureAnswer.of(
+                            new Failure(
+                                    ErrorCode.INTERNAL,
+                                    Verdict.MAY_HAVE_RUN,
+                                    "the request failed inside the proxy",
+                                    java.util.Optional.empty())));
         }
-        mHandler.handle(exchange);
     }
 
-    private void refuse(ChannelHandlerContext context, int status, String code, String message) {
-        mClosing = true;
-        releaseBody();
-        mHead = null;
-        cancelTimeout();
-        PendingExchange exchange = new PendingExchange(context, HttpRequest.of("GET", "/"), false);
+    private void refuse(Failure failure) {
+        dropRequest();
+        mStopped = true;
+        PendingExchange exchange = new PendingExchange(HttpRequest.of("GET", "/"));
         mPending.add(exchange);
-        String body =
-                "{\"code\":\""
-                        + code
-                        + "\",\"message\":\""
-                        + message
-                        + "\",\"verdict\":\"not_run\"}";
-        exchange.respond(HttpAnswer.json(status, body.getBytes(StandardCharsets.UTF_8)));
+        exchange.respond(FailureAnswer.of(failure));
     }
 
-    private void releaseBody() {
-        if (mBody != null) {
-            mBody.release();
-            mBody = null;
+    private void dropRequest() {
+        mReceiving = false;
+        mContinueDue = false;
+        if (mCollector != null) {
+            mCollector.release();
+            mCollector = null;
         }
     }
 
-    private void restartTimeout(ChannelHandlerContext context, long millis) {
-        cancelTimeout();
-        mTimeout =
-                context.executor()
-                        .schedule(
-                                () -> {
-                                    context.close();
-                                },
-                                millis,
-                                TimeUnit.MILLISECONDS);
-    }
-
-    private void cancelTimeout() {
-        if (mTimeout != null) {
-            mTimeout.cancel(false);
-            mTimeout = null;
+    /** An interim answer must not come between the answers of earlier requests. */
+    private void sendContinueIfDue() {
+        if (mContinueDue && mPending.isEmpty()) {
+            mContinueDue = false;
+            mContext.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
-    private void flushReady(ChannelHandlerContext context) {
-        boolean wrote = false;
-        while (!mPending.isEmpty() && mPending.peek().mAnswer != null) {
-            PendingExchange first = mPending.poll();
-            write(context, first);
-            wrote = true;
+    /** Adjusts reading and time limits to the state. */
+    private void update() {
+        boolean reads =
+                mStopped
+                        || mPending.size() < mLimits.maxPipelined()
+                                && mPendingBytes <= mLimits.maxBodyBytes()
+                                && mContext.channel().isWritable();
+        if (mFinished) {
+            mDeadline.enter(mContext, ConnectionDeadline.State.LINGERING, LINGER);
+        } else if (mReceiving && !mStopped && reads) {
+            mDeadline.enter(mContext, ConnectionDeadline.State.RECEIVING, mLimits.requestTimeout());
+        } else if (mPending.isEmpty() && reads) {
+            mDeadline.enter(mContext, ConnectionDeadline.State.IDLE, mLimits.idleTimeout());
+        } else {
+            mDeadline.enter(mContext, ConnectionDeadline.State.NONE, Duration.ZERO);
         }
-        if (!wrote) {
-            return;
+        if (mContext.channel().config().isAutoRead() != reads) {
+            mContext.channel().config().setAutoRead(reads);
         }
-        context.flush();
-        if (!mClosing && mPending.size() < mLimits.maxPipelined()) {
-            context.channel().config().setAutoRead(true);
+    }
+
+    private void flushReady() {
+        while (!mFinished
+                && !mPending.isEmpty()
+                && mPending.peek().mAnswer != null
+                && mContext.channel().isWritable()) {
+            write(mPending.poll());
         }
-        if (mPending.isEmpty() && mHead == null) {
-            restartTimeout(context, mLimits.idleTimeout().toMillis());
+        mContext.flush();
+        mDrain.start(mContext);
+        sendContinueIfDue();
+        if (mContext.channel().isActive()) {
+            update();
         }
     }
 
-    private void write(ChannelHandlerContext context, PendingExchange exchange) {
+    private void write(PendingExchange exchange) {
         HttpAnswer answer = exchange.mAnswer;
+        mPendingBytes -= exchange.mBodyBytes;
+        if (answer.close()) {
+            dropRequest();
+            mStopped = true;
+        }
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -216,29 +232,41 @@
                         Unpooled.wrappedBuffer(answer.body()));
         answer.headers().forEach((name, value) -> response.headers().set(name, value));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
-        if (answer.close() || !exchange.mKeepAlive) {
-            mClosing = true;
+        mDrain.added(answer.body().length + HEAD_BYTES);
+        if (mStopped && mPending.isEmpty()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            mPending.clear();
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            mContext.writeAndFlush(response).addListener(this::onLastAnswerWritten);
         } else {
-            context.write(response, context.voidPromise());
+            mContext.write(response, mContext.voidPromise());
+        }
+    }
+
+    private void onLastAnswerWritten(io.netty.util.concurrent.Future<? super Void> written) {
+        if (!written.isSuccess()) {
+            mContext.close();
+            return;
         }
+        mFinished = true;
+        update();
+        ChannelFuture shutdown = ((SocketChannel) mContext.channel()).shutdownOutput();
+        shutdown.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        mContext.close();
+                    }
+                });
     }
 
     /** Is a request in the order of its connection. */
     private final class PendingExchange implements HttpExchange {
-        private final ChannelHandlerContext mContext;
-        private final HttpRequest mRequest;
-        private final boolean mKeepAlive;
         private final AtomicBoolean mAnswered = new AtomicBoolean();
+        private final int mBodyBytes;
+        private volatile HttpRequest mRequest;
         private HttpAnswer mAnswer;
 
-        private PendingExchange(
-                ChannelHandlerContext context, HttpRequest request, boolean keepAlive) {
-            mContext = context;
+        private PendingExchange(HttpRequest request) {
             mRequest = request;
-            mKeepAlive = keepAlive;
+            mBodyBytes = request.body().length;
         }
 
         @Override
@@ -246,17 +274,27 @@
             return mRequest;
         }
 
+        @Override
+        public void forgetRequest() {
+            mRequest = null;
+        }
+
         @Override
         public void respond(HttpAnswer answer) {
             if (!mAnswered.compareAndSet(false, true)) {
                 return;
             }
-            mContext.executor()
-                    .execute(
-                            () -> {
-                                mAnswer = answer;
-                                flushReady(mContext);
-                            });
+            try {
+                mContext.executor()
+                        .execute(
+                                () -> {
+                                    mAnswer = answer;
+                                    flushReady();
+                                });
+            } catch (RejectedExecutionException e) {
+                // The I/O threads have ended, so the connection is closed.
+                mRequest = null;
+            }
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkClient.java
@@ -0,0 +1,172 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+
+/**
+ * Keeps one link to an address and connects again when it is lost.
+ *
+ * <p>Safe for any thread. Its handler hears of each link that opens and closes.
+ */
+public final class LinkClient implements AutoCloseable {
+    private static final long MIN_BACKOFF_MILLIS = 20;
+    private static final long MAX_BACKOFF_MILLIS = 500;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final InetSocketAddress mAddress;
+    private final EventLoop mLoop;
+    private final Bootstrap mBootstrap;
+    private volatile PeerLink mLink;
+    private volatile ChannelFuture mConnecting;
+    private volatile boolean mClosed;
+    private long mBackoffMillis = MIN_BACKOFF_MILLIS;
+
+    private LinkClient(
+            NetThreads threads,
+            InetSocketAddress address,
+            HostId self,
+            SharedSecret secret,
+            PeerLinkHandler handler) {
+        mAddress = address;
+        mLoop = threads.group().next();
+        mBootstrap =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(
+                                        LinkLimits.RESUME_BUFFERED_BYTES,
+                                        LinkLimits.MAX_BUFFERED_BYTES))
+                        .handler(initializer(self, secret, new Tracker(handler)));
+    }
+
+    /**
+     * Starts to connect; the link opens later.
+     *
+     * @param threads I/O threads
+     * @param address address of the other end
+     * @param self name of this host, as told to the other end
+     * @param secret secret that the other end has to know
+     * @param handler takes the events of the links
+     */
+    public static LinkClient start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HostId self,
+            SharedSecret secret,
+            PeerLinkHandler handler) {
+        LinkClient client = new LinkClient(threads, address, self, secret, handler);
+        client.mLoop.execute(client::connect);
+        return client;
+    }
+
+    /** Returns the address of the other end. */
+    public InetSocketAddress address() {
+        return mAddress;
+    }
+
+    /** Returns whether a link is open. */
+    public boolean isOpen() {
+        return mLink != null;
+    }
+
+    /**
+     * Sends a message and returns true, or returns false if no link is open or its buffer is full;
+     * the message is then not sent.
+     */
+    public boolean send(PeerMessage message) {
+        PeerLink link = mLink;
+        return link != null && link.send(message);
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        ChannelFuture connecting = mConnecting;
+        if (connecting != null) {
+            connecting.channel().close();
+        }
+    }
+
+    private void connect() {
+        if (mClosed) {
+            return;
+        }
+        ChannelFuture connecting = mBootstrap.connect(mAddress);
+        mConnecting = connecting;
+        if (mClosed) {
+            connecting.channel().close();
+        }
+        connecting.channel().closeFuture().addListener(done -> connectLater());
+    }
+
+    private void connectLater() {
+        if (mClosed || mLoop.isShuttingDown()) {
+            return;
+        }
+        // Clients that lost the same server must not all come back at the same moment.
+        long delay =
+                ThreadLocalRandom.current().nextLong(mBackoffMillis / 2 + 1) + mBackoffMillis / 2;
+        mBackoffMillis = Math.min(MAX_BACKOFF_MILLIS, mBackoffMillis * 2);
+        try {
+            mLoop.schedule(this::connect, delay, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            mClosed = true;
+        }
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(
+            HostId self, SharedSecret secret, PeerLinkHandler handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                LinkPipeline.start(
+                        channel, new LinkHandshake(LinkRole.CLIENT, self, secret, handler));
+            }
+        };
+    }
+
+    /** Remembers the open link and passes its events on; called in the event loop. */
+    private final class Tracker implements PeerLinkHandler {
+        private final PeerLinkHandler mNext;
+
+        private Tracker(PeerLinkHandler next) {
+            mNext = next;
+        }
+
+        @Override
+        public void onOpen(PeerLink link) {
+            mBackoffMillis = MIN_BACKOFF_MILLIS;
+            mLink = link;
+            mNext.onOpen(link);
+        }
+
+        @Override
+        public void onMessage(PeerLink link, PeerMessage message) {
+            mNext.onMessage(link, message);
+        }
+
+        @Override
+        public void onClosed(PeerLink link) {
+            if (mLink == link) {
+                mLink = null;
+            }
+            mNext.onClosed(link);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkMessages.java
@@ -0,0 +1,101 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.daemon.wire.PeerMessageCodec;
+
+/**
+ * Seals and opens the frames of an open link and sends its heartbeats.
+ *
+ * <p>An empty payload is a heartbeat. Belongs to the event loop of the link.
+ */
+final class LinkMessages extends ChannelDuplexHandler {
+    private static final Logger LOG = LogManager.getLogger(LinkMessages.class);
+
+    private final PeerLink mLink;
+    private final FrameSeal mSending;
+    private final FrameSeal mReceiving;
+    private final PeerLinkHandler mHandler;
+
+    LinkMessages(PeerLink link, FrameSeal sending, FrameSeal receiving, PeerLinkHandler handler) {
+        mLink = link;
+        mSending = sending;
+        mReceiving = receiving;
+        mHandler = handler;
+    }
+
+    void open() {
+        mHandler.onOpen(mLink);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        ByteBuf payload = (ByteBuf) message;
+        try {
+            ByteBuf frame =
+                    context.alloc().buffer(payload.readableBytes() + FrameSeal.OVERHEAD_BYTES);
+            mSending.seal(payload, frame);
+            context.write(frame, promise);
+        } finally {
+            payload.release();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf frame = (ByteBuf) message;
+        try {
+            onFrame(context, frame);
+        } finally {
+            frame.release();
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent idle) {
+            if (idle.state() == IdleState.READER_IDLE) {
+                abandon(context, "nothing was received in time");
+            } else if (context.channel().isWritable()) {
+                context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER);
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mHandler.onClosed(mLink);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        abandon(context, cause.toString());
+    }
+
+    private void onFrame(ChannelHandlerContext context, ByteBuf frame) {
+        if (!context.channel().isActive()) {
+            return;
+        }
+        byte[] payload = mReceiving.open(frame);
+        if (payload == null) {
+            abandon(context, "a frame is altered, repeated or out of order");
+        } else if (payload.length > 0) {
+            mHandler.onMessage(mLink, PeerMessageCodec.decode(payload));
+        }
+    }
+
+    private void abandon(ChannelHandlerContext context, String reason) {
+        if (context.channel().isActive()) {
+            LOG.info("net: closed the link with {}: {}", mLink.peer(), reason);
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkServer.java
@@ -0,0 +1,91 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import org.crocusturn.core.HostId;
+
+/** Accepts the links of other processes; safe for any thread. */
+public final class LinkServer implements AutoCloseable {
+    private final Channel mChannel;
+    private final ChannelGroup mConnections;
+
+    private LinkServer(Channel channel, ChannelGroup connections) {
+        mChannel = channel;
+        mConnections = connections;
+    }
+
+    /**
+     * Binds a port and starts to accept links.
+     *
+     * @param threads I/O threads
+     * @param address address to bind; port 0 chooses a free one
+     * @param self name of this host, as told to the other end
+     * @param secret secret that the other end has to know
+     * @param handler takes the events of all links
+     */
+    public static LinkServer start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HostId self,
+            SharedSecret secret,
+            PeerLinkHandler handler) {
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        Channel channel =
+                new ServerBootstrap()
+                        .group(threads.group())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(
+                                        LinkLimits.RESUME_BUFFERED_BYTES,
+                                        LinkLimits.MAX_BUFFERED_BYTES))
+                        .childHandler(initializer(self, secret, handler, connections))
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+        return new LinkServer(channel, connections);
+    }
+
+    /** Returns the address that is bound. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /** Returns the number of connections, with those that have not proved themselves yet. */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    @Override
+    public void close() {
+        mChannel.close().syncUninterruptibly();
+        mConnections.close().awaitUninterruptibly();
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(
+            HostId self, SharedSecret secret, PeerLinkHandler handler, ChannelGroup connections) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                if (connections.size() >= LinkLimits.MAX_CONNECTIONS) {
+                    channel.close();
+                    return;
+                }
+                connections.add(channel);
+                LinkPipeline.start(
+                        channel, new LinkHandshake(LinkRole.SERVER, self, secret, handler));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/RequestCollector.java
@@ -0,0 +1,124 @@
+package org.crocusturn.daemon.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+
+/**
+ * Puts the parts of one request together within the limits.
+ *
+ * <p>Belongs to the event loop of the connection.
+ */
+final class RequestCollector {
+    /** Headers with one meaning for a request; two values of one could be read differently. */
+    private static final Set<String> SINGLE =
+            Set.of(
+                    "authorization",
+                    "content-length",
+                    "content-type",
+                    "crocusturn-session",
+                    "expect",
+                    "host",
+                    "transfer-encoding");
+
+    private final int mMaxBodyBytes;
+    private final HttpRequest mHead;
+    private final Map<String, String> mHeaders;
+    private final ByteBuf mBody;
+
+    private RequestCollector(
+            int maxBodyBytes, HttpRequest head, Map<String, String> headers, ByteBuf body) {
+        mMaxBodyBytes = maxBodyBytes;
+        mHead = head;
+        mHeaders = headers;
+        mBody = body;
+    }
+
+    /**
+     * Starts with the head of a request.
+     *
+     * @throws CrocusturnException if the head is refused
+     */
+    static RequestCollector begin(HttpRequest head, int maxBodyBytes, ByteBufAllocator allocator) {
+        if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            throw malformed("the protocol is not HTTP/1.1");
+        }
+        Map<String, String> headers = headers(head);
+        if (headers.containsKey("transfer-encoding") && !HttpUtil.isTransferEncodingChunked(head)) {
+            throw malformed("the transfer encoding is not known");
+        }
+        if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes) {
+            throw tooLong(maxBodyBytes);
+        }
+        return new RequestCollector(maxBodyBytes, head, headers, allocator.buffer(0, maxBodyBytes));
+    }
+
+    /**
+     * Adds a part of the body; copies it, because parts of one byte would otherwise each hold a
+     * whole read buffer.
+     *
+     * @throws CrocusturnException if the body is too long
+     */
+    void append(ByteBuf part) {
+        if (part.readableBytes() > mMaxBodyBytes - mBody.readableBytes()) {
+            throw tooLong(mMaxBodyBytes);
+        }
+        mBody.writeBytes(part);
+    }
+
+    boolean expectsContinue() {
+        return HttpUtil.is100ContinueExpected(mHead);
+    }
+
+    /** Returns whether the connection stays open after the request. */
+    boolean keepsAlive() {
+        return HttpUtil.isKeepAlive(mHead) && mHead.protocolVersion().equals(HttpVersion.HTTP_1_1);
+    }
+
+    /** Returns the whole request and releases the collected parts. */
+    org.crocusturn.daemon.net.HttpRequest finish() {
+        byte[] body = new byte[mBody.readableBytes()];
+        mBody.readBytes(body);
+        release();
+        return new org.crocusturn.daemon.net.HttpRequest(
+                mHead.method().name(), mHead.uri(), mHeaders, body);
+    }
+
+    void release() {
+        mBody.release();
+    }
+
+    private static Map<String, String> headers(HttpRequest head) {
+        Map<String, String> headers = new HashMap<>();
+        for (Map.Entry<String, String> header : head.headers()) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (headers.put(name, header.getValue()) != null && SINGLE.contains(name)) {
+                throw malformed("header " + name + " is repeated");
+            }
+        }
+        if (!headers.containsKey(HttpHeaderNames.HOST.toString())
+                && head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+            throw malformed("header host is missing");
+        }
+        return headers;
+    }
+
+    private static CrocusturnException malformed(String message) {
+        return CrocusturnException.notRun(ErrorCode.MALFORMED_REQUEST, message);
+    }
+
+    private static CrocusturnException tooLong(int maxBodyBytes) {
+        return CrocusturnException.notRun(
+                ErrorCode.TOO_LARGE, "the body is longer than " + maxBodyBytes + " bytes");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/SharedSecret.java
@@ -0,0 +1,83 @@
+package org.crocusturn.daemon.net;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Is a secret that the processes of a deployment share; its text form never shows it.
+ *
+ * <p>Immutable and safe for any thread.
+ */
+public final class SharedSecret {
+    /** Length of a message authentication code, in bytes. */
+    public static final int MAC_BYTES = 32;
+
+    /** Shorter secrets could be guessed from one recorded proof. */
+    private static final int MIN_BYTES = 16;
+
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private final SecretKeySpec mKey;
+
+    private SharedSecret(byte[] bytes) {
+        mKey = new SecretKeySpec(bytes, ALGORITHM);
+    }
+
+    /**
+     * Creates a secret from its bytes, which are copied.
+     *
+     * @throws IllegalArgumentException if there are fewer than 16 bytes
+     */
+    public static SharedSecret of(byte[] bytes) {
+        if (bytes.length < MIN_BYTES) {
+            throw new IllegalArgumentException(
+                    "the shared secret must have at least " + MIN_BYTES + " bytes");
+        }
+        return new SharedSecret(bytes);
+    }
+
+    /** Creates a secret from the UTF-8 bytes of a text. */
+    public static SharedSecret of(String text) {
+        return of(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the HMAC-SHA-256 of parts; each part counts with its length. */
+    public byte[] mac(byte[]... parts) {
+        Mac mac = newMac();
+        for (byte[] part : parts) {
+            mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
+            mac.update(part);
+        }
+        return mac.doFinal();
+    }
+
+    /** Returns whether a code belongs to parts; takes equal time for all wrong codes. */
+    public boolean verify(byte[] code, byte[]... parts) {
+        return MessageDigest.isEqual(mac(parts), code);
+    }
+
+    /** Returns a new computation of codes with this secret; it belongs to one thread at a time. */
+    Mac newMac() {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(mKey);
+            return mac;
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("the Java platform lacks " + ALGORITHM, e);
+        }
+    }
+
+    /** Returns a secret for one purpose; it does not disclose this one. */
+    public SharedSecret derive(byte[]... purpose) {
+        return new SharedSecret(mac(purpose));
+    }
+
+    @Override
+    public String toString() {
+        return "SharedSecret[hidden]";
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ProtobufLogCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/LogRecordCodec.java
@@ -8,18 +8,13 @@
 /**
  * Converts log entries and snapshots to the bytes that a control host stores.
  *
- * <p>Immutable. The bytes carry a version but no checksum.
+ * <p>The bytes carry a version but no checksum.
  */
-public final class ProtobufLogCodec {
-    private ProtobufLogCodec() {}
-
-    /** Creates the codec. */
-    public static ProtobufLogCodec create() {
-        return new ProtobufLogCodec();
-    }
+public final class LogRecordCodec {
+    private LogRecordCodec() {}
 
     /** Returns the bytes of a log entry. */
-    public byte[] encodeEntry(LogEntry entry) {
+    public static byte[] encodeEntry(LogEntry entry) {
         return ControlHostsProto.StoredEntry.newBuilder()
                 .setVersion(Wire.VERSION)
                 .setEntry(LogMapper.encode(entry))
@@ -32,12 +27,12 @@
      *
      * @throws CrocusturnException if the bytes are malformed or of an unknown version
      */
-    public LogEntry decodeEntry(byte[] bytes) {
+    public static LogEntry decodeEntry(byte[] bytes) {
         return Wire.read("log entry", () -> entry(ControlHostsProto.StoredEntry.parseFrom(bytes)));
     }
 
     /** Returns the bytes of a snapshot; equal snapshots have equal bytes. */
-    public byte[] encodeSnapshot(Snapshot snapshot) {
+    public static byte[] encodeSnapshot(Snapshot snapshot) {
         return ControlHostsProto.StoredSnapshot.newBuilder()
                 .setVersion(Wire.VERSION)
                 .setSnapshot(LogMapper.encode(snapshot))
@@ -50,7 +45,7 @@
      *
      * @throws CrocusturnException if the bytes are malformed or of an unknown version
      */
-    public Snapshot decodeSnapshot(byte[] bytes) {
+    public static Snapshot decodeSnapshot(byte[] bytes) {
         return Wire.read(
                 "snapshot", () -> snapshot(ControlHostsProto.StoredSnapshot.parseFrom(bytes)));
     }
