Add the callers' front end, session tokens and transaction ids

The front end parses routes, headers and bodies strictly, hashes the key at once and hands immutable requests to a sink. The mapping of error codes to HTTP status is in FailureAnswer only.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/AnswerEncoder.java
@@ -0,0 +1,69 @@
+package org.crocusturn.daemon.callers;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Locale;
+import org.crocusturn.core.callers.GroupAnswer;
+import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.callers.ServedBy;
+import org.crocusturn.core.callers.SqlValue;
+import org.crocusturn.core.callers.StatementAnswer;
+import org.crocusturn.daemon.net.FailureAnswer;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.Json;
+
+/** Converts the end of a request to its HTTP answer. */
+public final class AnswerEncoder {
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+
+    private AnswerEncoder() {}
+
+    /** Returns the HTTP answer; status, headers and body are those of docs/API.md. */
+    public static HttpAnswer encode(CallerAnswer answer) {
+        HttpAnswer encoded = encode(answer.outcome());
+        if (answer.session().isPresent()) {
+            encoded = encoded.withHeader(CallerHeaders.SESSION, answer.session().get());
+        }
+        return answer.close() ? encoded.withClose() : encoded;
+    }
+
+    private static HttpAnswer encode(Outcome outcome) {
+        if (outcome instanceof Outcome.Failed failed) {
+            return FailureAnswer.of(failed.failure());
+        }
+        GroupAnswer answer = ((Outcome.Answered) outcome).answer();
+        if (answer.transaction().isPresent()) {
+            String id = TransactionIdCodec.encode(answer.transaction().get());
+            return json(CREATED, Json.object().put("transaction", id));
+        }
+        return json(OK, answer.statement().map(AnswerEncoder::statement).orElseGet(Json::object));
+    }
+
+    private static ObjectNode statement(StatementAnswer answer) {
+        ObjectNode body = Json.object();
+        ArrayNode columns = body.putArray("columns");
+        answer.columns().forEach(columns::add);
+        ArrayNode rows = body.putArray("rows");
+        answer.rows().forEach(row -> addRow(rows.addArray(), row));
+        body.put("updated", answer.updated());
+        body.set("servedBy", servedBy(answer.servedBy()));
+        return body;
+    }
+
+    private static void addRow(ArrayNode array, List<SqlValue> row) {
+        row.forEach(value -> JsonValues.add(array, value));
+    }
+
+    private static ObjectNode servedBy(ServedBy servedBy) {
+        return Json.object()
+                .put("endpoint", servedBy.endpoint().value())
+                .put("role", servedBy.role().name().toLowerCase(Locale.ROOT))
+                .put("term", servedBy.term());
+    }
+
+    private static HttpAnswer json(int status, ObjectNode body) {
+        return HttpAnswer.json(status, Json.write(body));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerFrontEnd.java
@@ -0,0 +1,79 @@
+package org.crocusturn.daemon.callers;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.HttpExchange;
+import org.crocusturn.daemon.net.HttpHandler;
+import org.crocusturn.daemon.net.HttpRequest;
+import org.crocusturn.daemon.net.Json;
+
+/**
+ * Turns HTTP requests of callers into {@link CallerRequest}s for a sink.
+ *
+ * <p>Safe for any thread. A key is replaced by its hash at once. Refusals that need no body come
+ * before the body is parsed.
+ */
+public final class CallerFrontEnd implements HttpHandler {
+    private static final HttpAnswer OPEN =
+            HttpAnswer.json(200, Json.write(Json.object().put("status", "open")));
+
+    private final CallerSink mSink;
+    private final Supplier<Set<String>> mOpenRoutes;
+    private final AtomicLong mNextId = new AtomicLong(1);
+
+    private CallerFrontEnd(CallerSink sink, Supplier<Set<String>> openRoutes) {
+        mSink = sink;
+        mOpenRoutes = openRoutes;
+    }
+
+    /**
+     * Creates the front end.
+     *
+     * @param sink takes the requests
+     * @param openRoutes gives the paths that need no key, as currently configured
+     */
+    public static CallerFrontEnd create(CallerSink sink, Supplier<Set<String>> openRoutes) {
+        return new CallerFrontEnd(
+                Objects.requireNonNull(sink, "sink"),
+                Objects.requireNonNull(openRoutes, "openRoutes"));
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        HttpRequest request = exchange.request();
+        exchange.forgetRequest();
+        if (request.method().equals("GET") && mOpenRoutes.get().contains(request.route())) {
+            exchange.respond(OPEN);
+            return;
+        }
+        CallerReply reply = answer -> exchange.respond(AnswerEncoder.encode(answer));
+        try {
+            if (!mSink.offer(parse(request), reply)) {
+                throw CrocusturnException.notRun(
+                        ErrorCode.OVERLOADED, "the host has too many waiting requests");
+            }
+        } catch (CrocusturnException e) {
+            reply.complete(CallerAnswer.of(e.failure()));
+        }
+    }
+
+    private CallerRequest parse(HttpRequest request) {
+        String keyHash = CallerHeaders.keyHash(request);
+        Optional<Failure> refusal = mSink.refusal(keyHash);
+        if (refusal.isPresent()) {
+            throw CrocusturnException.of(refusal.get());
+        }
+        CallerRoute route = CallerRoute.parse(request.method(), request.path());
+        Optional<String> session = CallerHeaders.session(request);
+        CallerHeaders.requireJson(request);
+        return new CallerRequest(
+                mNextId.getAndIncrement(), keyHash, session, route.operation(request.body()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerHeaders.java
@@ -0,0 +1,78 @@
+package org.crocusturn.daemon.callers;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.daemon.net.HttpRequest;
+
+/** Reads the headers of callers; no message of a refusal repeats their values. */
+final class CallerHeaders {
+    /** Name of the header that carries the session token, in lower case. */
+    static final String SESSION = "crocusturn-session";
+
+    private static final Pattern AUTHORIZATION =
+            Pattern.compile("(?i:Bearer) ([A-Za-z0-9._~+/=-]{1,512})");
+
+    private static final Pattern SESSION_TEXT =
+            Pattern.compile("[A-Za-z0-9_-]{1," + SessionTokenCodec.MAX_CHARACTERS + "}");
+
+    private static final Pattern JSON =
+            Pattern.compile("(?i)application/json *(; *charset=\"?utf-8\"? *)?");
+
+    private CallerHeaders() {}
+
+    /**
+     * Returns the hash of the key.
+     *
+     * @throws CrocusturnException with KEY_REFUSED if no key was sent
+     */
+    static String keyHash(HttpRequest request) {
+        var parts =
+                request.header("authorization")
+                        .map(AUTHORIZATION::matcher)
+                        .filter(java.util.regex.Matcher::matches)
+                        .orElseThrow(
+                                () ->
+                                        CrocusturnException.notRun(
+                                                ErrorCode.KEY_REFUSED,
+                                                "header authorization must be Bearer and a key"));
+        return hash(parts.group(1));
+    }
+
+    /**
+     * Returns the text of the session token, if one was sent.
+     *
+     * @throws CrocusturnException with SESSION_INVALID if it cannot be a token
+     */
+    static Optional<String> session(HttpRequest request) {
+        Optional<String> text = request.header(SESSION);
+        if (text.isPresent() && !SESSION_TEXT.matcher(text.get()).matches()) {
+            throw CrocusturnException.notRun(
+                    ErrorCode.SESSION_INVALID, "the session token is not valid for this workspace");
+        }
+        return text;
+    }
+
+    /** Checks that a body is declared as JSON, if its type is declared. */
+    static void requireJson(HttpRequest request) {
+        boolean fits =
+                request.header("content-type").map(t -> JSON.matcher(t).matches()).orElse(true);
+        if (request.body().length > 0 && !fits) {
+            throw StatementParser.malformed("header content-type must be application/json");
+        }
+    }
+
+    private static String hash(String key) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("the Java platform lacks SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerRoute.java
@@ -0,0 +1,94 @@
+package org.crocusturn.daemon.callers;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.callers.GroupOperation;
+import org.crocusturn.core.callers.TransactionId;
+
+/**
+ * Is the parsed path of a caller's request.
+ *
+ * @param service name of the service
+ * @param action what the path asks for
+ * @param transaction transaction that the path names, if it does
+ */
+record CallerRoute(String service, Action action, Optional<TransactionId> transaction) {
+    private static final Pattern PATH =
+            Pattern.compile(
+                    "/v1/services/([A-Za-z0-9][A-Za-z0-9._-]{0,99})/"
+                            + "(statements|transactions"
+                            + "(?:/([^/]+)/(statements|commit|rollback))?)");
+
+    /**
+     * Reads a method and a path.
+     *
+     * @throws CrocusturnException with NOT_FOUND if no route of callers has them
+     */
+    static CallerRoute parse(String method, String path) {
+        Matcher parts = PATH.matcher(path);
+        if (!parts.matches() || !method.equals("POST")) {
+            throw notFound("there is no such route");
+        }
+        String service = parts.group(1);
+        if (parts.group(3) == null) {
+            boolean statement = parts.group(2).equals("statements");
+            return new CallerRoute(
+                    service, statement ? Action.EXECUTE : Action.BEGIN, Optional.empty());
+        }
+        TransactionId transaction = TransactionIdCodec.decode(parts.group(3));
+        if (!transaction.group().service().equals(service)) {
+            throw notFound("there is no such transaction");
+        }
+        Action action =
+                switch (parts.group(4)) {
+                    case "commit" -> Action.COMMIT;
+                    case "rollback" -> Action.ROLLBACK;
+                    default -> Action.EXECUTE_IN_TRANSACTION;
+                };
+        return new CallerRoute(service, action, Optional.of(transaction));
+    }
+
+    /**
+     * Returns the operation of the route with a body.
+     *
+     * @throws CrocusturnException if the body does not fit the route
+     */
+    CallerOperation operation(byte[] body) {
+        return new CallerOperation(
+                service,
+                switch (action) {
+                    case EXECUTE -> new GroupOperation.Execute(StatementParser.parse(body));
+                    case EXECUTE_IN_TRANSACTION ->
+                            new GroupOperation.ExecuteInTransaction(
+                                    transaction.orElseThrow(),
+                                    StatementParser.parseInTransaction(body));
+                    case BEGIN -> withoutBody(body, new GroupOperation.Begin());
+                    case COMMIT ->
+                            withoutBody(body, new GroupOperation.Commit(transaction.orElseThrow()));
+                    case ROLLBACK ->
+                            withoutBody(
+                                    body, new GroupOperation.Rollback(transaction.orElseThrow()));
+                });
+    }
+
+    private static GroupOperation withoutBody(byte[] body, GroupOperation operation) {
+        StatementParser.requireNothing(body);
+        return operation;
+    }
+
+    private static CrocusturnException notFound(String message) {
+        return CrocusturnException.notRun(ErrorCode.NOT_FOUND, message);
+    }
+
+    /** Is what a path asks for. */
+    enum Action {
+        EXECUTE,
+        BEGIN,
+        EXECUTE_IN_TRANSACTION,
+        COMMIT,
+        ROLLBACK
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/TransactionIdCodec.java
@@ -0,0 +1,61 @@
+package org.crocusturn.daemon.callers;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.callers.TransactionId;
+
+/**
+ * Converts transaction ids to the text that callers put into paths, and back.
+ *
+ * <p>The text is not signed: its secret cannot be guessed, so a forged one names no transaction.
+ */
+public final class TransactionIdCodec {
+    /** Longest text: two names of 100 characters, the epoch, the secret and three separators. */
+    public static final int MAX_CHARACTERS = 100 + 100 + 19 + 32 + 3;
+
+    /** The separator is valid in paths and does not occur in names. */
+    private static final char SEPARATOR = '~';
+
+    private static final Pattern TEXT =
+            Pattern.compile("([^~]{1,100})~([^~]{1,100})~(0|[1-9][0-9]{0,18})~([0-9a-f]{32})");
+
+    private TransactionIdCodec() {}
+
+    /** Returns the text of an id. */
+    public static String encode(TransactionId id) {
+        return id.group().service()
+                + SEPARATOR
+                + id.group().database()
+                + SEPARATOR
+                + id.epoch()
+                + SEPARATOR
+                + id.secret();
+    }
+
+    /**
+     * Reads the text of an id.
+     *
+     * @throws CrocusturnException with NOT_FOUND if the text is not that of any id
+     */
+    public static TransactionId decode(String text) {
+        Matcher parts = TEXT.matcher(text);
+        if (text.length() > MAX_CHARACTERS || !parts.matches()) {
+            throw notFound();
+        }
+        try {
+            return new TransactionId(
+                    GroupId.of(parts.group(1), parts.group(2)),
+                    Long.parseLong(parts.group(3)),
+                    parts.group(4));
+        } catch (CrocusturnException | NumberFormatException e) {
+            throw notFound();
+        }
+    }
+
+    private static CrocusturnException notFound() {
+        return CrocusturnException.notRun(ErrorCode.NOT_FOUND, "there is no such transaction");
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/package-info.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/package-info.java
@@ -1,2 +1,4 @@
-/** HTTP front end for callers. */
+/**
+ * Callers' side of an entry host; start at {@link org.crocusturn.daemon.callers.CallerFrontEnd}.
+ */
 package org.crocusturn.daemon.callers;
--- a/daemon/src/main/java/org/crocusturn/daemon/net/Json.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -28,6 +29,7 @@
                                     .build())
                     .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .disable(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES)
                     .build();
 
     private Json() {}
