Add the pure decisions of a leaseholder

Cause: the entry host needs decisions for its control view, rate tokens, fair queue, connections, transactions and the group that it holds.

--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/PersistentQueue.java
@@ -0,0 +1,127 @@
+package org.crocusturn.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NoSuchElementException;
+import java.util.Objects;
+
+/**
+ * Is an immutable first-in-first-out queue whose copies share their cells.
+ *
+ * <p>Immutable and thread-safe. Adding and removing cost one allocation on average; one removal in
+ * a while reverses the cells that were added since the last reversal. Null elements are not
+ * allowed.
+ *
+ * @param <T> type of the elements
+ */
+public final class PersistentQueue<T> {
+    private static final PersistentQueue<?> EMPTY = new PersistentQueue<>(null, null, 0);
+
+    private final Cell<T> mFront;
+    private final Cell<T> mBack;
+    private final int mSize;
+
+    private PersistentQueue(Cell<T> front, Cell<T> back, int size) {
+        mFront = front;
+        mBack = back;
+        mSize = size;
+    }
+
+    private record Cell<T>(T value, Cell<T> next) {}
+
+    /** Returns the empty queue. */
+    @SuppressWarnings("unchecked") // the empty queue holds no elements
+    public static <T> PersistentQueue<T> empty() {
+        return (PersistentQueue<T>) EMPTY;
+    }
+
+    /** Returns a queue of elements in order. */
+    public static <T> PersistentQueue<T> of(List<T> elements) {
+        PersistentQueue<T> queue = empty();
+        for (T element : elements) {
+            queue = queue.plus(element);
+        }
+        return queue;
+    }
+
+    /** Returns the number of elements. */
+    public int size() {
+        return mSize;
+    }
+
+    /** Returns whether there is no element. */
+    public boolean isEmpty() {
+        return mSize == 0;
+    }
+
+    /**
+     * Returns the first element.
+     *
+     * @throws NoSuchElementException if the queue is empty
+     */
+    public T first() {
+        if (mFront == null) {
+            throw new NoSuchElementException("the queue is empty");
+        }
+        return mFront.value();
+    }
+
+    /** Returns the elements in order. */
+    public List<T> toList() {
+        List<T> all = new ArrayList<>(mSize);
+        for (Cell<T> cell = mFront; cell != null; cell = cell.next()) {
+            all.add(cell.value());
+        }
+        for (Cell<T> cell = reverse(mBack); cell != null; cell = cell.next()) {
+            all.add(cell.value());
+        }
+        return all;
+    }
+
+    /** Returns a copy with an element at the end. */
+    public PersistentQueue<T> plus(T element) {
+        Objects.requireNonNull(element, "element");
+        return mFront == null
+                ? new PersistentQueue<>(new Cell<>(element, null), null, 1)
+                : new PersistentQueue<>(mFront, new Cell<>(element, mBack), mSize + 1);
+    }
+
+    /** Returns a copy with an element at the start. */
+    public PersistentQueue<T> plusFirst(T element) {
+        Objects.requireNonNull(element, "element");
+        return new PersistentQueue<>(new Cell<>(element, mFront), mBack, mSize + 1);
+    }
+
+    /** Returns a copy without the first element; the empty queue stays empty. */
+    public PersistentQueue<T> withoutFirst() {
+        if (mSize <= 1) {
+            return empty();
+        }
+        return mFront.next() == null
+                ? new PersistentQueue<>(reverse(mBack), null, mSize - 1)
+                : new PersistentQueue<>(mFront.next(), mBack, mSize - 1);
+    }
+
+    private static <T> Cell<T> reverse(Cell<T> cells) {
+        Cell<T> reversed = null;
+        for (Cell<T> cell = cells; cell != null; cell = cell.next()) {
+            reversed = new Cell<>(cell.value(), reversed);
+        }
+        return reversed;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PersistentQueue<?> queue && queue.toList().equals(toList());
+    }
+
+    @Override
+    public int hashCode() {
+        return toList().hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return toList().toString();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/callers/QueueLimitAdmission.java
@@ -0,0 +1,33 @@
+package org.crocusturn.core.callers;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+
+/** Refuses a request when its workspace's queue holds more than burst + rate x wait budget. */
+public final class QueueLimitAdmission implements AdmissionPolicy {
+    private final double mBudgetSeconds;
+
+    private QueueLimitAdmission(Duration budget) {
+        mBudgetSeconds = budget.toNanos() / 1e9;
+    }
+
+    /** Creates the policy for a wait budget; what queues beyond it could not start in time. */
+    public static QueueLimitAdmission of(Duration budget) {
+        return new QueueLimitAdmission(budget);
+    }
+
+    @Override
+    public Optional<Failure> refusal(Load load) {
+        double longest = load.limit().burst() + load.limit().perSecond() * mBudgetSeconds;
+        if (load.queued() < longest) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Failure.notRun(
+                                ErrorCode.RATE_LIMITED,
+                                "the workspace has " + load.queued() + " waiting requests")
+                        .withRetryAfter(Duration.ofMillis((long) (mBudgetSeconds * 1_000))));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -0,0 +1,265 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.operators.ControlState;
+
+/**
+ * Is an entry host's copy of the replicated state together with what the control leader granted.
+ *
+ * <p>Immutable. All times are monotonic nanoseconds of this host; every duration that the leader
+ * grants counts from the sending of the report that the update answers, so that a delay only
+ * shortens it. An update whose report is unknown or that belongs to an older leader term is
+ * ignored.
+ */
+public final class ControlView {
+    /** Reports whose sending time is kept; at one report every 200 ms this covers 12 s. */
+    private static final int KEPT_REPORTS = 64;
+
+    /** Grant ids are kept for this time after they were seen last; a grant is valid for 1 s. */
+    private static final long KEPT_GRANTS_NANOS = 10_000_000_000L;
+
+    private final StateApplier mApplier;
+    private final ControlState mState;
+    private final long mLeader;
+    private final long mAnswered;
+    private final long mNextSequence;
+    private final Map<Long, Long> mSentNanos;
+    private final Optional<Long> mFreshUntilNanos;
+    private final Map<GroupId, GrantedLease> mLeases;
+    private final Map<Long, Long> mSeenGrants;
+    private final List<GrantedTokens> mNewTokens;
+
+    private ControlView(Draft draft) {
+        mApplier = draft.mApplier;
+        mState = draft.mState;
+        mLeader = draft.mLeader;
+        mAnswered = draft.mAnswered;
+        mNextSequence = draft.mNextSequence;
+        mSentNanos = Map.copyOf(draft.mSentNanos);
+        mFreshUntilNanos = draft.mFreshUntilNanos;
+        mLeases = Map.copyOf(draft.mLeases);
+        mSeenGrants = Map.copyOf(draft.mSeenGrants);
+        mNewTokens = List.copyOf(draft.mNewTokens);
+    }
+
+    /**
+     * Is a group lease in the time of this host.
+     *
+     * @param epoch epoch of the lease
+     * @param untilNanos time from which it is no longer valid
+     * @param acknowledgeTerm term for which writes may be acknowledged; 0 for none
+     * @param move whether the holder should give it back
+     */
+    public record GrantedLease(long epoch, long untilNanos, long acknowledgeTerm, boolean move) {}
+
+    /** Collects the parts of the next view within one call. */
+    private static final class Draft {
+        private StateApplier mApplier;
+        private ControlState mState = ControlState.EMPTY;
+        private long mLeader;
+        private long mAnswered;
+        private long mNextSequence = 1;
+        private Map<Long, Long> mSentNanos = Map.of();
+        private Optional<Long> mFreshUntilNanos = Optional.empty();
+        private Map<GroupId, GrantedLease> mLeases = Map.of();
+        private Map<Long, Long> mSeenGrants = Map.of();
+        private List<GrantedTokens> mNewTokens = List.of();
+    }
+
+    /** Creates the view of a host that knows nothing yet. */
+    public static ControlView empty(StateApplier applier) {
+        Draft draft = new Draft();
+        draft.mApplier = Objects.requireNonNull(applier, "applier");
+        return new ControlView(draft);
+    }
+
+    /** Returns the copy of the replicated state. */
+    public ControlState state() {
+        return mState;
+    }
+
+    /** Returns the consensus term of the leader that was heard last; 0 before the first update. */
+    public long leaderTerm() {
+        return mLeader;
+    }
+
+    /** Returns the sequence that the next report has to carry. */
+    public long nextSequence() {
+        return mNextSequence;
+    }
+
+    /** Returns the sequence of the latest report that was answered; 0 before the first. */
+    public long answeredSequence() {
+        return mAnswered;
+    }
+
+    /** Returns whether the host may take new work. */
+    public boolean isFresh(long nowNanos) {
+        return mFreshUntilNanos.isPresent() && mFreshUntilNanos.get() - nowNanos > 0;
+    }
+
+    /** Returns the lease of a group as last granted, whether it is still valid or not. */
+    public Optional<GrantedLease> lease(GroupId group) {
+        return Optional.ofNullable(mLeases.get(group));
+    }
+
+    /** Returns the leases as last granted. */
+    public Map<GroupId, GrantedLease> leases() {
+        return mLeases;
+    }
+
+    /** Returns whether this host holds the lease of a group. */
+    public boolean leaseValid(GroupId group, long nowNanos) {
+        GrantedLease lease = mLeases.get(group);
+        return lease != null && lease.untilNanos() - nowNanos > 0;
+    }
+
+    /** Returns the term for which this host may acknowledge writes of a group; 0 for none. */
+    public long acknowledgeTerm(GroupId group, long nowNanos) {
+        return leaseValid(group, nowNanos) ? mLeases.get(group).acknowledgeTerm() : 0;
+    }
+
+    /** Returns whether the lease of a group should be given back. */
+    public boolean moving(GroupId group) {
+        return lease(group).map(GrantedLease::move).orElse(false);
+    }
+
+    /** Returns the tokens that the latest update granted for the first time. */
+    public List<GrantedTokens> newTokens() {
+        return mNewTokens;
+    }
+
+    /**
+     * Returns the next report; record its sending with {@link #withReportSent}.
+     *
+     * @param host the entry host
+     * @param leases group leases that it holds or released
+     * @param demands rate tokens that it needs
+     * @param suspects endpoints that refused or reset a connection
+     * @param leaving whether it stops
+     */
+    public EntryReport nextReport(
+            EntryHost host,
+            List<HeldLease> leases,
+            List<TokenDemand> demands,
+            Set<EndpointId> suspects,
+            boolean leaving) {
+        return new EntryReport(
+                host.host(),
+                host.incarnation(),
+                host.dataCentre(),
+                host.linkAddress(),
+                mNextSequence,
+                mState.version(),
+                leases,
+                demands,
+                suspects,
+                leaving);
+    }
+
+    /** Returns a copy that knows when a report was sent. */
+    public ControlView withReportSent(long sequence, long nowNanos) {
+        Draft draft = draft();
+        Map<Long, Long> sent = new HashMap<>(mSentNanos);
+        sent.putIfAbsent(sequence, nowNanos);
+        sent.remove(sequence - KEPT_REPORTS);
+        draft.mSentNanos = sent;
+        draft.mNextSequence = Math.max(mNextSequence, sequence + 1);
+        return new ControlView(draft);
+    }
+
+    /** Returns a copy after an update; an update that is out of date changes nothing. */
+    public ControlView withUpdate(ControlUpdate update, long nowNanos) {
+        Long sent = mSentNanos.get(update.sequence());
+        boolean outdated =
+                update.leader() < mLeader
+                        || update.leader() == mLeader && update.sequence() < mAnswered;
+        if (sent == null || outdated) {
+            return this;
+        }
+        Draft draft = draft();
+        draft.mLeader = update.leader();
+        draft.mAnswered = Math.max(mAnswered, update.sequence());
+        draft.mState = apply(update.state());
+        long fresh = sent + update.freshnessMillis() * 1_000_000;
+        draft.mFreshUntilNanos =
+                Optional.of(mFreshUntilNanos.map(f -> Math.max(f, fresh)).orElse(fresh));
+        draft.mLeases = leases(update, sent);
+        takeTokens(draft, update, sent, nowNanos);
+        return new ControlView(draft);
+    }
+
+    private ControlState apply(StateUpdate update) {
+        if (update instanceof StateUpdate.Replacement replacement) {
+            return replacement.state().version() >= mState.version() ? replacement.state() : mState;
+        }
+        ControlState state = mState;
+        if (update instanceof StateUpdate.Changes changes) {
+            for (StateUpdate.VersionedCommand command : changes.commands()) {
+                state =
+                        command.version() > state.version()
+                                ? mApplier.apply(state, command)
+                                : state;
+            }
+        }
+        return state;
+    }
+
+    private Map<GroupId, GrantedLease> leases(ControlUpdate update, long sent) {
+        Map<GroupId, GrantedLease> leases = new HashMap<>();
+        for (LeaseGrant grant : update.leases()) {
+            GrantedLease old = mLeases.get(grant.group());
+            if (old != null && old.epoch() > grant.epoch()) {
+                leases.put(grant.group(), old);
+                continue;
+            }
+            long until = sent + grant.durationMillis() * 1_000_000;
+            boolean same = old != null && old.epoch() == grant.epoch();
+            leases.put(
+                    grant.group(),
+                    new GrantedLease(
+                            grant.epoch(),
+                            same ? Math.max(old.untilNanos(), until) : until,
+                            grant.acknowledgeTerm(),
+                            grant.move()));
+        }
+        return leases;
+    }
+
+    private void takeTokens(Draft draft, ControlUpdate update, long sent, long nowNanos) {
+        Map<Long, Long> seen = new HashMap<>(update.leader() == mLeader ? mSeenGrants : Map.of());
+        seen.values().removeIf(at -> nowNanos - at > KEPT_GRANTS_NANOS);
+        List<GrantedTokens> fresh = new ArrayList<>();
+        for (TokenGrant grant : update.tokens()) {
+            long expires = sent + grant.durationMillis() * 1_000_000;
+            if (seen.put(grant.id(), nowNanos) == null && expires - nowNanos > 0) {
+                fresh.add(new GrantedTokens(grant.workspace(), grant.tokens(), expires));
+            }
+        }
+        draft.mSeenGrants = seen;
+        draft.mNewTokens = fresh;
+    }
+
+    private Draft draft() {
+        Draft draft = new Draft();
+        draft.mApplier = mApplier;
+        draft.mState = mState;
+        draft.mLeader = mLeader;
+        draft.mAnswered = mAnswered;
+        draft.mNextSequence = mNextSequence;
+        draft.mSentNanos = mSentNanos;
+        draft.mFreshUntilNanos = mFreshUntilNanos;
+        draft.mLeases = mLeases;
+        draft.mSeenGrants = mSeenGrants;
+        draft.mNewTokens = List.of();
+        return draft;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/EntryHost.java
@@ -0,0 +1,23 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.HostId;
+
+/**
+ * Describes an entry host to the control hosts.
+ *
+ * @param host name of the host
+ * @param incarnation random number drawn at the start of the process
+ * @param dataCentre where it stands
+ * @param linkAddress IP address and port where other entry hosts reach it
+ */
+public record EntryHost(
+        HostId host, long incarnation, DataCentreId dataCentre, String linkAddress) {
+    /** Checks that no part is null. */
+    public EntryHost {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(linkAddress, "linkAddress");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/TokenPurse.java
@@ -0,0 +1,122 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Holds the rate tokens of one workspace that a leaseholder may spend.
+ *
+ * <p>Immutable. All times are monotonic nanoseconds of this host. Adding tokens and spending one
+ * copy the list of grants, which holds one element for each report of the last second.
+ */
+public final class TokenPurse {
+    /** Tokens are fetched ahead for this time; longer than one report interval of 200 ms. */
+    private static final double AHEAD_SECONDS = 0.3;
+
+    /** Time constant of the observed rate; the leader's tokens live as long. */
+    private static final double RATE_SECONDS = 1.0;
+
+    private static final TokenPurse EMPTY = new TokenPurse(List.of(), 0, 0, 0);
+
+    private final List<Share> mShares;
+    private final long mSpentTotal;
+    private final double mRecent;
+    private final long mRecentAtNanos;
+
+    private TokenPurse(List<Share> shares, long spentTotal, double recent, long recentAtNanos) {
+        mShares = shares;
+        mSpentTotal = spentTotal;
+        mRecent = recent;
+        mRecentAtNanos = recentAtNanos;
+    }
+
+    /** Is the rest of one grant. */
+    private record Share(long tokens, long expiresNanos) {}
+
+    /** Returns the purse of a workspace that was granted nothing yet. */
+    public static TokenPurse empty() {
+        return EMPTY;
+    }
+
+    /** Returns the number of tokens that can be spent at a time. */
+    public long available(long nowNanos) {
+        return mShares.stream()
+                .filter(s -> s.expiresNanos() - nowNanos > 0)
+                .mapToLong(Share::tokens)
+                .sum();
+    }
+
+    /** Returns the number of tokens spent so far. */
+    public long spentTotal() {
+        return mSpentTotal;
+    }
+
+    /**
+     * Returns the number of tokens that the host should hold.
+     *
+     * @param waiting requests that wait for a token
+     * @param nowNanos current time
+     */
+    public long wanted(long waiting, long nowNanos) {
+        double rate = decayed(nowNanos) / RATE_SECONDS;
+        return waiting + (long) Math.ceil(rate * AHEAD_SECONDS - 0.01);
+    }
+
+    /** Returns a copy with tokens that are void from a time on. */
+    public TokenPurse withGrant(long tokens, long expiresNanos) {
+        if (tokens <= 0) {
+            return this;
+        }
+        List<Share> shares = new ArrayList<>(mShares);
+        shares.add(new Share(tokens, expiresNanos));
+        shares.sort(Comparator.comparingLong(s -> s.expiresNanos() - expiresNanos));
+        return new TokenPurse(List.copyOf(shares), mSpentTotal, mRecent, mRecentAtNanos);
+    }
+
+    /** Returns a copy that counts one more request in the observed rate. */
+    public TokenPurse withArrival(long nowNanos) {
+        return new TokenPurse(mShares, mSpentTotal, decayed(nowNanos) + 1, nowNanos);
+    }
+
+    /** Returns a copy after one token was spent, the one that expires first; empty without one. */
+    public Optional<TokenPurse> spend(long nowNanos) {
+        List<Share> live = mShares.stream().filter(s -> s.expiresNanos() - nowNanos > 0).toList();
+        if (live.isEmpty()) {
+            return Optional.empty();
+        }
+        Share first = live.get(0);
+        List<Share> rest = new ArrayList<>(live.subList(1, live.size()));
+        if (first.tokens() > 1) {
+            rest.add(0, new Share(first.tokens() - 1, first.expiresNanos()));
+        }
+        return Optional.of(
+                new TokenPurse(List.copyOf(rest), mSpentTotal + 1, mRecent, mRecentAtNanos));
+    }
+
+    private double decayed(long nowNanos) {
+        double seconds = Math.max(0, nowNanos - mRecentAtNanos) / 1e9;
+        return mRecent * Math.exp(-seconds / RATE_SECONDS);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TokenPurse purse
+                && purse.mShares.equals(mShares)
+                && purse.mSpentTotal == mSpentTotal
+                && purse.mRecent == mRecent
+                && purse.mRecentAtNanos == mRecentAtNanos;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(mShares, mSpentTotal);
+    }
+
+    @Override
+    public String toString() {
+        return "TokenPurse[" + mShares + ", spent " + mSpentTotal + "]";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/CopyView.java
@@ -0,0 +1,55 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.Role;
+
+/**
+ * Is what a leaseholder knows of one copy of its group.
+ *
+ * @param endpoint endpoint of the copy
+ * @param limits slots and connections of the database
+ * @param inService whether the endpoint may get new work
+ * @param status last status that was seen; empty before the first
+ * @param seenNanos monotonic time of that observation
+ */
+public record CopyView(
+        EndpointId endpoint,
+        CopyLimits limits,
+        boolean inService,
+        Optional<CopyStatus> status,
+        long seenNanos) {
+    /** Checks that no part is null. */
+    public CopyView {
+        Objects.requireNonNull(endpoint, "endpoint");
+        Objects.requireNonNull(limits, "limits");
+        Objects.requireNonNull(status, "status");
+    }
+
+    /** Returns whether the copy follows the newest term and holds no discarded entry. */
+    public boolean follows(TermHistory history) {
+        return status.isPresent()
+                && status.get().role() == Role.REPLICA
+                && status.get().term() == history.term()
+                && history.carries(status.get().position());
+    }
+
+    /** Returns whether the copy follows the newest term and has reached a position of it. */
+    public boolean holds(LogPosition position, TermHistory history) {
+        return follows(history) && status.get().position().index() >= position.index();
+    }
+
+    /** Returns the greatest age that the data of the copy can have at a time, in nanoseconds. */
+    public long ageNanos(long nowNanos) {
+        long lag = status.map(CopyStatus::lagMillis).orElse(Long.MAX_VALUE);
+        long seen = Math.max(0, nowNanos - seenNanos);
+        return lag > Long.MAX_VALUE / 4_000_000 ? Long.MAX_VALUE : lag * 1_000_000 + seen;
+    }
+
+    /** Returns a copy with a newer status. */
+    public CopyView withStatus(CopyStatus newStatus, long nowNanos) {
+        return new CopyView(endpoint, limits, inService, Optional.of(newStatus), nowNanos);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/DurableAcknowledgement.java
@@ -0,0 +1,16 @@
+package org.crocusturn.core.endpoints;
+
+/** Acknowledges a write once a replica of the current term is known to hold it. */
+public final class DurableAcknowledgement implements AcknowledgementPolicy {
+    /** The only instance that is needed. */
+    public static final DurableAcknowledgement INSTANCE = new DurableAcknowledgement();
+
+    private DurableAcknowledgement() {}
+
+    @Override
+    public Acknowledgement decide(Query query) {
+        boolean held =
+                query.replicas().stream().anyMatch(c -> c.holds(query.position(), query.history()));
+        return held ? Acknowledgement.NOW : Acknowledgement.WAIT;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupArrivals.java
@@ -0,0 +1,76 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.Optional;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.AdmissionPolicy;
+import org.crocusturn.core.callers.TransactionId;
+import org.crocusturn.core.controlhosts.GrantedTokens;
+import org.crocusturn.core.controlhosts.TokenPurse;
+import org.crocusturn.core.operators.RateLimit;
+
+/** Takes requests and rate tokens into a group. */
+final class GroupArrivals {
+    private GroupArrivals() {}
+
+    static void arrive(GroupStep step, GroupInput.RequestArrived arrived) {
+        Work work = Work.of(arrived, step.mNow);
+        Optional<Failure> refusal = refusal(step, work, arrived.epoch());
+        if (refusal.isPresent()) {
+            step.fail(work, refusal.get());
+            return;
+        }
+        WorkspaceId workspace = work.workspace();
+        TokenPurse purse = step.purse(workspace).withArrival(step.mNow);
+        step.mPurses = step.mPurses.with(workspace, purse);
+        work.transaction()
+                .flatMap(step.mTransactions::find)
+                .ifPresent(open -> step.mTransactions = step.mTransactions.with(open.withBusy()));
+        step.enqueue(work, false);
+        if (work.needsToken() && purse.available(step.mNow) == 0) {
+            step.mActions.add(new GroupAction.TokensNeeded(workspace));
+        }
+    }
+
+    private static Optional<Failure> refusal(GroupStep step, Work work, long epoch) {
+        Optional<TransactionId> transaction = work.transaction();
+        boolean known = transaction.flatMap(step.mTransactions::find).isPresent();
+        boolean takes = known ? step.leaseValid() : step.takesWork();
+        if (!takes || epoch != step.mView.epoch()) {
+            return Optional.of(
+                    Failure.notRun(ErrorCode.MOVED, "this host does not hold the group lease"));
+        }
+        RateLimit limit = step.mView.rates().get(work.workspace());
+        if (limit == null) {
+            return Optional.of(
+                    Failure.notRun(ErrorCode.UNAVAILABLE, "the workspace is not known here yet"));
+        }
+        Optional<Failure> refusal =
+                transaction.flatMap(t -> step.mTransactions.refusal(t, work.workspace()));
+        return refusal.isPresent()
+                ? refusal
+                : step.mPolicies.arrival().refusal(load(step, work, limit));
+    }
+
+    static AdmissionPolicy.Load load(GroupStep step, Work work, RateLimit limit) {
+        WorkspaceId workspace = work.workspace();
+        int queued =
+                step.mTransactionLane.size(workspace)
+                        + step.mPrimaryLane.size(workspace)
+                        + step.mReplicaLane.size(workspace);
+        return new AdmissionPolicy.Load(
+                limit,
+                step.purse(workspace).available(step.mNow),
+                queued,
+                step.mNow - work.arrivedNanos());
+    }
+
+    static void granted(GroupStep step, GrantedTokens grant) {
+        step.mPurses =
+                step.mPurses.with(
+                        grant.workspace(),
+                        step.purse(grant.workspace())
+                                .withGrant(grant.tokens(), grant.expiresNanos()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
@@ -0,0 +1,141 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.PersistentMap;
+import org.crocusturn.core.callers.FairQueue;
+import org.crocusturn.core.callers.Role;
+
+/** Follows the lease and the term of a group: takes over, drops terms, hands over. */
+final class GroupLease {
+    private GroupLease() {}
+
+    static void viewChanged(GroupStep step, GroupView view) {
+        if (view.term() < step.mView.term()) {
+            return;
+        }
+        if (view.epoch() != step.mView.epoch()) {
+            endEpoch(step);
+        }
+        step.mView = view;
+        if (view.primary().isPresent()) {
+            step.mHistory = step.mHistory.withTerm(view.term(), view.startIndex());
+        }
+        followCopies(step);
+        dropSuperseded(step);
+        GroupResults.acknowledgeAll(step);
+        if (view.moving()) {
+            beginHandover(step);
+        }
+    }
+
+    /** Answers everything, because another host may hold the lease now. */
+    private static void endEpoch(GroupStep step) {
+        step.mReleased = true;
+        for (Running running : step.mRunning.values().toList()) {
+            GroupResults.abandon(step, running, "the group lease was lost");
+        }
+        step.mCommitted
+                .values()
+                .forEach(
+                        w ->
+                                step.fail(
+                                        w.work(),
+                                        Failure.mayHaveRun(
+                                                "the group lease was lost before the write was"
+                                                        + " acknowledged")));
+        step.mCommitted = PersistentMap.empty();
+        step.mTransactions = TransactionTable.EMPTY;
+        failTransactionLane(step);
+        failWaiting(step);
+        step.closeAll();
+        step.mBackoff = PersistentMap.empty();
+        step.mHandoverNanos = Optional.empty();
+        step.mReleased = false;
+    }
+
+    private static void failTransactionLane(GroupStep step) {
+        step.mTransactionLane
+                .toList()
+                .forEach(
+                        w ->
+                                step.fail(
+                                        w,
+                                        Failure.notRun(
+                                                ErrorCode.TRANSACTION_LOST,
+                                                "the transaction was rolled back")));
+        step.mTransactionLane = FairQueue.empty();
+    }
+
+    /** Answers all work that waits outside of open transactions. */
+    static void failWaiting(GroupStep step) {
+        List<Work> waiting = new ArrayList<>(step.mPrimaryLane.toList());
+        waiting.addAll(step.mReplicaLane.toList());
+        step.mDelayed.values().map(Delayed::work).forEach(waiting::add);
+        step.mPrimaryLane = FairQueue.empty();
+        step.mReplicaLane = FairQueue.empty();
+        step.mDelayed = PersistentMap.empty();
+        waiting.forEach(step::failMoved);
+    }
+
+    private static void followCopies(GroupStep step) {
+        PersistentMap<EndpointId, CopyView> copies = PersistentMap.empty();
+        for (Map.Entry<EndpointId, GroupView.Copy> entry : step.mView.copies().entrySet()) {
+            GroupView.Copy copy = entry.getValue();
+            CopyView old = step.mCopies.get(entry.getKey());
+            copies =
+                    copies.with(
+                            entry.getKey(),
+                            new CopyView(
+                                    entry.getKey(),
+                                    copy.limits(),
+                                    copy.inService(),
+                                    old == null ? Optional.empty() : old.status(),
+                                    old == null ? step.mNow : old.seenNanos()));
+            ConnectionPool pool = step.mPools.get(entry.getKey());
+            if (pool != null) {
+                step.mPools = step.mPools.with(entry.getKey(), pool.withLimits(copy.limits()));
+            }
+        }
+        step.mCopies = copies;
+    }
+
+    /** Ends what still runs at a primary whose term may no longer be acknowledged. */
+    private static void dropSuperseded(GroupStep step) {
+        long term = step.mView.acknowledgeTerm();
+        for (Running running : step.mRunning.values().toList()) {
+            if (running.role() == Role.PRIMARY && running.term() != term) {
+                GroupResults.abandon(step, running, "the primary was superseded");
+            }
+        }
+        step.mTransactions.all().filter(t -> t.term() != term).toList().forEach(step::drop);
+    }
+
+    /** Stops taking work; what runs goes on. */
+    static void beginHandover(GroupStep step) {
+        if (step.mHandoverNanos.isEmpty() && step.mView.epoch() > 0) {
+            step.mHandoverNanos = Optional.of(step.mNow);
+            failWaiting(step);
+        }
+    }
+
+    /** Reports the release once nothing is left. */
+    static void releaseIfDone(GroupStep step) {
+        boolean idle =
+                step.mRunning.isEmpty()
+                        && step.mCommitted.isEmpty()
+                        && step.mTransactions.size() == 0
+                        && step.mTransactionLane.isEmpty()
+                        && step.mDelayed.isEmpty();
+        if (step.mHandoverNanos.isPresent() && !step.mReleased && idle) {
+            step.closeAll();
+            step.mReleased = true;
+            step.mActions.add(new GroupAction.Released(step.mView.epoch()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLinks.java
@@ -0,0 +1,84 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.PersistentMap;
+
+/** Follows the connections to the databases and the observed status of the copies. */
+final class GroupLinks {
+    /** After a connection could not be opened, the endpoint is left alone for this time. */
+    private static final long BACKOFF_NANOS = 100_000_000;
+
+    private GroupLinks() {}
+
+    static void opened(GroupStep step, GroupInput.ConnectionOpened opened) {
+        if (step.mConnections.contains(opened.connection())) {
+            step.idle(opened.connection());
+        } else {
+            step.mActions.add(new GroupAction.CloseConnection(opened.connection()));
+        }
+    }
+
+    static void failed(GroupStep step, GroupInput.ConnectionFailed failed) {
+        long connection = failed.connection();
+        EndpointId endpoint = step.mConnections.get(connection);
+        if (endpoint == null) {
+            return;
+        }
+        Running running = step.mRunning.get(connection);
+        if (running != null) {
+            GroupResults.receive(
+                    step,
+                    new GroupInput.ResultReceived(
+                            connection,
+                            running.command(),
+                            new DatabaseResult.Lost(failed.failure())));
+            return;
+        }
+        step.mTransactions
+                .all()
+                .filter(t -> t.connection() == connection)
+                .findFirst()
+                .ifPresent(step::drop);
+        step.close(connection);
+        step.mBackoff = step.mBackoff.with(endpoint, step.mNow + BACKOFF_NANOS);
+        step.mActions.add(new GroupAction.SuspectEndpoint(endpoint));
+    }
+
+    static void observed(GroupStep step, EndpointObservation observation) {
+        if (!(observation instanceof EndpointObservation.Seen seen)) {
+            step.forgetStatus(observation.endpoint());
+            return;
+        }
+        Optional<CopyStatus> status =
+                seen.copies().stream()
+                        .filter(c -> c.database().equals(step.mView.group().database()))
+                        .findFirst();
+        CopyView copy = step.mCopies.get(seen.endpoint());
+        if (status.isEmpty() || copy == null) {
+            return;
+        }
+        step.mCopies = step.mCopies.with(seen.endpoint(), copy.withStatus(status.get(), step.mNow));
+        GroupResults.acknowledgeAll(step);
+        wake(step, Delayed::replica);
+    }
+
+    /** Queues delayed work again, in the order in which it was delayed. */
+    static void wake(GroupStep step, Predicate<Delayed> due) {
+        List<PersistentMap.Entry<Long, Delayed>> woken =
+                step.mDelayed
+                        .entries()
+                        .filter(e -> due.test(e.value()))
+                        .sorted(
+                                Comparator.comparing(
+                                        (PersistentMap.Entry<Long, Delayed> e) -> -e.key()))
+                        .toList();
+        for (PersistentMap.Entry<Long, Delayed> entry : woken) {
+            step.mDelayed = step.mDelayed.without(entry.key());
+            step.enqueue(entry.value().work(), true);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
@@ -0,0 +1,172 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.PersistentMap;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.FairQueue;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.controlhosts.TokenPurse;
+
+/**
+ * Is everything that an entry host knows and holds of one group.
+ *
+ * <p>Immutable. The host keeps it for the life of the process, also while it does not hold the
+ * lease, because the totals of spent tokens must not shrink.
+ */
+public final class GroupState {
+    final GroupView mView;
+    final TermHistory mHistory;
+    final PersistentMap<EndpointId, CopyView> mCopies;
+    final PersistentMap<EndpointId, ConnectionPool> mPools;
+    final PersistentMap<Long, EndpointId> mConnections;
+    final PersistentMap<EndpointId, Long> mBackoff;
+    final FairQueue<Work> mTransactionLane;
+    final FairQueue<Work> mPrimaryLane;
+    final FairQueue<Work> mReplicaLane;
+    final PersistentMap<Long, Delayed> mDelayed;
+    final PersistentMap<Long, Running> mRunning;
+    final PersistentMap<Long, Committed> mCommitted;
+    final TransactionTable mTransactions;
+    final PersistentMap<WorkspaceId, TokenPurse> mPurses;
+    final Optional<Long> mHandoverNanos;
+    final boolean mReleased;
+    final long mNextNumber;
+
+    GroupState(GroupStep step) {
+        mView = step.mView;
+        mHistory = step.mHistory;
+        mCopies = step.mCopies;
+        mPools = step.mPools;
+        mConnections = step.mConnections;
+        mBackoff = step.mBackoff;
+        mTransactionLane = step.mTransactionLane;
+        mPrimaryLane = step.mPrimaryLane;
+        mReplicaLane = step.mReplicaLane;
+        mDelayed = step.mDelayed;
+        mRunning = step.mRunning;
+        mCommitted = step.mCommitted;
+        mTransactions = step.mTransactions;
+        mPurses = step.mPurses;
+        mHandoverNanos = step.mHandoverNanos;
+        mReleased = step.mReleased;
+        mNextNumber = step.mNextNumber;
+    }
+
+    private GroupState(GroupView view) {
+        mView = Objects.requireNonNull(view, "view");
+        mHistory = TermHistory.EMPTY;
+        mCopies = PersistentMap.empty();
+        mPools = PersistentMap.empty();
+        mConnections = PersistentMap.empty();
+        mBackoff = PersistentMap.empty();
+        mTransactionLane = FairQueue.empty();
+        mPrimaryLane = FairQueue.empty();
+        mReplicaLane = FairQueue.empty();
+        mDelayed = PersistentMap.empty();
+        mRunning = PersistentMap.empty();
+        mCommitted = PersistentMap.empty();
+        mTransactions = TransactionTable.EMPTY;
+        mPurses = PersistentMap.empty();
+        mHandoverNanos = Optional.empty();
+        mReleased = false;
+        mNextNumber = 1;
+    }
+
+    /** Creates the state of a group that the host knows nothing of. */
+    public static GroupState of(GroupId group) {
+        return new GroupState(GroupView.unknown(group));
+    }
+
+    /** Returns the group. */
+    public GroupId group() {
+        return mView.group();
+    }
+
+    /** Returns the view that was given last. */
+    public GroupView view() {
+        return mView;
+    }
+
+    /** Returns whether all work of the lease epoch ended and all connections are closed. */
+    public boolean released() {
+        return mReleased;
+    }
+
+    /** Returns the number of open transactions. */
+    public int openTransactions() {
+        return mTransactions.size();
+    }
+
+    /** Returns the number of requests that wait and are not running. */
+    public int waiting() {
+        return mTransactionLane.size()
+                + mPrimaryLane.size()
+                + mReplicaLane.size()
+                + mDelayed.size();
+    }
+
+    /** Returns the number of requests and open transactions that have not ended. */
+    public int busy() {
+        return waiting() + mRunning.size() + mCommitted.size() + mTransactions.size();
+    }
+
+    /** Returns the number of connections of an endpoint, those being opened included. */
+    public int connections(EndpointId endpoint) {
+        return mPools.find(endpoint).map(ConnectionPool::size).orElse(0);
+    }
+
+    /** Returns the number of statements that run at an endpoint. */
+    public int running(EndpointId endpoint) {
+        return mPools.find(endpoint).map(ConnectionPool::running).orElse(0);
+    }
+
+    /** Returns what the host reports of its lease; empty if it holds none. */
+    public Optional<HeldLease> held() {
+        return mView.epoch() == 0
+                ? Optional.empty()
+                : Optional.of(
+                        new HeldLease(group(), mView.epoch(), droppedTerm(), mReleased, busy()));
+    }
+
+    /** Returns the greatest term for which no write will be acknowledged any more; 0 if none. */
+    public long droppedTerm() {
+        LongStream terms =
+                LongStream.concat(
+                        LongStream.concat(
+                                mRunning.values().mapToLong(Running::term),
+                                mCommitted.values().mapToLong(Committed::term)),
+                        mTransactions.all().mapToLong(TransactionTable.Open::term));
+        return Math.max(0, Math.min(mView.term(), terms.min().orElse(mView.term())) - 1);
+    }
+
+    /** Returns the rate tokens that each workspace needs in this group. */
+    public List<TokenDemand> demands(long nowNanos) {
+        return mPurses.entries()
+                .map(
+                        e ->
+                                new TokenDemand(
+                                        e.key(),
+                                        e.value().wanted(queued(e.key()), nowNanos),
+                                        e.value().spentTotal()))
+                .toList();
+    }
+
+    /** Returns the number of queued requests of a workspace. */
+    public int queued(WorkspaceId workspace) {
+        return mTransactionLane.size(workspace)
+                + mPrimaryLane.size(workspace)
+                + mReplicaLane.size(workspace);
+    }
+
+    /** Returns the last position that a copy is known to have reached. */
+    public Optional<LogPosition> position(EndpointId endpoint) {
+        return mCopies.find(endpoint).flatMap(CopyView::status).map(CopyStatus::position);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
@@ -0,0 +1,135 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+
+/**
+ * Is what an entry host knows of one group from its control view.
+ *
+ * @param group the group
+ * @param epoch epoch of the lease that this host holds; 0 if it holds none
+ * @param leaseUntilNanos monotonic time from which the lease is no longer valid
+ * @param acknowledgeTerm term for which writes may be acknowledged while the lease is valid
+ * @param moving whether the lease should be given back
+ * @param term current term of the group
+ * @param primary primary of the term; empty while a failover goes on
+ * @param startIndex index at which the term began
+ * @param acknowledge when a write is acknowledged
+ * @param replicaReadsWithoutToken whether a read without a session token may go to a replica
+ * @param copies announced copies of the group
+ * @param rates rate limits of the workspaces
+ */
+public record GroupView(
+        GroupId group,
+        long epoch,
+        long leaseUntilNanos,
+        long acknowledgeTerm,
+        boolean moving,
+        long term,
+        Optional<EndpointId> primary,
+        long startIndex,
+        AcknowledgeMode acknowledge,
+        boolean replicaReadsWithoutToken,
+        Map<EndpointId, Copy> copies,
+        Map<WorkspaceId, RateLimit> rates) {
+    /** Copies the maps. */
+    public GroupView {
+        Objects.requireNonNull(group, "group");
+        Objects.requireNonNull(primary, "primary");
+        Objects.requireNonNull(acknowledge, "acknowledge");
+        copies = Map.copyOf(copies);
+        rates = Map.copyOf(rates);
+    }
+
+    /**
+     * Is an announced copy.
+     *
+     * @param limits slots and connections that may be used
+     * @param inService whether the endpoint may get new work
+     */
+    public record Copy(CopyLimits limits, boolean inService) {}
+
+    /** Creates the view of a group that the host knows nothing of. */
+    public static GroupView unknown(GroupId group) {
+        return of(ControlView.empty((state, command) -> state), group);
+    }
+
+    /** Creates the view of a group from the control view of the host. */
+    public static GroupView of(ControlView view, GroupId group) {
+        ControlState state = view.state();
+        GroupRecord record = state.groups().getOrDefault(group, GroupRecord.of(group));
+        Optional<Service> service = state.configuration().service(group.service());
+        Optional<ControlView.GrantedLease> lease = view.lease(group);
+        return new GroupView(
+                group,
+                lease.map(ControlView.GrantedLease::epoch).orElse(0L),
+                lease.map(ControlView.GrantedLease::untilNanos).orElse(0L),
+                lease.map(ControlView.GrantedLease::acknowledgeTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::move).orElse(false),
+                record.term(),
+                record.primary(),
+                record.startIndex(),
+                service.map(Service::acknowledge).orElse(AcknowledgeMode.DURABLE),
+                service.map(Service::replicaReadsWithoutToken).orElse(false),
+                copies(state, group, service),
+                rates(state));
+    }
+
+    private static Map<EndpointId, Copy> copies(
+            ControlState state, GroupId group, Optional<Service> service) {
+        Map<EndpointId, Copy> copies = new HashMap<>();
+        for (EndpointRecord endpoint : state.endpoints().values()) {
+            if (endpoint.service().equals(group.service())) {
+                endpoint.database(group.database())
+                        .ifPresent(
+                                d ->
+                                        copies.put(
+                                                endpoint.id(),
+                                                new Copy(
+                                                        limits(d, service),
+                                                        state.isInService(endpoint))));
+            }
+        }
+        return copies;
+    }
+
+    private static CopyLimits limits(DatabaseRecord database, Optional<Service> service) {
+        int slots = service.map(Service::slots).orElse(database.slots());
+        int connections = service.map(Service::connections).orElse(database.connections());
+        return CopyLimits.ofDatabase(
+                Math.max(1, Math.min(slots, database.slots())),
+                Math.max(1, Math.min(connections, database.connections())));
+    }
+
+    private static Map<WorkspaceId, RateLimit> rates(ControlState state) {
+        Map<WorkspaceId, RateLimit> rates = new HashMap<>();
+        for (Workspace workspace : state.configuration().workspaces()) {
+            rates.put(workspace.id(), workspace.rate());
+        }
+        return rates;
+    }
+
+    /** Returns whether the lease is valid at a time. */
+    public boolean leaseValid(long nowNanos) {
+        return epoch > 0 && leaseUntilNanos - nowNanos > 0;
+    }
+
+    /** Returns the primary if new work may start there. */
+    public Optional<EndpointId> usablePrimary() {
+        return term > 0 && acknowledgeTerm == term ? primary : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/Work.java
@@ -0,0 +1,139 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.Optional;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.Access;
+import org.crocusturn.core.callers.GroupOperation;
+import org.crocusturn.core.callers.GroupRequest;
+import org.crocusturn.core.callers.Statement;
+import org.crocusturn.core.callers.TransactionId;
+
+/**
+ * Is a request that has not been answered yet.
+ *
+ * @param origin host that took the request
+ * @param request the request
+ * @param secret text for a transaction that it may begin
+ * @param arrivedNanos monotonic time of its arrival
+ * @param deadlineNanos monotonic time from which it no longer waits
+ * @param routedNanos monotonic time at which it was routed first; {@link Long#MIN_VALUE} before
+ * @param paid whether its rate token was spent
+ * @param primaryOnly whether it no longer tries replicas
+ * @param mayHaveRun whether an earlier attempt may have taken effect
+ */
+record Work(
+        HostId origin,
+        GroupRequest request,
+        String secret,
+        long arrivedNanos,
+        long deadlineNanos,
+        long routedNanos,
+        boolean paid,
+        boolean primaryOnly,
+        boolean mayHaveRun) {
+    static Work of(GroupInput.RequestArrived arrived, long nowNanos) {
+        long timeout = Math.max(1, arrived.request().timeoutMillis()) * 1_000_000;
+        return new Work(
+                arrived.origin(),
+                arrived.request(),
+                arrived.secret(),
+                nowNanos,
+                nowNanos + timeout,
+                Long.MIN_VALUE,
+                false,
+                false,
+                false);
+    }
+
+    WorkspaceId workspace() {
+        return request.workspace();
+    }
+
+    GroupOperation operation() {
+        return request.operation();
+    }
+
+    /** Returns the open transaction that the operation belongs to. */
+    Optional<TransactionId> transaction() {
+        if (operation() instanceof GroupOperation.ExecuteInTransaction execute) {
+            return Optional.of(execute.transaction());
+        }
+        if (operation() instanceof GroupOperation.Commit commit) {
+            return Optional.of(commit.transaction());
+        }
+        return operation() instanceof GroupOperation.Rollback rollback
+                ? Optional.of(rollback.transaction())
+                : Optional.empty();
+    }
+
+    Optional<Statement> statement() {
+        if (operation() instanceof GroupOperation.Execute execute) {
+            return Optional.of(execute.statement());
+        }
+        return operation() instanceof GroupOperation.ExecuteInTransaction execute
+                ? Optional.of(execute.statement())
+                : Optional.empty();
+    }
+
+    boolean read() {
+        return statement().map(s -> s.access() == Access.READ).orElse(false);
+    }
+
+    /** Returns whether it costs a rate token; a rollback only frees what the workspace holds. */
+    boolean needsToken() {
+        return !paid && !(operation() instanceof GroupOperation.Rollback);
+    }
+
+    Work withPaid() {
+        return new Work(
+                origin,
+                request,
+                secret,
+                arrivedNanos,
+                deadlineNanos,
+                routedNanos,
+                true,
+                primaryOnly,
+                mayHaveRun);
+    }
+
+    Work withPrimaryOnly() {
+        return new Work(
+                origin,
+                request,
+                secret,
+                arrivedNanos,
+                deadlineNanos,
+                routedNanos,
+                paid,
+                true,
+                mayHaveRun);
+    }
+
+    Work withMayHaveRun() {
+        return new Work(
+                origin,
+                request,
+                secret,
+                arrivedNanos,
+                deadlineNanos,
+                routedNanos,
+                paid,
+                primaryOnly,
+                true);
+    }
+
+    Work withRouted(long nowNanos) {
+        return new Work(
+                origin,
+                request,
+                secret,
+                arrivedNanos,
+                deadlineNanos,
+                nowNanos,
+                paid,
+                primaryOnly,
+                mayHaveRun);
+    }
+}
