--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.PersistentMap;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.FairQueue;
+import org.crocusturn.core.callers.Role;
 import org.crocusturn.core.controlhosts.HeldLease;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.controlhosts.TokenPurse;
@@ -140,7 +141,9 @@
         LongStream terms =
                 LongStream.concat(
                         LongStream.concat(
-                                mRunning.values().mapToLong(Running::term),
+                                mRunning.values()
+                                        .filter(r -> r.role() == Role.PRIMARY)
+                                        .mapToLong(Running::term),
                                 mCommitted.values().mapToLong(Committed::term)),
                         mTransactions.all().mapToLong(TransactionTable.Open::term));
         return Math.max(0, Math.min(mView.term(), terms.min().orElse(mView.term())) - 1);
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/IngressInput.java
@@ -0,0 +1,59 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.platform.Phase;
+
+/** Is what an {@link Ingress} has to react to. */
+public sealed interface IngressInput {
+    /** A caller sent a request. */
+    record Requested(CallerRequest request) implements IngressInput {
+        /** Checks that the request is not null. */
+        public Requested {
+            Objects.requireNonNull(request, "request");
+        }
+    }
+
+    /**
+     * A coordinator answered an attempt, the local one or one that it was forwarded to.
+     *
+     * @param attempt id of the group request; a forward that could not be sent is reported as a
+     *     failure with code UNAVAILABLE that did not run
+     * @param outcome its end
+     */
+    record Replied(long attempt, Outcome outcome) implements IngressInput {
+        /** Checks that the outcome is not null. */
+        public Replied {
+            Objects.requireNonNull(outcome, "outcome");
+        }
+    }
+
+    /** The control view changed. */
+    record ViewChanged(ControlView view) implements IngressInput {
+        /** Checks that the view is not null. */
+        public ViewChanged {
+            Objects.requireNonNull(view, "view");
+        }
+    }
+
+    /** The link to another entry host was lost; replies to what was forwarded there never come. */
+    record LinkLost(HostId host) implements IngressInput {
+        /** Checks that the host is not null. */
+        public LinkLost {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** The process changed its phase. */
+    record PhaseChanged(Phase phase) implements IngressInput {
+        /** Checks that the phase is not null. */
+        public PhaseChanged {
+            Objects.requireNonNull(phase, "phase");
+        }
+    }
+
+    /** Time passed. */
+    record Tick() implements IngressInput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/OpenRequest.java
@@ -0,0 +1,57 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Optional;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+
+/**
+ * Is a caller's request that has not been answered.
+ *
+ * @param request the request
+ * @param workspace workspace of its key
+ * @param group group that it runs in
+ * @param attempts number of attempts so far
+ * @param attempt id of the running attempt; 0 while it waits
+ * @param target host that runs the attempt; empty while it waits
+ * @param nextNanos monotonic time of the next attempt while it waits
+ * @param mayHaveRun whether an earlier attempt may have taken effect
+ */
+record OpenRequest(
+        CallerRequest request,
+        WorkspaceId workspace,
+        GroupId group,
+        int attempts,
+        long attempt,
+        Optional<HostId> target,
+        long nextNanos,
+        boolean mayHaveRun) {
+    static OpenRequest of(
+            CallerRequest request, WorkspaceId workspace, GroupId group, long nowNanos) {
+        return new OpenRequest(request, workspace, group, 0, 0, Optional.empty(), nowNanos, false);
+    }
+
+    OpenRequest withAttempt(long id, HostId host) {
+        return new OpenRequest(
+                request,
+                workspace,
+                group,
+                attempts + 1,
+                id,
+                Optional.of(host),
+                nextNanos,
+                mayHaveRun);
+    }
+
+    OpenRequest withWait(long untilNanos, boolean unknown) {
+        return new OpenRequest(
+                request,
+                workspace,
+                group,
+                attempts,
+                0,
+                Optional.empty(),
+                untilNanos,
+                mayHaveRun || unknown);
+    }
+}
