Add a randomised schedule test of the group decisions

Cause: the guarantees of a leaseholder have to hold under any order of failures. Change: add simulated copies, a simulated leader and callers that check answers.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/IngressStep.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/IngressStep.java
@@ -174,6 +174,11 @@
             waitFor(open, false);
             return;
         }
+        KeyCheck key = KeyCheck.of(mView.state(), open.request().keyHash());
+        if (!key.workspace().equals(Optional.of(open.workspace()))) {
+            fail(open, Failure.notRun(ErrorCode.KEY_REFUSED, "the key was withdrawn"));
+            return;
+        }
         long id = mNextAttempt++;
         OpenRequest sent = open.withAttempt(id, holder.get().host());
         CallerRequest request = open.request();
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupCoordinatorTest.java
@@ -0,0 +1,319 @@
+package org.crocusturn.core.endpoints;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.Access;
+import org.crocusturn.core.callers.GroupAnswer;
+import org.crocusturn.core.callers.GroupOperation;
+import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.callers.SessionMark;
+import org.crocusturn.core.callers.Statement;
+import org.crocusturn.core.callers.TransactionId;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against lost or doubled writes, false "not run", stale sessions, mixed transactions,
+ * exceeded limits and requests without exactly one answer, under random schedules of failures.
+ */
+class GroupCoordinatorTest {
+    private static final int SESSIONS = 12;
+
+    static Stream<Arguments> schedules() {
+        return Stream.of(AcknowledgeMode.values())
+                .flatMap(m -> LongStream.range(1, 41).mapToObj(s -> Arguments.of(m, s)));
+    }
+
+    @ParameterizedTest(name = "{0}, seed {1}")
+    @MethodSource("schedules")
+    void keepsItsGuarantees(AcknowledgeMode mode, long seed) {
+        Run run = new Run(seed, mode, GroupPolicies.STANDARD);
+        run.play();
+        assertEquals(List.of(), run.violations(), mode + ", seed " + seed);
+        assertTrue(run.mAcknowledged.size() > 100, "few writes with seed " + seed);
+        assertTrue(run.mSchedule.mReplicaReads > 50, "few replica reads with seed " + seed);
+    }
+
+    /** Is a variant with a fault that the checks have to find. */
+    enum Fault {
+        ACKNOWLEDGES_WITHOUT_LEASE(AcknowledgeMode.PRIMARY),
+        READS_REPLICA_WITHOUT_POSITION(AcknowledgeMode.DURABLE),
+        ACKNOWLEDGES_WITHOUT_REPLICA(AcknowledgeMode.DURABLE);
+
+        private final AcknowledgeMode mMode;
+
+        Fault(AcknowledgeMode mode) {
+            mMode = mode;
+        }
+
+        GroupPolicies policies() {
+            return switch (this) {
+                case ACKNOWLEDGES_WITHOUT_LEASE ->
+                        GroupPolicies.STANDARD.withAcknowledgement(
+                                m -> PrimaryAcknowledgement.INSTANCE);
+                case ACKNOWLEDGES_WITHOUT_REPLICA ->
+                        GroupPolicies.STANDARD.withAcknowledgement(
+                                m -> AcknowledgementPolicy.of(AcknowledgeMode.PRIMARY));
+                case READS_REPLICA_WITHOUT_POSITION ->
+                        GroupPolicies.STANDARD.withRouting(
+                                (s, t, v) ->
+                                        s.access() == Access.READ
+                                                ? StatedAgeRouting.of(Duration.ofMinutes(1))
+                                                : PrimaryRouting.because("write"));
+            };
+        }
+    }
+
+    /** Guards against checks that cannot fail. */
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void checksFindFaults(Fault fault) {
+        List<String> found = new ArrayList<>();
+        for (long seed = 1; seed <= 60 && found.isEmpty(); seed++) {
+            Run run = new Run(seed, fault.mMode, fault.policies());
+            run.play();
+            found.addAll(run.violations());
+        }
+        assertTrue(!found.isEmpty(), fault + " was not found");
+    }
+
+    /** Plays callers against a schedule and checks what they are told. */
+    private static final class Run {
+        private final GroupSchedule mSchedule;
+        private final AcknowledgeMode mMode;
+        private final Set<String> mAcknowledged = new HashSet<>();
+        private final Set<String> mNotRun = new HashSet<>();
+        private final Set<String> mOnce = new HashSet<>();
+        private final Map<Integer, Session> mSessions = new HashMap<>();
+        private int mNextWrite;
+
+        private static final class Session {
+            private SessionMark mMark = SessionMark.NONE;
+            private Set<String> mSeen = new HashSet<>();
+            private List<String> mBuffered = new ArrayList<>();
+            private Optional<TransactionId> mTransaction = Optional.empty();
+        }
+
+        Run(long seed, AcknowledgeMode mode, GroupPolicies policies) {
+            mSchedule = new GroupSchedule(seed, mode, policies);
+            mMode = mode;
+            for (int i = 0; i < SESSIONS; i++) {
+                int number = i;
+                mSessions.put(i, new Session());
+                mSchedule.after(50 + i, () -> next(number));
+            }
+        }
+
+        void play() {
+            mSchedule.runUntil(GroupSchedule.END + 15_000 * GroupSchedule.MILLI);
+        }
+
+        List<String> violations() {
+            List<String> all = new ArrayList<>(mSchedule.mViolations);
+            if (!all.isEmpty()) {
+                return all;
+            }
+            if (mSchedule.unanswered() > 0) {
+                all.add(mSchedule.unanswered() + " requests have no answer");
+            }
+            mNotRun.stream()
+                    .filter(mSchedule.mRuns::containsKey)
+                    .forEach(w -> all.add(w + " ran although it was reported as not run"));
+            Map<String, Integer> counts = new HashMap<>();
+            mSchedule
+                    .primary()
+                    .mLog
+                    .forEach(e -> e.writes().forEach(w -> counts.merge(w, 1, Integer::sum)));
+            counts.forEach((w, n) -> addIf(all, n > 1, w + " is in the log " + n + " times"));
+            mSchedule.mRuns.forEach(
+                    (w, n) -> addIf(all, n > 1 && !mOnce.contains(w), w + " ran " + n + " times"));
+            mAcknowledged.forEach(
+                    w ->
+                            addIf(
+                                    all,
+                                    mMode == AcknowledgeMode.DURABLE && !counts.containsKey(w),
+                                    w + " was acknowledged and lost"));
+            return all;
+        }
+
+        private static void addIf(List<String> all, boolean violated, String text) {
+            if (violated) {
+                all.add(text);
+            }
+        }
+
+        private void next(int number) {
+            if (mSchedule.mNow > GroupSchedule.END) {
+                return;
+            }
+            Session session = mSessions.get(number);
+            int choice = mSchedule.mRandom.nextInt(100);
+            if (session.mTransaction.isPresent()) {
+                inTransaction(number, session, session.mTransaction.get(), choice);
+            } else if (choice < 25) {
+                String write = "write" + mNextWrite++;
+                send(number, new GroupOperation.Execute(Statement.write(write)), write);
+            } else if (choice < 40) {
+                String write = "once" + mNextWrite++;
+                mOnce.add(write);
+                once(number, write, 0);
+            } else if (choice < 80) {
+                send(number, new GroupOperation.Execute(Statement.read("read")), "");
+            } else if (choice < 88) {
+                Statement read = Statement.read("read").withMaxAge(Duration.ofSeconds(5));
+                request(number, new GroupOperation.Execute(read), Set.of(), o -> go(number));
+            } else {
+                send(number, new GroupOperation.Begin(), "");
+            }
+        }
+
+        private void inTransaction(int number, Session session, TransactionId id, int choice) {
+            if (choice < 50) {
+                String write = "write" + mNextWrite++;
+                session.mBuffered.add(write);
+                Statement statement = Statement.write(write);
+                send(number, new GroupOperation.ExecuteInTransaction(id, statement), "");
+            } else if (choice < 65) {
+                Statement statement = Statement.read("read");
+                send(number, new GroupOperation.ExecuteInTransaction(id, statement), "");
+            } else if (choice < 90) {
+                send(number, new GroupOperation.Commit(id), "");
+            } else if (choice < 97) {
+                send(number, new GroupOperation.Rollback(id), "");
+            } else {
+                end(session, mNotRun);
+                go(number);
+            }
+        }
+
+        private void end(Session session, Set<String> into) {
+            into.addAll(session.mBuffered);
+            session.mBuffered = new ArrayList<>();
+            session.mTransaction = Optional.empty();
+        }
+
+        private void go(int number) {
+            mSchedule.after(1 + mSchedule.mRandom.nextInt(30), () -> next(number));
+        }
+
+        /** Sends a write with a request id until its outcome is known. */
+        private void once(int number, String write, int attempts) {
+            Statement statement = Statement.write(write).withRequestId(write);
+            request(
+                    number,
+                    new GroupOperation.Execute(statement),
+                    Set.of(),
+                    outcome -> {
+                        if (outcome instanceof Outcome.Answered answered) {
+                            acknowledged(number, Set.of(write), answered.answer());
+                            go(number);
+                        } else if (attempts < 10 && mSchedule.mNow < GroupSchedule.END) {
+                            mSchedule.after(30, () -> once(number, write, attempts + 1));
+                        } else {
+                            go(number);
+                        }
+                    });
+        }
+
+        private void send(int number, GroupOperation operation, String write) {
+            Session session = mSessions.get(number);
+            request(
+                    number,
+                    operation,
+                    Set.copyOf(session.mSeen),
+                    outcome -> {
+                        if (outcome instanceof Outcome.Answered answered) {
+                            answered(number, operation, write, answered.answer());
+                        } else if (outcome instanceof Outcome.Failed failed) {
+                            failed(session, operation, write, failed.failure());
+                        }
+                        go(number);
+                    });
+        }
+
+        private void request(
+                int number,
+                GroupOperation operation,
+                Set<String> expected,
+                Consumer<Outcome> callback) {
+            mSchedule.request(
+                    "session" + number,
+                    WorkspaceId.of("w" + number % 3),
+                    operation,
+                    mSessions.get(number).mMark,
+                    expected,
+                    callback);
+        }
+
+        private void answered(
+                int number, GroupOperation operation, String write, GroupAnswer answer) {
+            Session session = mSessions.get(number);
+            if (operation instanceof GroupOperation.Begin) {
+                session.mTransaction = answer.transaction();
+            } else if (operation instanceof GroupOperation.Commit) {
+                Set<String> written = new HashSet<>();
+                end(session, written);
+                acknowledged(number, written, answer);
+            } else if (operation instanceof GroupOperation.Rollback) {
+                end(session, mNotRun);
+            } else if (!write.isEmpty()) {
+                acknowledged(number, Set.of(write), answer);
+            }
+            session.mMark = answer.mark();
+            boolean complete = answer.statement().map(s -> s.rows().isEmpty()).orElse(true);
+            mSchedule.check(complete, "session" + number + " does not see " + answer);
+        }
+
+        private void acknowledged(int number, Set<String> writes, GroupAnswer answer) {
+            Session session = mSessions.get(number);
+            session.mSeen.addAll(writes);
+            session.mMark = answer.mark();
+            mAcknowledged.addAll(writes);
+            long term = answer.mark().lastWrite().term();
+            mSchedule.check(
+                    writes.isEmpty() || mSchedule.promotedTerm() <= term || repeated(writes),
+                    writes + " acknowledged in superseded term " + term);
+        }
+
+        private boolean repeated(Set<String> writes) {
+            return mOnce.containsAll(writes);
+        }
+
+        private void failed(
+                Session session, GroupOperation operation, String write, Failure failure) {
+            boolean notRun = failure.verdict() == Verdict.NOT_RUN;
+            if (notRun && !write.isEmpty()) {
+                mNotRun.add(write);
+            }
+            boolean kept = notRun && failure.code() != ErrorCode.TRANSACTION_LOST;
+            if (session.mTransaction.isPresent() && !kept) {
+                boolean commit = operation instanceof GroupOperation.Commit;
+                end(session, commit && !notRun ? new HashSet<>() : mNotRun);
+            }
+            if (failure.code() == ErrorCode.SESSION_LOST) {
+                session.mSeen = new HashSet<>();
+                session.mMark = SessionMark.NONE;
+                mSchedule.check(mMode == AcknowledgeMode.PRIMARY, "session lost: " + failure);
+            }
+        }
+    }
+}
