--- a/core/src/main/java/org/crocusturn/core/controlhosts/EntryReport.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/EntryReport.java
@@ -21,6 +21,9 @@
  * @param demands rate tokens that it needs
  * @param suspects endpoints that refused or reset a connection since the last report
  * @param leaving whether it stops and wants to hand its leases over
+ * @param answered greatest sequence that a received update answered; 0 if the process has received
+ *     none. It proves to the leader that this report was sent after that report had arrived, which
+ *     makes it safe to credit unspent tokens. A sequence number goes to one control host only.
  */
 public record EntryReport(
         HostId host,
@@ -32,7 +35,8 @@
         List<HeldLease> leases,
         List<TokenDemand> demands,
         Set<EndpointId> suspects,
-        boolean leaving)
+        boolean leaving,
+        long answered)
         implements PeerMessage {
     /** Copies the collections. */
     public EntryReport {
@@ -43,4 +47,30 @@
         demands = List.copyOf(demands);
         suspects = Set.copyOf(suspects);
     }
+
+    /** Creates a report of a process that has received no update. */
+    public EntryReport(
+            HostId host,
+            long incarnation,
+            DataCentreId dataCentre,
+            String linkAddress,
+            long sequence,
+            long knownVersion,
+            List<HeldLease> leases,
+            List<TokenDemand> demands,
+            Set<EndpointId> suspects,
+            boolean leaving) {
+        this(
+                host,
+                incarnation,
+                dataCentre,
+                linkAddress,
+                sequence,
+                knownVersion,
+                leases,
+                demands,
+                suspects,
+                leaving,
+                0);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/EndpointHealth.java
@@ -0,0 +1,60 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.crocusturn.core.EndpointId;
+
+/**
+ * Is what the control leader knows of an endpoint's state from its observations. Immutable.
+ *
+ * @param endpoint the endpoint
+ * @param seenNanos time of the last answer, or of the first interest if there was none
+ * @param refused whether a connection was refused since the last answer
+ * @param silent whether the monitor's timeout passed since the last answer
+ * @param copies last known status of each database, by name
+ */
+public record EndpointHealth(
+        EndpointId endpoint,
+        long seenNanos,
+        boolean refused,
+        boolean silent,
+        Map<String, CopyStatus> copies) {
+    /** Copies the statuses. */
+    public EndpointHealth {
+        Objects.requireNonNull(endpoint, "endpoint");
+        copies = Map.copyOf(copies);
+    }
+
+    /** Creates the health of an endpoint that has not been seen yet. */
+    public static EndpointHealth unknown(EndpointId endpoint, long nowNanos) {
+        return new EndpointHealth(endpoint, nowNanos, false, false, Map.of());
+    }
+
+    /** Returns the last known status of a database. */
+    public Optional<CopyStatus> copy(String database) {
+        return Optional.ofNullable(copies.get(database));
+    }
+
+    /** Returns the health after an observation. */
+    public EndpointHealth with(EndpointObservation observation, long nowNanos) {
+        if (observation instanceof EndpointObservation.Seen seen) {
+            return new EndpointHealth(
+                    endpoint,
+                    nowNanos,
+                    false,
+                    false,
+                    seen.copies().stream()
+                            .collect(
+                                    Collectors.toMap(
+                                            CopyStatus::database,
+                                            Function.identity(),
+                                            (a, b) -> b)));
+        }
+        boolean refusal = observation instanceof EndpointObservation.ConnectionRefused;
+        return new EndpointHealth(
+                endpoint, seenNanos, refused || refusal, silent || !refusal, copies);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/FailoverView.java
@@ -0,0 +1,63 @@
+package org.crocusturn.core.endpoints;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.operators.GroupRecord;
+
+/**
+ * Is everything that a failover decision of one group depends on.
+ *
+ * @param group the group as control hosts agreed on it
+ * @param instances number of instances that the service declares
+ * @param copies its copies, in the order of the endpoints' names
+ * @param silenced whether no host can acknowledge a write of any term so far: there is no
+ *     leaseholder, it confirmed that it dropped the term, or its lease for the term ran out
+ * @param dropped whether the leaseholder reported that it dropped the current term
+ */
+public record FailoverView(
+        GroupRecord group,
+        int instances,
+        List<CopyView> copies,
+        boolean silenced,
+        boolean dropped) {
+    /** Copies the list. */
+    public FailoverView {
+        Objects.requireNonNull(group, "group");
+        copies = List.copyOf(copies);
+    }
+
+    /** Returns the copy of an endpoint. */
+    public Optional<CopyView> copy(EndpointId endpoint) {
+        return copies.stream().filter(c -> c.id().equals(endpoint)).findFirst();
+    }
+
+    /** Returns the copy of the current primary. */
+    public Optional<CopyView> primary() {
+        return group.primary().flatMap(this::copy);
+    }
+
+    /**
+     * Returns how many copies must be fenced before a promotion: a majority, and enough that at
+     * least one of any two copies is among them, because a durable write is on two copies only.
+     */
+    public int quorum() {
+        return Math.max(instances / 2 + 1, instances - 1);
+    }
+
+    /** Returns whether enough copies are reachable for a promotion. */
+    public boolean hasQuorum() {
+        return copies.stream().filter(CopyView::reachable).count() >= quorum();
+    }
+
+    /** Returns the replica in service that has the highest position, if there is one. */
+    public Optional<CopyView> successor() {
+        return copies.stream()
+                .filter(CopyView::reachable)
+                .filter(CopyView::inService)
+                .filter(c -> !group.primary().equals(Optional.of(c.id())))
+                .filter(c -> c.term() == group.term())
+                .reduce((a, b) -> b.position().compareTo(a.position()) > 0 ? b : a);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/SilenceDetector.java
@@ -0,0 +1,29 @@
+package org.crocusturn.core.endpoints;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Finds an endpoint that has not answered for a time. The monitor must poll at least three times
+ * within that time.
+ *
+ * @param limitNanos longest silence in nanoseconds
+ */
+public record SilenceDetector(long limitNanos) implements FailureDetector {
+    /** Creates a detector from a limit in milliseconds. */
+    public static SilenceDetector ofMillis(long limitMillis) {
+        return new SilenceDetector(Duration.ofMillis(limitMillis).toNanos());
+    }
+
+    @Override
+    public Optional<String> failure(EndpointHealth health, long watchedSinceNanos, long nowNanos) {
+        long silence = nowNanos - Math.max(health.seenNanos(), watchedSinceNanos);
+        return silence >= limitNanos || health.silent()
+                ? Optional.of("it has been silent for " + millis(silence) + " ms")
+                : Optional.empty();
+    }
+
+    private static long millis(long nanos) {
+        return Duration.ofNanos(nanos).toMillis();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
@@ -0,0 +1,136 @@
+package org.crocusturn.core.operators;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.GroupId;
+
+/** Decides whether a configuration may follow the one in force, and what it changes. */
+final class ConfigurationChange {
+    private ConfigurationChange() {}
+
+    static Optional<Failure> refusal(ControlState state, Configuration next) {
+        Configuration current = state.configuration();
+        if (next.version() != current.version() + 1) {
+            String winner = state.configurationChange();
+            return refuse(
+                    ErrorCode.CONFLICT,
+                    "configuration version "
+                            + next.version()
+                            + " does not follow version "
+                            + current.version()
+                            + ", which is in force"
+                            + (winner.isEmpty() ? "" : " by change \"" + winner + "\""));
+        }
+        List<ConfigurationFault> faults = ConfigurationValidator.validate(next);
+        if (!faults.isEmpty()) {
+            return refuse(
+                    ErrorCode.MALFORMED_REQUEST,
+                    faults.stream()
+                            .map(ConfigurationFault::toString)
+                            .collect(Collectors.joining("; ")));
+        }
+        List<String> moves =
+                next.workspaces().stream()
+                        .flatMap(
+                                w ->
+                                        w.services().stream()
+                                                .sorted()
+                                                .map(s -> move(state, w, s, next)))
+                        .flatMap(Optional::stream)
+                        .toList();
+        return moves.isEmpty()
+                ? Optional.empty()
+                : refuse(ErrorCode.CONFLICT, String.join("; ", moves));
+    }
+
+    static ControlState accept(ControlState state, Configuration next, String changeId) {
+        Map<GroupId, GroupRecord> groups =
+                next.services().stream()
+                        .flatMap(s -> s.databases().stream().map(d -> GroupId.of(s.name(), d)))
+                        .collect(
+                                Collectors.toMap(
+                                        Function.identity(),
+                                        id -> state.groups().getOrDefault(id, GroupRecord.of(id))));
+        Set<String> services =
+                next.services().stream().map(Service::name).collect(Collectors.toSet());
+        Map<EndpointId, EndpointRecord> endpoints =
+                state.endpoints().entrySet().stream()
+                        .filter(e -> services.contains(e.getValue().service()))
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        Set<DataCentreId> drained = new HashSet<>(state.drained());
+        drained.retainAll(Set.copyOf(next.dataCentres()));
+        return state.withConfiguration(next, changeId)
+                .withGroups(groups)
+                .withEndpoints(endpoints)
+                .withDrained(drained)
+                .withPlacements(place(state, next, groups.keySet()));
+    }
+
+    // A placement outlives its workspace while the group exists: the data is still there.
+    private static Map<PlacementKey, String> place(
+            ControlState state, Configuration next, Set<GroupId> groups) {
+        Map<PlacementKey, String> placements = new HashMap<>(state.placements());
+        placements
+                .entrySet()
+                .removeIf(e -> !groups.contains(GroupId.of(e.getKey().service(), e.getValue())));
+        Map<String, Service> services =
+                next.services().stream()
+                        .collect(Collectors.toMap(Service::name, Function.identity()));
+        for (Workspace workspace : next.workspaces()) {
+            for (String name : workspace.services()) {
+                placements.computeIfAbsent(
+                        new PlacementKey(workspace.id(), name),
+                        key -> choose(workspace, services.get(name)));
+            }
+        }
+        return placements;
+    }
+
+    private static String choose(Workspace workspace, Service service) {
+        String chosen = workspace.databases().get(service.name());
+        if (chosen != null) {
+            return chosen;
+        }
+        String key = workspace.id() + "/" + service.name();
+        String best = service.databases().get(0);
+        for (String database : service.databases()) {
+            if (Rendezvous.score(key, database) > Rendezvous.score(key, best)) {
+                best = database;
+            }
+        }
+        return best;
+    }
+
+    private static Optional<String> move(
+            ControlState state, Workspace workspace, String service, Configuration next) {
+        String placed = state.placements().get(new PlacementKey(workspace.id(), service));
+        if (placed == null) {
+            return Optional.empty();
+        }
+        String where =
+                "workspace \"" + workspace.id() + "\" is placed on " + service + "/" + placed;
+        String chosen = workspace.databases().getOrDefault(service, placed);
+        if (!chosen.equals(placed)) {
+            return Optional.of(where + " and cannot move to " + service + "/" + chosen);
+        }
+        boolean kept =
+                next.service(service).filter(s -> s.databases().contains(placed)).isPresent();
+        return kept
+                ? Optional.empty()
+                : Optional.of(where + ", which the configuration drops while it is in use");
+    }
+
+    private static Optional<Failure> refuse(ErrorCode code, String message) {
+        return Optional.of(Failure.notRun(code, message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
@@ -0,0 +1,171 @@
+package org.crocusturn.core.operators;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.GroupId;
+
+/**
+ * Finds the semantic faults of a configuration; pure and thread-safe.
+ *
+ * <p>Costs O(size of the configuration).
+ */
+public final class ConfigurationValidator {
+    /** Bounds the sum of tokens so that it stays exact in floating point. */
+    static final double MAX_RATE = 1_000_000;
+
+    static final long MAX_BURST = 10_000_000;
+    static final int MAX_INSTANCES = 9;
+    static final int MAX_SLOTS = 10_000;
+    static final int MAX_CONNECTIONS = 100_000;
+
+    private final Configuration mConfiguration;
+    private final List<ConfigurationFault> mFaults = new ArrayList<>();
+    private final Map<String, Service> mServices = new HashMap<>();
+
+    private ConfigurationValidator(Configuration configuration) {
+        mConfiguration = configuration;
+        configuration.services().forEach(s -> mServices.putIfAbsent(s.name(), s));
+    }
+
+    /** Returns all faults in the order of the file; empty if the configuration is sound. */
+    public static List<ConfigurationFault> validate(Configuration configuration) {
+        ConfigurationValidator validator = new ConfigurationValidator(configuration);
+        validator.checkTop();
+        for (int i = 0; i < configuration.workspaces().size(); i++) {
+            validator.checkWorkspace("workspaces[" + i + "]", configuration.workspaces().get(i));
+        }
+        for (int i = 0; i < configuration.services().size(); i++) {
+            validator.checkService("services[" + i + "]", configuration.services().get(i));
+        }
+        return List.copyOf(validator.mFaults);
+    }
+
+    private void checkTop() {
+        check(mConfiguration.version() >= 1, "version", mConfiguration.version(), "at least 1");
+        checkUnique("dataCentres", "", mConfiguration.dataCentres());
+        checkUnique(
+                "workspaces",
+                ".id",
+                mConfiguration.workspaces().stream().map(Workspace::id).toList());
+        checkUnique(
+                "services",
+                ".name",
+                mConfiguration.services().stream().map(Service::name).toList());
+        checkUnique("openRoutes", "", mConfiguration.openRoutes());
+        for (int i = 0; i < mConfiguration.openRoutes().size(); i++) {
+            String route = mConfiguration.openRoutes().get(i);
+            check(
+                    route.startsWith("/") && route.chars().allMatch(c -> c > ' ' && c < 127),
+                    "openRoutes[" + i + "]",
+                    route,
+                    "a path that starts with / and has no spaces");
+        }
+    }
+
+    private void checkWorkspace(String path, Workspace workspace) {
+        RateLimit rate = workspace.rate();
+        check(
+                rate.perSecond() <= MAX_RATE,
+                path + ".rate.perSecond",
+                rate.perSecond(),
+                "more than 0 and at most " + (long) MAX_RATE);
+        check(
+                rate.burst() <= MAX_BURST,
+                path + ".rate.burst",
+                rate.burst(),
+                "from 1 to " + MAX_BURST);
+        for (String name : new TreeSet<>(workspace.services())) {
+            check(
+                    mServices.containsKey(name),
+                    path + ".services",
+                    name,
+                    "the name of a declared service" + oneOf(mServices.keySet()));
+        }
+        new TreeMap<>(workspace.databases())
+                .forEach((service, database) -> checkChoice(path, workspace, service, database));
+    }
+
+    private void checkChoice(String path, Workspace workspace, String service, String database) {
+        check(
+                workspace.services().contains(service),
+                path + ".databases",
+                service,
+                "one of the workspace's services" + oneOf(workspace.services()));
+        Optional.ofNullable(mServices.get(service))
+                .ifPresent(
+                        s ->
+                                check(
+                                        s.databases().contains(database),
+                                        path + ".databases." + service,
+                                        database,
+                                        "a database of the service"
+                                                + oneOf(Set.copyOf(s.databases()))));
+    }
+
+    private void checkService(String path, Service service) {
+        checkName(path + ".name", service.name(), "name");
+        check(!service.databases().isEmpty(), path + ".databases", "", "at least one name");
+        checkUnique(path + ".databases", "", service.databases());
+        for (int i = 0; i < service.databases().size(); i++) {
+            checkName(path + ".databases[" + i + "]", "name", service.databases().get(i));
+        }
+        boolean durable = service.acknowledge() == AcknowledgeMode.DURABLE;
+        checkRange(path + ".instances", service.instances(), 1, MAX_INSTANCES);
+        check(
+                !durable || service.instances() != 1,
+                path + ".acknowledge",
+                "durable",
+                "primary where a service has one instance");
+        checkRange(path + ".slots", service.slots(), 1, MAX_SLOTS);
+        // A leaseholder uses at most half of the connections, so one of them is not enough.
+        checkRange(path + ".connections", service.connections(), 2, MAX_CONNECTIONS);
+    }
+
+    private void checkName(String path, String service, String database) {
+        try {
+            GroupId.of(service, database);
+        } catch (CrocusturnException e) {
+            String value = database.equals("name") ? service : database;
+            mFaults.add(
+                    new ConfigurationFault(
+                            path,
+                            value,
+                            "1 to 100 letters, digits, dots, hyphens or underscores that start"
+                                    + " with a letter or digit"));
+        }
+    }
+
+    private void checkRange(String path, long value, long low, long high) {
+        check(value >= low && value <= high, path, value, "from " + low + " to " + high);
+    }
+
+    private void checkUnique(String path, String suffix, List<?> values) {
+        Set<Object> seen = new HashSet<>();
+        for (int i = 0; i < values.size(); i++) {
+            check(
+                    seen.add(values.get(i)),
+                    path + "[" + i + "]" + suffix,
+                    values.get(i),
+                    "used once");
+        }
+    }
+
+    private void check(boolean sound, String path, Object value, String allowed) {
+        if (!sound) {
+            mFaults.add(new ConfigurationFault(path, String.valueOf(value), allowed));
+        }
+    }
+
+    private static String oneOf(Set<String> names) {
+        return names.stream().sorted().limit(10).collect(Collectors.joining(", ", " (", ")"));
+    }
+}
--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -21,6 +21,8 @@
  * @param groups database groups
  * @param placements database of each workspace in each service
  * @param changes answers to the latest operators' changes, by change id
+ * @param configurationChange change id of the configuration in force; empty before the first
+ * @param withdrawn latest withdrawn key ids, each with the version of its withdrawal
  */
 public record ControlState(
         long version,
@@ -30,7 +32,9 @@
         Map<EndpointId, EndpointRecord> endpoints,
         Map<GroupId, GroupRecord> groups,
         Map<PlacementKey, String> placements,
-        Map<String, ChangeOutcome> changes) {
+        Map<String, ChangeOutcome> changes,
+        String configurationChange,
+        Map<String, Long> withdrawn) {
     /** The state before the first command. */
     public static final ControlState EMPTY =
             new ControlState(
@@ -41,6 +45,8 @@
                     Map.of(),
                     Map.of(),
                     Map.of(),
+                    Map.of(),
+                    "",
                     Map.of());
 
     /** Copies the collections. */
@@ -51,6 +57,30 @@
         groups = Map.copyOf(groups);
         placements = Map.copyOf(placements);
         changes = Map.copyOf(changes);
+        withdrawn = Map.copyOf(withdrawn);
+    }
+
+    /** Creates a state without the id of its configuration change and without withdrawn keys. */
+    public ControlState(
+            long version,
+            Configuration configuration,
+            Map<String, KeyRecord> keys,
+            Set<DataCentreId> drained,
+            Map<EndpointId, EndpointRecord> endpoints,
+            Map<GroupId, GroupRecord> groups,
+            Map<PlacementKey, String> placements,
+            Map<String, ChangeOutcome> changes) {
+        this(
+                version,
+                configuration,
+                keys,
+                drained,
+                endpoints,
+                groups,
+                placements,
+                changes,
+                "",
+                Map.of());
     }
 
     /** Returns the group that holds a workspace's data of a service, if it is placed. */
@@ -63,4 +93,124 @@
     public boolean isInService(EndpointRecord endpoint) {
         return !endpoint.leaving() && !drained.contains(endpoint.dataCentre());
     }
+
+    /** Returns a copy at another version. */
+    public ControlState withVersion(long value) {
+        return new ControlState(
+                value,
+                configuration,
+                keys,
+                drained,
+                endpoints,
+                groups,
+                placements,
+                changes,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with other keys and withdrawn key ids. */
+    public ControlState withKeys(Map<String, KeyRecord> value, Map<String, Long> withdrawnIds) {
+        return new ControlState(
+                version,
+                configuration,
+                value,
+                drained,
+                endpoints,
+                groups,
+                placements,
+                changes,
+                configurationChange,
+                withdrawnIds);
+    }
+
+    /** Returns a copy with other data centres out of service. */
+    public ControlState withDrained(Set<DataCentreId> value) {
+        return new ControlState(
+                version,
+                configuration,
+                keys,
+                value,
+                endpoints,
+                groups,
+                placements,
+                changes,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with other endpoints. */
+    public ControlState withEndpoints(Map<EndpointId, EndpointRecord> value) {
+        return new ControlState(
+                version,
+                configuration,
+                keys,
+                drained,
+                value,
+                groups,
+                placements,
+                changes,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with other groups. */
+    public ControlState withGroups(Map<GroupId, GroupRecord> value) {
+        return new ControlState(
+                version,
+                configuration,
+                keys,
+                drained,
+                endpoints,
+                value,
+                placements,
+                changes,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with other placements. */
+    public ControlState withPlacements(Map<PlacementKey, String> value) {
+        return new ControlState(
+                version,
+                configuration,
+                keys,
+                drained,
+                endpoints,
+                groups,
+                value,
+                changes,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with other answers to operators' changes. */
+    public ControlState withChanges(Map<String, ChangeOutcome> value) {
+        return new ControlState(
+                version,
+                configuration,
+                keys,
+                drained,
+                endpoints,
+                groups,
+                placements,
+                value,
+                configurationChange,
+                withdrawn);
+    }
+
+    /** Returns a copy with another configuration and the id of the change that brought it. */
+    public ControlState withConfiguration(Configuration value, String changeId) {
+        return new ControlState(
+                version,
+                value,
+                keys,
+                drained,
+                endpoints,
+                groups,
+                placements,
+                changes,
+                changeId,
+                withdrawn);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
@@ -0,0 +1,252 @@
+package org.crocusturn.core.operators;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.operators.ControlCommand.ApplyConfiguration;
+import org.crocusturn.core.operators.ControlCommand.AssignLease;
+import org.crocusturn.core.operators.ControlCommand.BeginFailover;
+import org.crocusturn.core.operators.ControlCommand.CompletePromotion;
+import org.crocusturn.core.operators.ControlCommand.IssueKey;
+import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
+import org.crocusturn.core.operators.ControlCommand.RegisterEndpoint;
+import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
+import org.crocusturn.core.operators.ControlCommand.RemoveEndpoint;
+import org.crocusturn.core.operators.ControlCommand.SetDataCentreDrained;
+import org.crocusturn.core.operators.ControlCommand.WithdrawKey;
+
+/**
+ * Applies committed commands to the replicated state; pure and thread-safe.
+ *
+ * <p>A command copies the one collection that it changes: O(groups) for a lease or a failover,
+ * O(keys) for a key, O(endpoints) for an endpoint. A configuration costs O(its size + placements).
+ */
+public final class ControlStateMachine {
+    /** Number of answers to operators' changes that are kept for resent changes. */
+    public static final int MAX_CHANGES = 1_000;
+
+    /** Number of withdrawn key ids that are kept to answer a repeated withdrawal. */
+    public static final int MAX_WITHDRAWN = 10_000;
+
+    private ControlStateMachine() {}
+
+    /**
+     * Is the result of one command.
+     *
+     * @param state state after the command
+     * @param outcome answer to an operator's command; empty for other commands
+     */
+    public record Applied(ControlState state, Optional<ChangeOutcome> outcome) {
+        /** Checks that no part is null. */
+        public Applied {
+            Objects.requireNonNull(state, "state");
+            Objects.requireNonNull(outcome, "outcome");
+        }
+    }
+
+    /**
+     * Applies a command. A command that breaks a rule changes nothing but the version.
+     *
+     * @param state state before the command
+     * @param version index of the command's log entry, greater than that of the state
+     * @param command the command
+     */
+    public static Applied apply(ControlState state, long version, ControlCommand command) {
+        if (version <= state.version()) {
+            throw new IllegalArgumentException(
+                    "version " + version + " must be greater than " + state.version());
+        }
+        ControlState base = state.withVersion(version);
+        if (command instanceof OperatorCommand operator) {
+            return applyOperator(base, operator);
+        }
+        return new Applied(applyInternal(base, command), Optional.empty());
+    }
+
+    private static Applied applyOperator(ControlState state, OperatorCommand command) {
+        ChangeOutcome earlier = state.changes().get(command.changeId());
+        if (earlier != null) {
+            return new Applied(state, Optional.of(earlier));
+        }
+        Optional<Failure> refusal = refusal(state, command);
+        ControlState changed = refusal.isEmpty() ? accept(state, command) : state;
+        ChangeOutcome outcome = new ChangeOutcome(command.changeId(), state.version(), refusal);
+        Map<String, ChangeOutcome> changes = new HashMap<>(changed.changes());
+        changes.put(command.changeId(), outcome);
+        if (changes.size() > MAX_CHANGES) {
+            changes.values().stream()
+                    .min(Comparator.comparingLong(ChangeOutcome::version))
+                    .ifPresent(oldest -> changes.remove(oldest.changeId()));
+        }
+        return new Applied(changed.withChanges(changes), Optional.of(outcome));
+    }
+
+    private static Optional<Failure> refusal(ControlState state, OperatorCommand command) {
+        if (command instanceof ApplyConfiguration apply) {
+            return ConfigurationChange.refusal(state, apply.configuration());
+        }
+        if (command instanceof IssueKey issue) {
+            return refuseIssue(state, issue.key());
+        }
+        if (command instanceof WithdrawKey withdraw) {
+            boolean known =
+                    state.withdrawn().containsKey(withdraw.keyId())
+                            || hasKey(state, k -> k.id().equals(withdraw.keyId()));
+            return refuseUnless(
+                    known, ErrorCode.NOT_FOUND, "key \"" + withdraw.keyId() + "\" is not known");
+        }
+        if (command instanceof SetDataCentreDrained drain) {
+            return refuseUnless(
+                    state.configuration().dataCentres().contains(drain.dataCentre()),
+                    ErrorCode.NOT_FOUND,
+                    "data centre \"" + drain.dataCentre() + "\" is not declared");
+        }
+        throw new IllegalArgumentException("command " + command + " is not known");
+    }
+
+    private static Optional<Failure> refuseIssue(ControlState state, KeyRecord key) {
+        if (state.configuration().workspace(key.workspace()).isEmpty()) {
+            return refuseUnless(
+                    false,
+                    ErrorCode.NOT_FOUND,
+                    "workspace \"" + key.workspace() + "\" is not declared");
+        }
+        boolean unused =
+                !state.keys().containsKey(key.hash())
+                        && !state.withdrawn().containsKey(key.id())
+                        && !hasKey(state, k -> k.id().equals(key.id()));
+        return refuseUnless(
+                unused, ErrorCode.CONFLICT, "key id \"" + key.id() + "\" or its hash is in use");
+    }
+
+    private static ControlState accept(ControlState state, OperatorCommand command) {
+        if (command instanceof ApplyConfiguration apply) {
+            return ConfigurationChange.accept(state, apply.configuration(), apply.changeId());
+        }
+        if (command instanceof IssueKey issue) {
+            Map<String, KeyRecord> keys = new HashMap<>(state.keys());
+            keys.put(issue.key().hash(), issue.key());
+            return state.withKeys(keys, state.withdrawn());
+        }
+        if (command instanceof WithdrawKey withdraw) {
+            return withdraw(state, withdraw.keyId());
+        }
+        SetDataCentreDrained drain = (SetDataCentreDrained) command;
+        Set<org.crocusturn.core.DataCentreId> drained = new HashSet<>(state.drained());
+        if (drain.drained()) {
+            drained.add(drain.dataCentre());
+        } else {
+            drained.remove(drain.dataCentre());
+        }
+        return state.withDrained(drained);
+    }
+
+    private static ControlState withdraw(ControlState state, String keyId) {
+        if (state.withdrawn().containsKey(keyId)) {
+            return state;
+        }
+        Map<String, KeyRecord> keys =
+                state.keys().entrySet().stream()
+                        .filter(e -> !e.getValue().id().equals(keyId))
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        Map<String, Long> withdrawn = new HashMap<>(state.withdrawn());
+        withdrawn.put(keyId, state.version());
+        if (withdrawn.size() > MAX_WITHDRAWN) {
+            withdrawn.entrySet().stream()
+                    .min(Map.Entry.comparingByValue())
+                    .map(Map.Entry::getKey)
+                    .ifPresent(withdrawn::remove);
+        }
+        return state.withKeys(keys, withdrawn);
+    }
+
+    private static ControlState applyInternal(ControlState state, ControlCommand command) {
+        if (command instanceof RegisterEndpoint register) {
+            Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
+            endpoints.put(register.endpoint().id(), register.endpoint());
+            return state.withEndpoints(endpoints);
+        }
+        if (command instanceof RemoveEndpoint remove) {
+            return remove(state, remove.endpoint());
+        }
+        if (command instanceof AssignLease assign) {
+            return change(
+                    state,
+                    assign.group(),
+                    g -> assign.leaseholder().epoch() == g.lastEpoch() + 1,
+                    g -> g.withLeaseholder(assign.leaseholder()));
+        }
+        if (command instanceof ReleaseLease release) {
+            return change(
+                    state,
+                    release.group(),
+                    g -> g.leaseholder().filter(h -> h.epoch() == release.epoch()).isPresent(),
+                    GroupRecord::withoutLeaseholder);
+        }
+        if (command instanceof BeginFailover begin) {
+            return change(
+                    state,
+                    begin.group(),
+                    g -> begin.term() == g.term() + 1,
+                    g -> g.withFailover(begin.term()));
+        }
+        if (command instanceof CompletePromotion complete) {
+            return change(
+                    state,
+                    complete.group(),
+                    g ->
+                            complete.term() == g.term()
+                                    && g.term() > 0
+                                    && g.primary().isEmpty()
+                                    && state.endpoints().containsKey(complete.primary()),
+                    g -> g.withPrimary(complete.primary(), complete.startIndex()));
+        }
+        throw new IllegalArgumentException("command " + command + " is not known");
+    }
+
+    // A primary stays known until a failover replaced it: entry hosts need its address.
+    private static ControlState remove(ControlState state, EndpointId endpoint) {
+        boolean primary =
+                state.groups().values().stream()
+                        .anyMatch(g -> g.primary().filter(endpoint::equals).isPresent());
+        if (primary || !state.endpoints().containsKey(endpoint)) {
+            return state;
+        }
+        Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
+        endpoints.remove(endpoint);
+        return state.withEndpoints(endpoints);
+    }
+
+    private static ControlState change(
+            ControlState state,
+            GroupId id,
+            Predicate<GroupRecord> allowed,
+            UnaryOperator<GroupRecord> change) {
+        GroupRecord group = state.groups().get(id);
+        if (group == null || !allowed.test(group)) {
+            return state;
+        }
+        Map<GroupId, GroupRecord> groups = new HashMap<>(state.groups());
+        groups.put(id, change.apply(group));
+        return state.withGroups(groups);
+    }
+
+    private static boolean hasKey(ControlState state, Predicate<KeyRecord> test) {
+        return state.keys().values().stream().anyMatch(test);
+    }
+
+    private static Optional<Failure> refuseUnless(boolean sound, ErrorCode code, String message) {
+        return sound ? Optional.empty() : Optional.of(Failure.notRun(code, message));
+    }
+}
