--- a/core/src/main/java/org/crocusturn/core/endpoints/EndpointHealth.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/EndpointHealth.java
@@ -1,5 +1,6 @@
 package org.crocusturn.core.endpoints;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -57,4 +58,11 @@
         return new EndpointHealth(
                 endpoint, seenNanos, refused || refusal, silent || !refusal, copies);
     }
+
+    /** Returns the health after a command was answered; only observations count as being seen. */
+    public EndpointHealth withStatus(CopyStatus status) {
+        Map<String, CopyStatus> all = new HashMap<>(copies);
+        all.put(status.database(), status);
+        return new EndpointHealth(endpoint, seenNanos, refused, silent, all);
+    }
 }
--- a/core/src/main/java/org/crocusturn/core/endpoints/FailoverDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/FailoverDecisions.java
@@ -57,7 +57,7 @@
                     case WAITING -> waiting(next, view, now);
                     case FENCING -> fencing(next, view, now);
                     case PROMOTING -> promoting(next, view, now);
-                    case COMPLETING -> complete(next, now);
+                    case COMPLETING -> completing(next, view, now);
                 });
     }
 
@@ -345,6 +345,14 @@
         return order(state, promote(state, candidate, state.term()), now);
     }
 
+    private static Decision<GroupFailover, FailoverAction> completing(
+            GroupFailover state, FailoverView view, long now) {
+        EndpointId candidate = state.candidate().get();
+        return view.copy(candidate).isEmpty()
+                ? begin(state, view, now, false, candidate + " is no longer announced")
+                : complete(state, now);
+    }
+
     private static Decision<GroupFailover, FailoverAction> complete(GroupFailover state, long now) {
         return propose(
                 state,
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
@@ -0,0 +1,62 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.controlhosts.StateUpdate.VersionedCommand;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * Keeps the latest committed commands for entry hosts that follow the state. Immutable.
+ *
+ * <p>Adding costs O(log commands); an update costs O(commands that it carries).
+ *
+ * @param baseVersion version before the first kept command
+ * @param commands kept commands, oldest first
+ */
+public record CommandHistory(long baseVersion, PVector<VersionedCommand> commands) {
+    /** Number of commands kept; a host that is further behind gets the whole state. */
+    public static final int MAX_COMMANDS = 1_000;
+
+    /** Checks that the commands are not null. */
+    public CommandHistory {
+        Objects.requireNonNull(commands, "commands");
+    }
+
+    /** Creates the history of a new leader, which knows no commands before its state. */
+    public static CommandHistory of(long version) {
+        return new CommandHistory(version, TreePVector.empty());
+    }
+
+    /** Returns the history with a command that was applied last. */
+    public CommandHistory plus(long version, ControlCommand command) {
+        PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, command));
+        return next.size() <= MAX_COMMANDS
+                ? new CommandHistory(baseVersion, next)
+                : new CommandHistory(next.get(0).version(), next.minus(0));
+    }
+
+    /** Returns what a follower at a version needs to reach a state. */
+    public StateUpdate since(long knownVersion, ControlState state) {
+        if (knownVersion >= state.version()) {
+            return new StateUpdate.Unchanged();
+        }
+        if (knownVersion < baseVersion) {
+            return new StateUpdate.Replacement(state);
+        }
+        Deque<VersionedCommand> missing = new ArrayDeque<>();
+        for (int i = commands.size() - 1; i >= 0; i--) {
+            VersionedCommand command = commands.get(i);
+            if (command.version() <= knownVersion) {
+                break;
+            }
+            missing.addFirst(command);
+        }
+        return new StateUpdate.Changes(List.copyOf(missing));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/EntryHost.java
@@ -0,0 +1,110 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.EntryReport;
+
+/**
+ * Is what the control leader knows of one entry host. Immutable.
+ *
+ * @param id name of the host
+ * @param incarnation random number of the process
+ * @param dataCentre where it stands
+ * @param linkAddress where other entry hosts reach it
+ * @param sequence sequence of its latest report
+ * @param answered greatest sequence that it knew to be answered
+ * @param knownVersion version of the state that it had
+ * @param reportNanos time at which the latest report arrived
+ * @param joinedNanos time since which it has been alive
+ * @param linked whether its link is open
+ * @param leaving whether it hands its leases over
+ * @param markSequence a report whose answer the host has not confirmed yet
+ * @param markNanos time at which that report arrived
+ * @param sentAfterNanos a time after which the latest report was certainly sent, if {@code proved}
+ * @param proved whether the process has confirmed an answer of this leader
+ */
+public record EntryHost(
+        HostId id,
+        long incarnation,
+        DataCentreId dataCentre,
+        String linkAddress,
+        long sequence,
+        long answered,
+        long knownVersion,
+        long reportNanos,
+        long joinedNanos,
+        boolean linked,
+        boolean leaving,
+        long markSequence,
+        long markNanos,
+        long sentAfterNanos,
+        boolean proved) {
+    /** Checks that no part is null. */
+    public EntryHost {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(linkAddress, "linkAddress");
+    }
+
+    /** Creates a host from the first report of its process. */
+    static EntryHost of(EntryReport report, long nowNanos) {
+        return new EntryHost(
+                report.host(),
+                report.incarnation(),
+                report.dataCentre(),
+                report.linkAddress(),
+                report.sequence(),
+                report.answered(),
+                report.knownVersion(),
+                nowNanos,
+                nowNanos,
+                true,
+                report.leaving(),
+                report.sequence(),
+                nowNanos,
+                nowNanos,
+                false);
+    }
+
+    /** Returns the host after a later report of the same process. */
+    EntryHost with(EntryReport report, long nowNanos, boolean wasLive) {
+        boolean confirmed = report.answered() >= markSequence;
+        return new EntryHost(
+                id,
+                incarnation,
+                report.dataCentre(),
+                report.linkAddress(),
+                report.sequence(),
+                Math.max(answered, report.answered()),
+                report.knownVersion(),
+                nowNanos,
+                wasLive ? joinedNanos : nowNanos,
+                true,
+                report.leaving(),
+                confirmed ? report.sequence() : markSequence,
+                confirmed ? nowNanos : markNanos,
+                confirmed ? markNanos : sentAfterNanos,
+                proved || confirmed);
+    }
+
+    /** Returns the host after its link closed. */
+    EntryHost withoutLink() {
+        return new EntryHost(
+                id,
+                incarnation,
+                dataCentre,
+                linkAddress,
+                sequence,
+                answered,
+                knownVersion,
+                reportNanos,
+                joinedNanos,
+                false,
+                leaving,
+                markSequence,
+                markNanos,
+                sentAfterNanos,
+                proved);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/EntryRegistry.java
@@ -0,0 +1,99 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Tells which entry hosts are alive, from their reports. Immutable.
+ *
+ * <p>A report costs O(log hosts); {@link #live} and {@link #withoutForgotten} cost O(hosts).
+ *
+ * @param hosts known hosts by name
+ * @param watchedSinceNanos time since which the leader has watched without a pause of its own
+ */
+public record EntryRegistry(PMap<HostId, EntryHost> hosts, long watchedSinceNanos) {
+    /** Checks that the map is not null. */
+    public EntryRegistry {
+        Objects.requireNonNull(hosts, "hosts");
+    }
+
+    /** Creates the registry of a new leader. */
+    public static EntryRegistry of(long nowNanos) {
+        return new EntryRegistry(HashTreePMap.empty(), nowNanos);
+    }
+
+    /** Returns a host, alive or not. */
+    public Optional<EntryHost> host(HostId id) {
+        return Optional.ofNullable(hosts.get(id));
+    }
+
+    /** Returns whether a report tells something that no earlier one of its process told. */
+    public boolean isNew(EntryReport report) {
+        EntryHost known = hosts.get(report.host());
+        return known == null
+                || known.incarnation() != report.incarnation()
+                || known.sequence() < report.sequence();
+    }
+
+    /** Returns whether a host's link is open and its last report is less than 500 ms old. */
+    public boolean isLive(EntryHost host, long nowNanos) {
+        long seen = Math.max(host.reportNanos(), watchedSinceNanos);
+        return host.linked() && nowNanos - seen < LeaseTimes.DEAD_NANOS;
+    }
+
+    /** Returns whether the given process of a host is alive. */
+    public boolean isLive(HostId id, long incarnation, long nowNanos) {
+        EntryHost host = hosts.get(id);
+        return host != null && host.incarnation() == incarnation && isLive(host, nowNanos);
+    }
+
+    /** Returns the live hosts in the order of their names. */
+    public List<EntryHost> live(long nowNanos) {
+        return hosts.values().stream()
+                .filter(h -> isLive(h, nowNanos))
+                .sorted(Comparator.comparing(EntryHost::id))
+                .toList();
+    }
+
+    /** Returns the registry after a report; a repeated report changes nothing. */
+    public EntryRegistry with(EntryReport report, long nowNanos) {
+        if (!isNew(report)) {
+            return this;
+        }
+        EntryHost known = hosts.get(report.host());
+        EntryHost next =
+                known == null || known.incarnation() != report.incarnation()
+                        ? EntryHost.of(report, nowNanos)
+                        : known.with(report, nowNanos, isLive(known, nowNanos));
+        return new EntryRegistry(hosts.plus(report.host(), next), watchedSinceNanos);
+    }
+
+    /** Returns the registry after a host's link closed. */
+    public EntryRegistry withLinkClosed(HostId id) {
+        EntryHost known = hosts.get(id);
+        return known == null
+                ? this
+                : new EntryRegistry(hosts.plus(id, known.withoutLink()), watchedSinceNanos);
+    }
+
+    /** Returns the registry after the leader itself paused. */
+    public EntryRegistry withWatchedSince(long nanos) {
+        return new EntryRegistry(hosts, nanos);
+    }
+
+    /** Returns the registry without hosts that have been silent for 10 s. */
+    public EntryRegistry withoutForgotten(long nowNanos) {
+        List<HostId> gone =
+                hosts.values().stream()
+                        .filter(h -> nowNanos - h.reportNanos() >= LeaseTimes.FORGET_NANOS)
+                        .map(EntryHost::id)
+                        .toList();
+        return gone.isEmpty() ? this : new EntryRegistry(hosts.minusAll(gone), watchedSinceNanos);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/FailoverTable.java
@@ -0,0 +1,170 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.CopyView;
+import org.crocusturn.core.endpoints.EndpointHealth;
+import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.endpoints.FailureDetector;
+import org.crocusturn.core.endpoints.GroupFailover;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.Service;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Keeps the progress of all groups and the health of all endpoints. Immutable.
+ *
+ * <p>An observation costs O(log endpoints); {@link #withState} costs O(groups + copies).
+ *
+ * @param groups progress by group
+ * @param health health by endpoint
+ * @param announced time of the last announcement by endpoint
+ * @param copies endpoints that hold a copy of a group, in the order of their names
+ * @param instances declared number of instances by service
+ */
+public record FailoverTable(
+        PMap<GroupId, GroupFailover> groups,
+        PMap<EndpointId, EndpointHealth> health,
+        PMap<EndpointId, Long> announced,
+        Map<GroupId, List<EndpointId>> copies,
+        Map<String, Integer> instances) {
+    /** Copies the plain maps. */
+    public FailoverTable {
+        Objects.requireNonNull(groups, "groups");
+        Objects.requireNonNull(health, "health");
+        Objects.requireNonNull(announced, "announced");
+        copies = Map.copyOf(copies);
+        instances = Map.copyOf(instances);
+    }
+
+    /** Creates the table of a new leader. */
+    public static FailoverTable of(ControlState state, long nowNanos) {
+        return new FailoverTable(
+                        HashTreePMap.empty(),
+                        HashTreePMap.empty(),
+                        HashTreePMap.empty(),
+                        Map.of(),
+                        Map.of())
+                .withState(state, nowNanos);
+    }
+
+    /** Returns the progress of a group, if the group exists. */
+    public Optional<GroupFailover> group(GroupId id) {
+        return Optional.ofNullable(groups.get(id));
+    }
+
+    /** Returns the copies of a group as they look now; costs O(copies). */
+    public List<CopyView> views(
+            GroupId group,
+            ControlState state,
+            FailureDetector detector,
+            long watchedSinceNanos,
+            long nowNanos) {
+        List<CopyView> views = new ArrayList<>();
+        for (EndpointId id : copies.getOrDefault(group, List.of())) {
+            EndpointRecord endpoint = state.endpoints().get(id);
+            EndpointHealth known = health.get(id);
+            if (endpoint != null && known != null) {
+                views.add(
+                        new CopyView(
+                                endpoint,
+                                known.copy(group.database()),
+                                known.seenNanos(),
+                                detector.failure(known, watchedSinceNanos, nowNanos),
+                                state.isInService(endpoint)));
+            }
+        }
+        return views;
+    }
+
+    /** Returns the table after endpoints or the configuration may have changed. */
+    public FailoverTable withState(ControlState state, long nowNanos) {
+        PMap<GroupId, GroupFailover> nextGroups = groups;
+        for (GroupId id : state.groups().keySet()) {
+            if (!nextGroups.containsKey(id)) {
+                nextGroups = nextGroups.plus(id, GroupFailover.of(id, nowNanos));
+            }
+        }
+        PMap<EndpointId, EndpointHealth> nextHealth = health;
+        PMap<EndpointId, Long> nextAnnounced = announced;
+        for (EndpointId id : state.endpoints().keySet()) {
+            if (!nextHealth.containsKey(id)) {
+                nextHealth = nextHealth.plus(id, EndpointHealth.unknown(id, nowNanos));
+                nextAnnounced = nextAnnounced.plus(id, nowNanos);
+            }
+        }
+        return new FailoverTable(
+                nextGroups.minusAll(missing(nextGroups.keySet(), state.groups().keySet())),
+                nextHealth.minusAll(missing(nextHealth.keySet(), state.endpoints().keySet())),
+                nextAnnounced.minusAll(missing(nextAnnounced.keySet(), state.endpoints().keySet())),
+                copiesOf(state),
+                instancesOf(state));
+    }
+
+    /** Returns the table after an observation; unknown endpoints are ignored. */
+    public FailoverTable with(EndpointObservation observation, long nowNanos) {
+        EndpointHealth known = health.get(observation.endpoint());
+        return known == null ? this : withHealth(known.with(observation, nowNanos));
+    }
+
+    /** Returns the table after a command was answered. */
+    public FailoverTable with(EndpointId endpoint, CopyStatus status) {
+        EndpointHealth known = health.get(endpoint);
+        return known == null ? this : withHealth(known.withStatus(status));
+    }
+
+    /** Returns the table with another progress of a group. */
+    public FailoverTable with(GroupFailover failover) {
+        return new FailoverTable(
+                groups.plus(failover.group(), failover), health, announced, copies, instances);
+    }
+
+    /** Returns the table after an announcement. */
+    public FailoverTable withAnnounced(EndpointId endpoint, long nowNanos) {
+        return new FailoverTable(
+                groups, health, announced.plus(endpoint, nowNanos), copies, instances);
+    }
+
+    private FailoverTable withHealth(EndpointHealth next) {
+        return new FailoverTable(
+                groups, health.plus(next.endpoint(), next), announced, copies, instances);
+    }
+
+    private static <K> List<K> missing(Collection<K> known, Collection<K> wanted) {
+        return known.stream().filter(k -> !wanted.contains(k)).toList();
+    }
+
+    private static Map<GroupId, List<EndpointId>> copiesOf(ControlState state) {
+        Map<GroupId, List<EndpointId>> result = new HashMap<>();
+        for (EndpointId id : new TreeSet<>(state.endpoints().keySet())) {
+            EndpointRecord endpoint = state.endpoints().get(id);
+            for (DatabaseRecord database : endpoint.databases()) {
+                result.computeIfAbsent(
+                                GroupId.of(endpoint.service(), database.name()),
+                                g -> new ArrayList<>())
+                        .add(id);
+            }
+        }
+        return result;
+    }
+
+    private static Map<String, Integer> instancesOf(ControlState state) {
+        Map<String, Integer> result = new HashMap<>();
+        for (Service service : state.configuration().services()) {
+            result.put(service.name(), service.instances());
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/GroupLease.java
@@ -0,0 +1,179 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.Leaseholder;
+
+/**
+ * Is the leader's bookkeeping of one group's lease, for the epoch recorded in the log. Immutable.
+ *
+ * @param group the group
+ * @param holder recorded holder, if there is one
+ * @param leaseUntilNanos time from which the holder certainly does not use the lease
+ * @param ackUntilNanos time from which the holder certainly acknowledges no write
+ * @param ackTerm greatest term that the holder may have been allowed to acknowledge in
+ * @param droppedTerm greatest term that the holder reported as dropped
+ * @param released whether the holder reported the release
+ * @param target host that a planned move goes to, if the holder is asked to give the lease back
+ * @param closed whether the end of the epoch is proposed; the lease is never renewed then
+ * @param proposedNanos time of the last proposal, meaningful while {@code proposed}
+ * @param proposed whether a proposal for the group's lease is under way
+ */
+public record GroupLease(
+        GroupId group,
+        Optional<Leaseholder> holder,
+        long leaseUntilNanos,
+        long ackUntilNanos,
+        long ackTerm,
+        long droppedTerm,
+        boolean released,
+        Optional<HostId> target,
+        boolean closed,
+        long proposedNanos,
+        boolean proposed) {
+    /** Checks that no part is null. */
+    public GroupLease {
+        Objects.requireNonNull(group, "group");
+        Objects.requireNonNull(holder, "holder");
+        Objects.requireNonNull(target, "target");
+    }
+
+    /** Creates the lease of an epoch that this leader has granted nothing of. */
+    static GroupLease of(GroupRecord group, long nowNanos) {
+        return new GroupLease(
+                group.id(),
+                group.leaseholder(),
+                nowNanos,
+                nowNanos,
+                0,
+                0,
+                false,
+                Optional.empty(),
+                false,
+                nowNanos,
+                false);
+    }
+
+    /** Returns the lease after the record of the group changed; a proposal stays under way. */
+    GroupLease withRecord(GroupRecord record, long nowNanos) {
+        GroupLease next = of(record, nowNanos);
+        return proposed && record.leaseholder().isEmpty() ? next.withProposal(proposedNanos) : next;
+    }
+
+    /** Creates the lease of an epoch that an earlier leader may have granted until now. */
+    static GroupLease inherited(GroupRecord group, long nowNanos) {
+        if (group.leaseholder().isEmpty()) {
+            return of(group, nowNanos);
+        }
+        long until = nowNanos + LeaseTimes.EXPIRY_NANOS;
+        long term = group.primary().isPresent() ? group.term() : Math.max(0, group.term() - 1);
+        return new GroupLease(
+                group.id(),
+                group.leaseholder(),
+                until,
+                until,
+                term,
+                0,
+                false,
+                Optional.empty(),
+                false,
+                nowNanos,
+                false);
+    }
+
+    /** Returns whether the holder is asked to give the lease back. */
+    public boolean moving() {
+        return target.isPresent();
+    }
+
+    /** Returns the epoch of the holder; 0 without one. */
+    public long epoch() {
+        return holder.map(Leaseholder::epoch).orElse(0L);
+    }
+
+    /** Returns whether the holder certainly does not use the lease. */
+    public boolean isOver(long nowNanos) {
+        return holder.isEmpty() || released || nowNanos - leaseUntilNanos >= 0;
+    }
+
+    /** Returns whether no host can acknowledge a write that the leader allowed so far. */
+    public boolean isSilenced(long nowNanos) {
+        return isOver(nowNanos) || droppedTerm >= ackTerm || nowNanos - ackUntilNanos >= 0;
+    }
+
+    /** Returns whether the lease may be renewed for a process. */
+    public boolean isRenewable(long incarnation) {
+        return !closed
+                && !released
+                && holder.filter(h -> h.incarnation() == incarnation).isPresent();
+    }
+
+    /** Returns the lease after it was granted in answer to a report. */
+    GroupLease withGrant(long reportNanos, long term) {
+        long until = reportNanos + LeaseTimes.EXPIRY_NANOS;
+        return new GroupLease(
+                group,
+                holder,
+                Math.max(leaseUntilNanos, until),
+                term > droppedTerm ? Math.max(ackUntilNanos, until) : ackUntilNanos,
+                Math.max(ackTerm, term),
+                droppedTerm,
+                released,
+                target,
+                closed,
+                proposedNanos,
+                proposed);
+    }
+
+    /** Returns the lease after the holder told about it. */
+    GroupLease with(HeldLease held) {
+        return new GroupLease(
+                group,
+                holder,
+                leaseUntilNanos,
+                ackUntilNanos,
+                ackTerm,
+                Math.max(droppedTerm, held.droppedTerm()),
+                released || held.released(),
+                target,
+                closed,
+                proposedNanos,
+                proposed);
+    }
+
+    /** Returns the lease that the holder is asked to give back. */
+    GroupLease withTarget(HostId host) {
+        return new GroupLease(
+                group,
+                holder,
+                leaseUntilNanos,
+                ackUntilNanos,
+                ackTerm,
+                droppedTerm,
+                released,
+                Optional.of(host),
+                closed,
+                proposedNanos,
+                proposed);
+    }
+
+    /** Returns the lease whose end or assignment is proposed. */
+    GroupLease withProposal(long nowNanos) {
+        return new GroupLease(
+                group,
+                holder,
+                leaseUntilNanos,
+                ackUntilNanos,
+                ackTerm,
+                droppedTerm,
+                released,
+                target,
+                true,
+                nowNanos,
+                true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderAction.java
@@ -0,0 +1,43 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.operators.ControlCommand;
+
+/** Is what the control leader asks its owner to do. */
+public sealed interface LeaderAction {
+    /** Propose a command to the log; lost proposals are repeated by later steps. */
+    record Propose(ControlCommand command) implements LeaderAction {
+        /** Checks that the command is not null. */
+        public Propose {
+            Objects.requireNonNull(command, "command");
+        }
+    }
+
+    /** Send an update over the link to an entry host. */
+    record SendUpdate(HostId host, ControlUpdate update) implements LeaderAction {
+        /** Checks that no part is null. */
+        public SendUpdate {
+            Objects.requireNonNull(host, "host");
+            Objects.requireNonNull(update, "update");
+        }
+    }
+
+    /** Send a command to an endpoint and feed its result back. */
+    record Order(EndpointCommand command) implements LeaderAction {
+        /** Checks that the command is not null. */
+        public Order {
+            Objects.requireNonNull(command, "command");
+        }
+    }
+
+    /** Write a log line: what was decided and why. */
+    record Log(String text) implements LeaderAction {
+        /** Checks that the text is not null. */
+        public Log {
+            Objects.requireNonNull(text, "text");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderInput.java
@@ -0,0 +1,77 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.Objects;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.EndpointRecord;
+
+/** Is an event for the control leader; fed only while the host's leader lease is valid. */
+public sealed interface LeaderInput {
+    /**
+     * The host became leader. Fed after all entries of earlier terms in its log are committed and
+     * applied, and before any other input of the term.
+     */
+    record LeadershipGained(long term, ControlState state) implements LeaderInput {
+        /** Checks that the state is not null. */
+        public LeadershipGained {
+            Objects.requireNonNull(state, "state");
+        }
+    }
+
+    /** A command was committed and applied; the state is the one after it. */
+    record CommandApplied(long version, ControlCommand command, ControlState state)
+            implements LeaderInput {
+        /** Checks that no part is null. */
+        public CommandApplied {
+            Objects.requireNonNull(command, "command");
+            Objects.requireNonNull(state, "state");
+        }
+    }
+
+    /** An entry host reported. */
+    record ReportReceived(EntryReport report) implements LeaderInput {
+        /** Checks that the report is not null. */
+        public ReportReceived {
+            Objects.requireNonNull(report, "report");
+        }
+    }
+
+    /** The link to an entry host closed. */
+    record EntryLinkClosed(HostId host) implements LeaderInput {
+        /** Checks that the host is not null. */
+        public EntryLinkClosed {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** The status monitor saw something of an endpoint. */
+    record Observed(EndpointObservation observation) implements LeaderInput {
+        /** Checks that the observation is not null. */
+        public Observed {
+            Objects.requireNonNull(observation, "observation");
+        }
+    }
+
+    /** A command to an endpoint ended. */
+    record CommandFinished(EndpointCommandResult result) implements LeaderInput {
+        /** Checks that the result is not null. */
+        public CommandFinished {
+            Objects.requireNonNull(result, "result");
+        }
+    }
+
+    /** An endpoint announced itself. */
+    record AnnouncementReceived(EndpointRecord endpoint) implements LeaderInput {
+        /** Checks that the endpoint is not null. */
+        public AnnouncementReceived {
+            Objects.requireNonNull(endpoint, "endpoint");
+        }
+    }
+
+    /** Time passed; fed at least every 50 ms. */
+    record Tick() implements LeaderInput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
@@ -0,0 +1,174 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.LeaseGrant;
+import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.core.endpoints.FailoverAction;
+import org.crocusturn.core.endpoints.FailoverDecisions;
+import org.crocusturn.core.endpoints.FailoverView;
+import org.crocusturn.core.endpoints.FailureDetector;
+import org.crocusturn.core.endpoints.GroupFailover;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.GroupRecord;
+
+/**
+ * Collects the effects of one step of {@link ControlLeader}. It lives only within the step; what
+ * leaves it is immutable.
+ */
+final class LeaderTurn {
+    final long mNow;
+    final PlacementPolicy mPlacement;
+    final FailureDetector mDetector;
+    LeaderState mState;
+    private final List<LeaderAction> mActions = new ArrayList<>();
+    private final Set<HostId> mTold = new TreeSet<>();
+    private List<EntryHost> mEligible;
+
+    LeaderTurn(LeaderState state, long now, PlacementPolicy placement, FailureDetector detector) {
+        mState = state;
+        mNow = now;
+        mPlacement = placement;
+        mDetector = detector;
+    }
+
+    void propose(ControlCommand command) {
+        mActions.add(new LeaderAction.Propose(command));
+    }
+
+    void log(String text) {
+        mActions.add(new LeaderAction.Log(text));
+    }
+
+    /** Lets a host get an update at the end of the step. */
+    void tell(HostId host) {
+        mTold.add(host);
+    }
+
+    /** Returns the live hosts that may get leases; costs O(hosts) once for each step. */
+    List<EntryHost> eligible() {
+        if (mEligible == null) {
+            mEligible =
+                    mState.registry().live(mNow).stream()
+                            .filter(h -> !h.leaving())
+                            .filter(h -> !mState.control().drained().contains(h.dataCentre()))
+                            .toList();
+        }
+        return mEligible;
+    }
+
+    /** Moves the failover of a group on; costs O(copies). */
+    void failover(GroupId id, Optional<EndpointCommandResult> result) {
+        GroupRecord record = mState.control().groups().get(id);
+        Optional<GroupFailover> known = mState.failovers().group(id);
+        Optional<GroupLease> lease = mState.leases().lease(id);
+        if (record == null || known.isEmpty() || lease.isEmpty()) {
+            return;
+        }
+        long before = acknowledgeTerm(record);
+        FailoverView view = view(record, lease.get());
+        Decision<GroupFailover, FailoverAction> decision =
+                result.map(r -> FailoverDecisions.finished(known.get(), r, view, mNow))
+                        .orElseGet(() -> FailoverDecisions.step(known.get(), view, mNow));
+        if (!decision.state().equals(known.get())) {
+            mState = mState.withFailovers(mState.failovers().with(decision.state()));
+        }
+        decision.actions().stream().map(LeaderTurn::translate).forEach(mActions::add);
+        if (before != acknowledgeTerm(record)) {
+            lease.get().holder().ifPresent(h -> tell(h.host()));
+        }
+    }
+
+    private FailoverView view(GroupRecord record, GroupLease lease) {
+        boolean dropped =
+                record.primary().isPresent()
+                        && lease.holder().isPresent()
+                        && lease.droppedTerm() >= record.term();
+        return new FailoverView(
+                record,
+                mState.failovers().instances().getOrDefault(record.id().service(), 1),
+                mState.failovers()
+                        .views(
+                                record.id(),
+                                mState.control(),
+                                mDetector,
+                                mState.registry().watchedSinceNanos(),
+                                mNow),
+                lease.isSilenced(mNow),
+                dropped);
+    }
+
+    private static LeaderAction translate(FailoverAction action) {
+        if (action instanceof FailoverAction.Propose propose) {
+            return new LeaderAction.Propose(propose.command());
+        }
+        if (action instanceof FailoverAction.Order order) {
+            return new LeaderAction.Order(order.command());
+        }
+        return new LeaderAction.Log(((FailoverAction.Note) action).text());
+    }
+
+    private long acknowledgeTerm(GroupRecord record) {
+        boolean allowed =
+                record.primary().isPresent()
+                        && mState.failovers()
+                                .group(record.id())
+                                .filter(f -> f.phase().acknowledges())
+                                .isPresent();
+        return allowed ? record.term() : 0;
+    }
+
+    /** Ends the step: sends updates to all live hosts after a state change, else to those told. */
+    Decision<LeaderState, LeaderAction> finish() {
+        boolean push = mState.pushDue() && mNow - mState.pushedNanos() >= ControlLeader.PUSH_NANOS;
+        if (push) {
+            mState.registry().live(mNow).forEach(h -> tell(h.id()));
+            mState = mState.withPushed(mNow);
+        }
+        mTold.stream()
+                .map(h -> mState.registry().host(h))
+                .flatMap(Optional::stream)
+                .filter(h -> mState.registry().isLive(h, mNow))
+                .forEach(this::send);
+        return new Decision<>(mState, mActions);
+    }
+
+    // Costs O(groups of the host + its unconfirmed grants + missing commands).
+    private void send(EntryHost host) {
+        List<LeaseGrant> grants = new ArrayList<>();
+        mState.leases().groupsOf(host.id()).stream()
+                .sorted(Comparator.naturalOrder())
+                .map(id -> mState.leases().lease(id).orElseThrow())
+                .filter(lease -> lease.isRenewable(host.incarnation()))
+                .forEach(lease -> grants.add(grant(host, lease)));
+        mActions.add(
+                new LeaderAction.SendUpdate(
+                        host.id(),
+                        new ControlUpdate(
+                                mState.term(),
+                                host.sequence(),
+                                mState.control().version(),
+                                mState.history().since(host.knownVersion(), mState.control()),
+                                LeaseTimes.FRESHNESS_MILLIS,
+                                grants,
+                                mState.rates().grantsFor(host))));
+    }
+
+    private LeaseGrant grant(EntryHost host, GroupLease lease) {
+        long term =
+                Optional.ofNullable(mState.control().groups().get(lease.group()))
+                        .map(this::acknowledgeTerm)
+                        .orElse(0L);
+        mState = mState.withLease(lease.withGrant(host.reportNanos(), term));
+        return new LeaseGrant(
+                lease.group(), lease.epoch(), LeaseTimes.LEASE_MILLIS, term, lease.moving());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -0,0 +1,173 @@
+package org.crocusturn.core.entryhosts;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.endpoints.FailoverPhase;
+import org.crocusturn.core.operators.ControlCommand.AssignLease;
+import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.Leaseholder;
+
+/** Decides who holds the group leases, within one step of {@link ControlLeader}. */
+final class LeaseDecisions {
+    /** A new leader waits for the reports of all hosts before its first placements. */
+    static final long SETTLE_NANOS = Duration.ofMillis(400).toNanos();
+
+    /** A host gets leases of live holders only once it has been alive for this time. */
+    static final long STABLE_NANOS = Duration.ofSeconds(2).toNanos();
+
+    static final long PROPOSAL_REPEAT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Bounds the scores computed for rebalancing at a tick to about 2 ms. */
+    static final int SCORES_PER_TICK = 50_000;
+
+    private final LeaderTurn mTurn;
+
+    LeaseDecisions(LeaderTurn turn) {
+        mTurn = turn;
+    }
+
+    /** Looks after one group; costs O(1), or O(hosts) if the lease needs another holder. */
+    void check(GroupId id) {
+        GroupRecord record = mTurn.mState.control().groups().get(id);
+        Optional<GroupLease> known = mTurn.mState.leases().lease(id);
+        if (record == null || known.isEmpty() || isProposed(known.get())) {
+            return;
+        }
+        GroupLease lease = known.get();
+        if (lease.holder().isEmpty()) {
+            if (mTurn.mNow - mTurn.mState.gainedNanos() >= SETTLE_NANOS) {
+                assign(record, lease, "it has no holder");
+            }
+            return;
+        }
+        Leaseholder holder = lease.holder().get();
+        boolean live =
+                mTurn.mState.registry().isLive(holder.host(), holder.incarnation(), mTurn.mNow);
+        if (lease.released()) {
+            assign(record, lease, holder.host() + " gave it back");
+        } else if (lease.isOver(mTurn.mNow) && (lease.closed() || !live)) {
+            assign(record, lease, "the lease of " + holder.host() + " ran out");
+        } else if (live && !lease.moving() && !lease.closed()) {
+            leave(record, lease, holder);
+        }
+    }
+
+    private boolean isProposed(GroupLease lease) {
+        return lease.proposed() && mTurn.mNow - lease.proposedNanos() < PROPOSAL_REPEAT_NANOS;
+    }
+
+    private void assign(GroupRecord record, GroupLease lease, String reason) {
+        Optional<EntryHost> next = choose(record);
+        if (next.isEmpty() && lease.holder().isEmpty()) {
+            return;
+        }
+        if (lease.holder().isPresent()) {
+            mTurn.propose(new ReleaseLease(record.id(), lease.epoch()));
+        }
+        next.ifPresent(
+                host -> {
+                    long epoch = record.lastEpoch() + 1;
+                    mTurn.propose(
+                            new AssignLease(
+                                    record.id(),
+                                    new Leaseholder(
+                                            host.id(),
+                                            host.linkAddress(),
+                                            host.incarnation(),
+                                            epoch)));
+                    log(record, "epoch " + epoch + " goes to " + host.id() + ", " + reason);
+                });
+        mTurn.mState = mTurn.mState.withLease(lease.withProposal(mTurn.mNow));
+    }
+
+    // A host that leaves, or whose data centre does, moves all its leases at once: it has only
+    // seconds.
+    private void leave(GroupRecord record, GroupLease lease, Leaseholder holder) {
+        EntryHost host = mTurn.mState.registry().host(holder.host()).orElseThrow();
+        boolean drained = mTurn.mState.control().drained().contains(host.dataCentre());
+        if (host.leaving() || drained) {
+            choose(record)
+                    .ifPresent(
+                            target ->
+                                    move(
+                                            record,
+                                            lease,
+                                            target,
+                                            drained
+                                                    ? "its data centre leaves service"
+                                                    : "its host leaves"));
+        }
+    }
+
+    /** Moves leases to the hosts that placement prefers; costs at most O(SCORES_PER_TICK). */
+    void rebalance() {
+        List<EntryHost> hosts = mTurn.eligible();
+        List<GroupId> groups = List.copyOf(mTurn.mState.failovers().groups().keySet());
+        if (hosts.isEmpty()
+                || groups.isEmpty()
+                || mTurn.mNow - mTurn.mState.gainedNanos() < STABLE_NANOS) {
+            return;
+        }
+        int count = Math.min(groups.size(), Math.max(1, SCORES_PER_TICK / hosts.size()));
+        int start = mTurn.mState.cursor() % groups.size();
+        for (int i = 0; i < count; i++) {
+            improve(groups.get((start + i) % groups.size()));
+        }
+        mTurn.mState = mTurn.mState.withCursor((start + count) % groups.size());
+    }
+
+    private void improve(GroupId id) {
+        GroupLease lease = mTurn.mState.leases().lease(id).orElse(null);
+        GroupRecord record = mTurn.mState.control().groups().get(id);
+        boolean quiet =
+                lease != null
+                        && record != null
+                        && lease.holder().isPresent()
+                        && !lease.moving()
+                        && !lease.closed()
+                        && !lease.released()
+                        && mTurn.mState
+                                .failovers()
+                                .group(id)
+                                .filter(f -> f.phase() == FailoverPhase.HEALTHY)
+                                .isPresent();
+        if (!quiet || mTurn.mState.leases().isMoving(lease.holder().get().host())) {
+            return;
+        }
+        Leaseholder holder = lease.holder().get();
+        choose(record)
+                .filter(t -> !t.id().equals(holder.host()))
+                .filter(t -> mTurn.mNow - t.joinedNanos() >= STABLE_NANOS)
+                .filter(t -> !mTurn.mState.leases().isMoving(t.id()))
+                .filter(
+                        t ->
+                                mTurn.mState
+                                        .registry()
+                                        .isLive(holder.host(), holder.incarnation(), mTurn.mNow))
+                .ifPresent(t -> move(record, lease, t, "placement prefers it"));
+    }
+
+    private void move(GroupRecord record, GroupLease lease, EntryHost target, String reason) {
+        Leaseholder holder = lease.holder().orElseThrow();
+        mTurn.mState = mTurn.mState.withLease(lease.withTarget(target.id()));
+        mTurn.tell(holder.host());
+        log(record, "it moves from " + holder.host() + " to " + target.id() + ", " + reason);
+    }
+
+    private Optional<EntryHost> choose(GroupRecord record) {
+        Optional<DataCentreId> primary =
+                record.primary()
+                        .map(e -> mTurn.mState.control().endpoints().get(e))
+                        .map(EndpointRecord::dataCentre);
+        return mTurn.mPlacement.choose(record.id(), primary, mTurn.eligible());
+    }
+
+    private void log(GroupRecord record, String text) {
+        mTurn.log("entryhosts: lease of group " + record.id() + ": " + text + ".");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
@@ -0,0 +1,116 @@
+package org.crocusturn.core.entryhosts;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.operators.RateLimit;
+
+/**
+ * Is the token bucket of one workspace. Immutable.
+ *
+ * <p>Level plus unsettled grants never exceeds the burst. Each step costs O(hosts that demand
+ * tokens of the workspace), which is at most the number of its services outside of lease moves.
+ *
+ * @param level tokens that can be granted; negative after the burst was reduced
+ * @param filledNanos time up to which the rate is in the level
+ * @param safeNanos spending that a process reported before this time may be of forgotten grants
+ * @param ledgers accounts by process
+ */
+record TokenBucket(
+        double level, long filledNanos, long safeNanos, Map<Process, TokenLedger> ledgers) {
+    /** Names one process of an entry host. */
+    record Process(HostId host, long incarnation) {
+        static Process of(EntryHost host) {
+            return new Process(host.id(), host.incarnation());
+        }
+    }
+
+    TokenBucket {
+        ledgers = Map.copyOf(ledgers);
+    }
+
+    static TokenBucket of(long startNanos) {
+        return new TokenBucket(0, startNanos, startNanos, Map.of());
+    }
+
+    long counted() {
+        return ledgers.values().stream().mapToLong(TokenLedger::counted).sum();
+    }
+
+    /** Returns the bucket filled up to a time; before its start it stays empty. */
+    TokenBucket at(RateLimit rate, long nowNanos) {
+        Map<Process, TokenLedger> current = new HashMap<>(ledgers);
+        current.replaceAll((process, ledger) -> ledger.withForfeits(nowNanos));
+        boolean dropped = current.values().removeIf(l -> l.isIdle(nowNanos));
+        long outstanding = current.values().stream().mapToLong(TokenLedger::counted).sum();
+        long elapsed = Math.max(0, nowNanos - filledNanos);
+        double filled = level + rate.perSecond() * elapsed / Duration.ofSeconds(1).toNanos();
+        return new TokenBucket(
+                Math.min(filled, (double) rate.burst() - outstanding),
+                filledNanos + elapsed,
+                dropped ? Math.max(safeNanos, nowNanos) : safeNanos,
+                current);
+    }
+
+    /**
+     * Returns the bucket after a host's report, settled but without a new grant. A process gets an
+     * account once all earlier grants to it are void and their spending is known.
+     */
+    TokenBucket withDemand(EntryHost host, TokenDemand demand, RateLimit rate) {
+        TokenLedger known = ledgers.get(Process.of(host));
+        if (known == null) {
+            return host.proved() && host.sentAfterNanos() - safeNanos >= 0
+                    ? withLedger(
+                            host,
+                            new TokenLedger(demand.spentTotal(), 0, host.reportNanos(), List.of()))
+                    : this;
+        }
+        TokenLedger spent = known.withSpent(demand.spentTotal(), host.reportNanos());
+        long refund = spent.refund(host.sentAfterNanos());
+        TokenLedger settled = spent.withoutVoid(host.sentAfterNanos());
+        TokenBucket next = withLedger(host, settled);
+        double cap = (double) rate.burst() - next.counted();
+        return new TokenBucket(
+                Math.min(level + refund, cap), filledNanos, safeNanos, next.ledgers());
+    }
+
+    /** Returns how many tokens a host gets now: its need, but no more than its equal share. */
+    long grantable(EntryHost host, TokenDemand demand, long nowNanos) {
+        TokenLedger ledger = ledgers.get(Process.of(host));
+        if (ledger == null || level < 1) {
+            return 0;
+        }
+        long others =
+                ledgers.entrySet().stream()
+                        .filter(e -> !e.getKey().equals(Process.of(host)))
+                        .filter(e -> e.getValue().isDemanding(nowNanos))
+                        .count();
+        long share = Math.max(1, (long) Math.floor(level / (others + 1)));
+        return Math.min(Math.max(0, demand.wanted() - ledger.held(nowNanos)), share);
+    }
+
+    TokenBucket withGrant(EntryHost host, TokenDemand demand, long id, long tokens) {
+        TokenLedger ledger = ledgers.get(Process.of(host));
+        if (ledger == null) {
+            return this;
+        }
+        long unmet = Math.max(0, demand.wanted() - ledger.held(host.reportNanos()) - tokens);
+        if (tokens == 0) {
+            return withLedger(host, ledger.withUnmet(unmet));
+        }
+        OutstandingGrant grant =
+                new OutstandingGrant(
+                        id, tokens, tokens, host.sequence(), host.reportNanos(), false);
+        return new TokenBucket(level - tokens, filledNanos, safeNanos, ledgers)
+                .withLedger(host, ledger.withGrant(grant, unmet));
+    }
+
+    private TokenBucket withLedger(EntryHost host, TokenLedger ledger) {
+        Map<Process, TokenLedger> next = new HashMap<>(ledgers);
+        next.put(Process.of(host), ledger);
+        return new TokenBucket(level, filledNanos, safeNanos, next);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenLedger.java
@@ -0,0 +1,107 @@
+package org.crocusturn.core.entryhosts;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Is the account of one process for the tokens of one workspace. Immutable.
+ *
+ * @param spentTotal spending that is taken into account
+ * @param unmet tokens that the process asked for and did not get
+ * @param reportNanos time of its last report
+ * @param grants unsettled grants, oldest first
+ */
+record TokenLedger(long spentTotal, long unmet, long reportNanos, List<OutstandingGrant> grants) {
+    /** Age from which a grant no longer counts against what the host would like to hold. */
+    static final long RENEW_NANOS = Duration.ofMillis(700).toNanos();
+
+    /** Time after its expiry at which an unsettled grant is given up. */
+    static final long FORFEIT_NANOS = Duration.ofMillis(500).toNanos();
+
+    TokenLedger {
+        grants = List.copyOf(grants);
+    }
+
+    /** Returns the tokens that may still be spent or credited. */
+    long counted() {
+        return grants.stream().mapToLong(OutstandingGrant::counted).sum();
+    }
+
+    /** Returns the tokens that the host can still use for a while. */
+    long held(long nowNanos) {
+        return grants.stream()
+                .filter(g -> nowNanos - g.reportNanos() < RENEW_NANOS)
+                .mapToLong(OutstandingGrant::counted)
+                .sum();
+    }
+
+    /** Returns whether an unmet demand was told within the last 500 ms. */
+    boolean isDemanding(long nowNanos) {
+        return unmet > 0 && nowNanos - reportNanos < LeaseTimes.DEAD_NANOS;
+    }
+
+    /** Returns whether all grants were void a while ago and the host has stopped reporting. */
+    boolean isIdle(long nowNanos) {
+        return nowNanos - reportNanos >= LeaseTimes.FORGET_NANOS;
+    }
+
+    /**
+     * Returns the ledger after a report. New spending is taken from the oldest grants; because the
+     * void ones are always the oldest, this never leaves more on them than is unspent in truth.
+     */
+    TokenLedger withSpent(long total, long nowNanos) {
+        long open = Math.max(0, total - spentTotal);
+        List<OutstandingGrant> next = new ArrayList<>();
+        for (OutstandingGrant grant : grants) {
+            long part = Math.min(open, grant.left());
+            open -= part;
+            next.add(grant.withLeft(grant.left() - part));
+        }
+        return new TokenLedger(Math.max(total, spentTotal), unmet, nowNanos, next);
+    }
+
+    /** Returns the unspent tokens of grants that were void before the latest report was sent. */
+    long refund(long sentAfterNanos) {
+        return grants.stream()
+                .filter(g -> g.isVoid(sentAfterNanos))
+                .mapToLong(OutstandingGrant::counted)
+                .sum();
+    }
+
+    /** Returns the ledger without the grants that were void before the latest report was sent. */
+    TokenLedger withoutVoid(long sentAfterNanos) {
+        return new TokenLedger(
+                spentTotal,
+                unmet,
+                reportNanos,
+                grants.stream().filter(g -> !g.isVoid(sentAfterNanos)).toList());
+    }
+
+    TokenLedger withForfeits(long nowNanos) {
+        boolean due = grants.stream().anyMatch(g -> isForfeit(g, nowNanos));
+        return due
+                ? new TokenLedger(
+                        spentTotal,
+                        unmet,
+                        reportNanos,
+                        grants.stream()
+                                .map(g -> isForfeit(g, nowNanos) ? g.withForfeit() : g)
+                                .toList())
+                : this;
+    }
+
+    TokenLedger withGrant(OutstandingGrant grant, long stillUnmet) {
+        List<OutstandingGrant> next = new ArrayList<>(grants);
+        next.add(grant);
+        return new TokenLedger(spentTotal, stillUnmet, reportNanos, next);
+    }
+
+    TokenLedger withUnmet(long value) {
+        return new TokenLedger(spentTotal, value, reportNanos, grants);
+    }
+
+    private static boolean isForfeit(OutstandingGrant grant, long nowNanos) {
+        return !grant.forfeited() && grant.isVoid(nowNanos - FORFEIT_NANOS);
+    }
+}
