--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointCommander.java
@@ -0,0 +1,103 @@
+package org.crocusturn.daemon.endpoints;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.HttpClientConnection;
+import org.crocusturn.daemon.net.HttpRequest;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.net.NetThreads;
+
+/** Sends commands to the status ports of endpoints; safe for any thread, never blocks. */
+public final class EndpointCommander {
+    private static final Logger LOG = LogManager.getLogger(EndpointCommander.class);
+
+    private static final int OK = 200;
+
+    private final NetThreads mThreads;
+    private final Duration mTimeout;
+
+    private EndpointCommander(NetThreads threads, Duration timeout) {
+        mThreads = threads;
+        mTimeout = timeout;
+    }
+
+    /**
+     * Creates a commander.
+     *
+     * @param threads I/O threads
+     * @param timeout time for the connection and then for the answer
+     */
+    public static EndpointCommander create(NetThreads threads, Duration timeout) {
+        return new EndpointCommander(
+                Objects.requireNonNull(threads, "threads"),
+                Objects.requireNonNull(timeout, "timeout"));
+    }
+
+    /**
+     * Sends a command.
+     *
+     * @param statusAddress IP address and port of the endpoint's status protocol
+     * @param command the command
+     * @return the result, without a status if the command failed or got no answer; the future never
+     *     fails
+     */
+    public CompletableFuture<EndpointCommandResult> send(
+            String statusAddress, EndpointCommand command) {
+        return CompletableFuture.completedFuture(statusAddress)
+                .thenApply(Addresses::parse)
+                .thenCompose(a -> HttpClientConnection.connect(mThreads, a, mTimeout))
+                .thenCompose(connection -> send(connection, command))
+                .thenApply(answer -> status(command, answer))
+                .exceptionally(
+                        error -> {
+                            LOG.warn("endpoints: command {} failed: {}", command, error.toString());
+                            return Optional.empty();
+                        })
+                .thenApply(status -> new EndpointCommandResult(command, status));
+    }
+
+    private CompletableFuture<HttpAnswer> send(
+            HttpClientConnection connection, EndpointCommand command) {
+        return connection
+                .send(encode(command), mTimeout)
+                .whenComplete((answer, error) -> connection.close());
+    }
+
+    private static Optional<CopyStatus> status(EndpointCommand command, HttpAnswer answer) {
+        if (answer.status() != OK) {
+            LOG.warn("endpoints: command {} was refused with {}", command, answer.status());
+            return Optional.empty();
+        }
+        return Optional.of(EndpointJson.status(Json.read(answer.body())));
+    }
+
+    private static HttpRequest encode(EndpointCommand command) {
+        if (command instanceof EndpointCommand.Fence fence) {
+            return DatabaseCodec.post("/v1/fence", body(fence, fence.term()));
+        }
+        if (command instanceof EndpointCommand.Promote promote) {
+            return DatabaseCodec.post("/v1/promote", body(promote, promote.term()));
+        }
+        EndpointCommand.Follow follow = (EndpointCommand.Follow) command;
+        return DatabaseCodec.post(
+                "/v1/follow",
+                body(follow, follow.term()).put("primary", follow.primaryStatusAddress()));
+    }
+
+    private static ObjectNode body(EndpointCommand command, long term) {
+        return Json.object()
+                .put("endpoint", command.endpoint().value())
+                .put("database", command.database())
+                .put("term", term);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointJson.java
@@ -0,0 +1,237 @@
+package org.crocusturn.daemon.endpoints;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigDecimal;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.Role;
+import org.crocusturn.core.callers.SqlValue;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.Json;
+
+/**
+ * Encodes the records of the database protocol; docs/database-protocol.md describes the fields.
+ *
+ * <p>Reading throws a {@link CrocusturnException} that names the malformed field.
+ */
+public final class EndpointJson {
+    /** Longer exponents would make a short text expand to a huge number. */
+    private static final int MAX_SCALE = 10_000;
+
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private EndpointJson() {}
+
+    /**
+     * Encodes a value.
+     *
+     * <p>A decimal is an object with its text, because JSON numbers keep neither the scale nor the
+     * difference between an integer and a decimal.
+     */
+    public static JsonNode value(SqlValue value) {
+        if (value instanceof SqlValue.BooleanValue truth) {
+            return NODES.booleanNode(truth.value());
+        }
+        if (value instanceof SqlValue.IntegerValue number) {
+            return NODES.numberNode(number.value());
+        }
+        if (value instanceof SqlValue.DecimalValue decimal) {
+            return Json.object().put("decimal", decimal.value().toString());
+        }
+        if (value instanceof SqlValue.TextValue text) {
+            return NODES.textNode(text.value());
+        }
+        return NODES.nullNode();
+    }
+
+    /** Reads a value that is known by a name. */
+    public static SqlValue value(JsonNode node, String name) {
+        if (node.isNull()) {
+            return SqlValue.NullValue.INSTANCE;
+        }
+        if (node.isBoolean()) {
+            return new SqlValue.BooleanValue(node.booleanValue());
+        }
+        if (node.isTextual()) {
+            return new SqlValue.TextValue(node.textValue());
+        }
+        if (node.isIntegralNumber() && node.canConvertToLong()) {
+            return new SqlValue.IntegerValue(node.longValue());
+        }
+        if (node.isObject() && node.size() == 1 && node.path("decimal").isTextual()) {
+            return decimal(node.get("decimal").textValue(), name);
+        }
+        throw Fields.malformed(
+                "field \""
+                        + name
+                        + "\" must be null, a truth value, a text, a whole number of 64 bits or"
+                        + " {\"decimal\": TEXT}");
+    }
+
+    /** Encodes values. */
+    public static ArrayNode values(List<SqlValue> values) {
+        ArrayNode array = NODES.arrayNode(values.size());
+        values.forEach(v -> array.add(value(v)));
+        return array;
+    }
+
+    /** Encodes rows. */
+    public static ArrayNode rows(List<List<SqlValue>> rows) {
+        ArrayNode array = NODES.arrayNode(rows.size());
+        rows.forEach(r -> array.add(values(r)));
+        return array;
+    }
+
+    /** Reads values that are known by a name. */
+    public static List<SqlValue> values(JsonNode array, String name) {
+        return Fields.elements(array, name, EndpointJson::value);
+    }
+
+    /** Encodes the status of a copy. */
+    public static ObjectNode status(CopyStatus status) {
+        return Json.object()
+                .put("database", status.database())
+                .put("role", status.role().name().toLowerCase(Locale.ROOT))
+                .put("term", status.term())
+                .put("logTerm", status.position().term())
+                .put("logIndex", status.position().index())
+                .put("lagMillis", status.lagMillis());
+    }
+
+    /** Reads the status of a copy. */
+    public static CopyStatus status(JsonNode node) {
+        return new CopyStatus(
+                Fields.text(node, "database"),
+                role(Fields.text(node, "role")),
+                Fields.number(node, "term", 0),
+                LogPosition.of(
+                        Fields.number(node, "logTerm", 0), Fields.number(node, "logIndex", 0)),
+                Fields.number(node, "lagMillis", 0));
+    }
+
+    /** Encodes an announcement. */
+    public static ObjectNode announcement(EndpointRecord record) {
+        ObjectNode node =
+                Json.object()
+                        .put("endpoint", record.id().value())
+                        .put("service", record.service())
+                        .put("dataCentre", record.dataCentre().value())
+                        .put("address", record.address())
+                        .put("statusAddress", record.statusAddress())
+                        .put("leaving", record.leaving());
+        ArrayNode databases = node.putArray("databases");
+        record.databases()
+                .forEach(
+                        d ->
+                                databases
+                                        .addObject()
+                                        .put("name", d.name())
+                                        .put("slots", d.slots())
+                                        .put("connections", d.connections()));
+        return node;
+    }
+
+    /** Reads an announcement. */
+    public static EndpointRecord announcement(JsonNode node) {
+        List<DatabaseRecord> databases = Fields.list(node, "databases", EndpointJson::database);
+        Set<String> names = new HashSet<>();
+        databases.forEach(
+                d -> {
+                    if (!names.add(d.name())) {
+                        throw Fields.malformed(
+                                "field \"databases\" has database " + d.name() + " twice");
+                    }
+                });
+        if (databases.isEmpty()) {
+            throw Fields.malformed("field \"databases\" must not be empty");
+        }
+        return new EndpointRecord(
+                named("endpoint", () -> EndpointId.of(Fields.text(node, "endpoint"))),
+                name(node, "service", "service"),
+                named("dataCentre", () -> DataCentreId.of(Fields.text(node, "dataCentre"))),
+                address(node, "address"),
+                address(node, "statusAddress"),
+                databases,
+                Fields.truth(node, "leaving"));
+    }
+
+    private static DatabaseRecord database(JsonNode node, String name) {
+        return named(
+                name,
+                () ->
+                        new DatabaseRecord(
+                                name(node, "name", name + ".name"),
+                                count(node, "slots"),
+                                count(node, "connections")));
+    }
+
+    private static int count(JsonNode node, String name) {
+        long value = Fields.number(node, name, 1);
+        if (value > Integer.MAX_VALUE) {
+            throw Fields.malformed("field \"" + name + "\" is too large");
+        }
+        return (int) value;
+    }
+
+    private static String name(JsonNode node, String field, String path) {
+        return named(path, () -> EndpointId.of(Fields.text(node, field))).value();
+    }
+
+    private static String address(JsonNode node, String name) {
+        String text = Fields.text(node, name);
+        return named(
+                name,
+                () -> {
+                    if (Addresses.parse(text).getPort() == 0) {
+                        throw new IllegalArgumentException("the port must not be 0");
+                    }
+                    return text;
+                });
+    }
+
+    /** Adds the name of the field to the message of a refusal. */
+    private static <T> T named(String name, Supplier<T> reader) {
+        try {
+            return reader.get();
+        } catch (CrocusturnException | IllegalArgumentException e) {
+            String prefix = "field \"" + name + "\"";
+            throw Fields.malformed(
+                    e.getMessage().startsWith(prefix)
+                            ? e.getMessage()
+                            : prefix + ": " + e.getMessage());
+        }
+    }
+
+    private static SqlValue decimal(String text, String name) {
+        try {
+            BigDecimal value = new BigDecimal(text);
+            if (Math.abs((long) value.scale()) > MAX_SCALE) {
+                throw Fields.malformed("field \"" + name + "\" has too large an exponent");
+            }
+            return new SqlValue.DecimalValue(value);
+        } catch (NumberFormatException e) {
+            throw Fields.malformed("field \"" + name + "\" must be a decimal number");
+        }
+    }
+
+    private static Role role(String text) {
+        return switch (text) {
+            case "primary" -> Role.PRIMARY;
+            case "replica" -> Role.REPLICA;
+            default -> throw Fields.malformed("field \"role\" must be \"primary\" or \"replica\"");
+        };
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
@@ -5,6 +5,11 @@
     /** Returns the request. */
     HttpRequest request();
 
+    /** Returns the connection, for protocols that keep a session for each connection. */
+    default HttpPeer peer() {
+        throw new UnsupportedOperationException("this exchange has no connection");
+    }
+
     /**
      * Answers the request.
      *
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 /** Serves HTTP/1.1 with keep-alive and pipelining. */
 public final class HttpServer implements AutoCloseable {
@@ -37,6 +39,24 @@
      */
     public static HttpServer start(
             NetThreads threads, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
+        return start(threads, address, limits, handler, pipeline -> {});
+    }
+
+    /**
+     * Binds a port and starts to serve connections that an extension can change.
+     *
+     * @param threads I/O threads
+     * @param address address to bind; port 0 chooses a free one
+     * @param limits limits of each connection
+     * @param handler takes the requests
+     * @param extension changes the pipeline of each new connection
+     */
+    public static HttpServer start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            Consumer<ChannelPipeline> extension) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         Channel channel =
                 new ServerBootstrap()
@@ -45,7 +65,7 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(limits, handler, connections))
+                        .childHandler(initializer(limits, handler, connections, extension))
                         .bind(address)
                         .syncUninterruptibly()
                         .channel();
@@ -74,7 +94,10 @@
     }
 
     private static ChannelInitializer<SocketChannel> initializer(
-            HttpLimits limits, HttpHandler handler, ChannelGroup connections) {
+            HttpLimits limits,
+            HttpHandler handler,
+            ChannelGroup connections,
+            Consumer<ChannelPipeline> extension) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -90,6 +113,7 @@
                                                 .setMaxInitialLineLength(MAX_INITIAL_LINE)
                                                 .setMaxHeaderSize(MAX_HEADERS)))
                         .addLast(new HttpServerConnection(limits, handler));
+                extension.accept(channel.pipeline());
             }
         };
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -246,6 +247,11 @@
             return mRequest;
         }
 
+        @Override
+        public HttpPeer peer() {
+            return new ChannelPeer(mContext.channel());
+        }
+
         @Override
         public void respond(HttpAnswer answer) {
             if (!mAnswered.compareAndSet(false, true)) {
@@ -259,4 +265,22 @@
                             });
         }
     }
+
+    /** Is the other end of a channel. */
+    private record ChannelPeer(Channel channel) implements HttpPeer {
+        @Override
+        public String id() {
+            return channel.id().asLongText();
+        }
+
+        @Override
+        public void onClosed(Runnable action) {
+            channel.closeFuture().addListener(done -> action.run());
+        }
+
+        @Override
+        public void close() {
+            channel.close();
+        }
+    }
 }
