Add the stand-in database

Tests and the local deployment need databases with terms, positions, lag and faults that can be chosen. Adds an endpoint with several H2 databases, a log of committed writes, replication, promotion and announcements.

--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/AnnouncementDuty.java
@@ -0,0 +1,127 @@
+package org.crocusturn.standin.database;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.daemon.endpoints.AnnouncementHandler;
+import org.crocusturn.daemon.endpoints.EndpointJson;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.HttpClientConnection;
+import org.crocusturn.daemon.net.HttpRequest;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.net.NetThreads;
+
+/** Announces an endpoint each second and ends once it has left. */
+final class AnnouncementDuty implements DutyHandler<AnnouncementDuty.Leave> {
+    /**
+     * Asks the endpoint to leave.
+     *
+     * @param limit longest time until it has left
+     * @param left completed when nothing uses the endpoint any more or the limit has passed
+     */
+    record Leave(Duration limit, CompletableFuture<Void> left) {}
+
+    private static final Logger LOG = LogManager.getLogger(AnnouncementDuty.class);
+
+    private static final int OK = 200;
+    private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Time between two looks at whether a leaving endpoint is still used. */
+    private static final long LEAVE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private final NetThreads mThreads;
+    private final List<String> mControlAddresses;
+    private final Map<String, String> mHeaders;
+    private final BooleanSupplier mUnused;
+    private EndpointRecord mRecord;
+    private long mNextNanos = System.nanoTime();
+    private Optional<Leave> mLeave = Optional.empty();
+    private long mLeaveNanos;
+    private CompletableFuture<Void> mSent = CompletableFuture.completedFuture(null);
+
+    AnnouncementDuty(
+            NetThreads threads,
+            EndpointRecord record,
+            List<String> controlAddresses,
+            String secret,
+            BooleanSupplier unused) {
+        mThreads = threads;
+        mRecord = record;
+        mControlAddresses = List.copyOf(controlAddresses);
+        mHeaders = Map.of("authorization", "Bearer " + secret, "content-type", "application/json");
+        mUnused = unused;
+    }
+
+    @Override
+    public void onEvent(Leave event) {
+        mRecord = mRecord.withLeaving(true);
+        mLeave = Optional.of(event);
+        mLeaveNanos = System.nanoTime() + event.limit().toNanos();
+        announce();
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (nowNanos - mNextNanos >= 0) {
+            mNextNanos = nowNanos + INTERVAL_NANOS;
+            announce();
+        }
+        if (mLeave.isEmpty()) {
+            return mNextNanos;
+        }
+        boolean over = nowNanos - mLeaveNanos >= 0;
+        if (over || mSent.isDone() && mUnused.getAsBoolean()) {
+            mLeave.get().left().complete(null);
+            mLeave = Optional.empty();
+            return mNextNanos;
+        }
+        return Math.min(mNextNanos, nowNanos + LEAVE_TICK_NANOS);
+    }
+
+    private void announce() {
+        HttpRequest request =
+                new HttpRequest(
+                        "POST",
+                        AnnouncementHandler.ROUTE,
+                        mHeaders,
+                        Json.write(EndpointJson.announcement(mRecord)));
+        mSent =
+                CompletableFuture.allOf(
+                        mControlAddresses.stream()
+                                .map(address -> announce(address, request))
+                                .toArray(CompletableFuture<?>[]::new));
+    }
+
+    private CompletableFuture<Void> announce(String address, HttpRequest request) {
+        return HttpClientConnection.connect(mThreads, Addresses.parse(address), TIMEOUT)
+                .thenCompose(
+                        connection ->
+                                connection
+                                        .send(request, TIMEOUT)
+                                        .whenComplete((answer, error) -> connection.close()))
+                .handle(
+                        (answer, error) -> {
+                            report(address, answer, error);
+                            return null;
+                        });
+    }
+
+    private static void report(String address, HttpAnswer answer, Throwable error) {
+        if (error != null) {
+            LOG.debug("standin: no announcement at {}: {}", address, error.toString());
+        } else if (answer.status() != OK) {
+            LOG.warn("standin: {} refused the announcement: {}", address, answer.status());
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/ChangeSignal.java
@@ -0,0 +1,23 @@
+package org.crocusturn.standin.database;
+
+import org.crocusturn.core.ring.Duty;
+
+/** Tells the status duty that a copy changed; many changes in a row become one event. */
+final class ChangeSignal implements Runnable {
+    private volatile StatusDuty mStatus;
+    private volatile Duty<StatusDutyEvent> mDuty;
+
+    /** Sets whom to tell; changes before are not told. */
+    void connect(StatusDuty status, Duty<StatusDutyEvent> duty) {
+        mDuty = duty;
+        mStatus = status;
+    }
+
+    @Override
+    public void run() {
+        StatusDuty status = mStatus;
+        if (status != null && status.noteChange() && !mDuty.offer(new StatusDutyEvent.Changed())) {
+            status.forgetChange();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/DatabaseCopy.java
@@ -0,0 +1,311 @@
+package org.crocusturn.standin.database;
+
+import java.sql.Connection;
+import java.sql.SQLException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.Role;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.operators.DatabaseRecord;
+
+/**
+ * Is one database of an endpoint: its data, its log and its part in the group.
+ *
+ * <p>One lock orders commits, changes of the term and new sessions, so that no write commits after
+ * a fence or a newer session has been answered. Safe for any thread.
+ */
+final class DatabaseCopy {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final DatabaseRecord mRecord;
+    private final Counters mCounters;
+    private final Runnable mOnChange;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final List<CommittedEntry> mLog = new ArrayList<>();
+    private final Set<DatabaseSession> mSessions = new HashSet<>();
+    private CopyState mState = CopyState.INITIAL;
+    private SqlStore mStore;
+    private Connection mApplier;
+    private long mEpoch;
+    private Optional<Long> mCaughtUpNanos = Optional.empty();
+
+    private DatabaseCopy(DatabaseRecord record, Counters counters, Runnable onChange)
+            throws SQLException {
+        mRecord = record;
+        mCounters = counters;
+        mOnChange = onChange;
+        mStore = SqlStore.create();
+        mApplier = mStore.writer();
+    }
+
+    static DatabaseCopy create(DatabaseRecord record, Counters counters, Runnable onChange) {
+        try {
+            return new DatabaseCopy(record, counters, onChange);
+        } catch (SQLException e) {
+            throw new IllegalStateException("database " + record.name() + " cannot be created", e);
+        }
+    }
+
+    DatabaseRecord record() {
+        return mRecord;
+    }
+
+    String name() {
+        return mRecord.name();
+    }
+
+    CopyState state() {
+        return locked(() -> mState);
+    }
+
+    LogPosition position() {
+        return locked(this::lastPosition);
+    }
+
+    int sessions() {
+        return locked(mSessions::size);
+    }
+
+    CopyStatus status(long nowNanos) {
+        return locked(
+                () ->
+                        new CopyStatus(
+                                name(),
+                                mState.role(),
+                                mState.term(),
+                                lastPosition(),
+                                mState.role() == Role.PRIMARY
+                                        ? 0
+                                        : mCaughtUpNanos
+                                                .map(n -> (nowNanos - n) / NANOS_PER_MILLI)
+                                                .orElse(Long.MAX_VALUE)));
+    }
+
+    /** Opens a session and closes those of lower epochs; their transactions are rolled back. */
+    DatabaseSession openSession(long epoch, Runnable disconnect) {
+        List<DatabaseSession> older = locked(() -> raiseEpoch(epoch));
+        older.forEach(DatabaseSession::close);
+        return locked(
+                () -> {
+                    if (mSessions.size() >= mRecord.connections()) {
+                        throw RefusedException.tooMany(
+                                "too_many_connections",
+                                name() + " accepts " + mRecord.connections() + " connections");
+                    }
+                    DatabaseSession session =
+                            DatabaseSession.create(this, mStore, epoch, disconnect, mCounters);
+                    mSessions.add(session);
+                    mCounters.connections(name(), mSessions.size());
+                    return session;
+                });
+    }
+
+    void removeSession(DatabaseSession session) {
+        locked(() -> mSessions.remove(session));
+    }
+
+    /** Checks that a session may run a statement of a term here. */
+    void check(DatabaseSession session, long term, boolean write) {
+        locked(
+                () -> {
+                    checkLocked(session, term, write);
+                    return null;
+                });
+    }
+
+    /**
+     * Commits a write transaction and adds it to the log, or does neither.
+     *
+     * @param action commits; it must have no effect if it throws
+     */
+    <T> T commit(
+            DatabaseSession session,
+            long term,
+            List<LoggedStatement> statements,
+            SqlAction<T> action)
+            throws SQLException {
+        mLock.lock();
+        try {
+            checkLocked(session, term, true);
+            T result = action.run();
+            mLog.add(
+                    new CommittedEntry(
+                            LogPosition.of(term, mLog.size() + 1L), System.nanoTime(), statements));
+            return result;
+        } finally {
+            mLock.unlock();
+            mOnChange.run();
+        }
+    }
+
+    /** Changes the part of the copy by a fence, promotion or follow. */
+    void change(UnaryOperator<CopyState> change) {
+        locked(
+                () -> {
+                    CopyState next = change.apply(mState);
+                    if (!next.equals(mState)) {
+                        mState = next;
+                        mCaughtUpNanos = Optional.empty();
+                    }
+                    return null;
+                });
+        mOnChange.run();
+    }
+
+    /** Returns entries after an index, or empty if that index with that term is not in the log. */
+    Optional<List<CommittedEntry>> entriesAfter(LogPosition position, int limit) {
+        return locked(
+                () -> {
+                    int from = (int) position.index();
+                    if (from > mLog.size()
+                            || from > 0
+                                    && mLog.get(from - 1).position().term() != position.term()) {
+                        return Optional.empty();
+                    }
+                    int to = Math.min(mLog.size(), from + limit);
+                    return Optional.of(List.copyOf(mLog.subList(from, to)));
+                });
+    }
+
+    /** Returns the last position that is not after another one in term or index. */
+    LogPosition lastCommonWith(LogPosition other) {
+        return locked(
+                () -> {
+                    int index = (int) Math.min(other.index(), mLog.size());
+                    while (index > 0 && mLog.get(index - 1).position().term() > other.term()) {
+                        index--;
+                    }
+                    return index == 0 ? LogPosition.ZERO : mLog.get(index - 1).position();
+                });
+    }
+
+    /** Applies the next entry if the copy still follows that primary; returns whether it did. */
+    boolean apply(long term, String source, CommittedEntry entry) {
+        boolean applied =
+                locked(
+                        () -> {
+                            if (!mState.follows(term, source)
+                                    || entry.position().index() != mLog.size() + 1L) {
+                                return false;
+                            }
+                            replay(entry);
+                            mLog.add(entry);
+                            return true;
+                        });
+        mOnChange.run();
+        return applied;
+    }
+
+    /** Notes that the log has been part of the primary's log and was complete at a time. */
+    void confirm(long term, String source, Optional<Long> caughtUpNanos) {
+        locked(
+                () -> {
+                    if (mState.follows(term, source)) {
+                        mState = mState.withConfirmation();
+                        mCaughtUpNanos = caughtUpNanos.or(() -> mCaughtUpNanos);
+                    }
+                    return null;
+                });
+    }
+
+    /** Drops the entries after an index and rebuilds the data from those that are left. */
+    void truncate(long term, String source, long index) {
+        List<DatabaseSession> sessions =
+                locked(
+                        () -> {
+                            if (!mState.follows(term, source) || index >= mLog.size()) {
+                                return List.of();
+                            }
+                            mLog.subList((int) index, mLog.size()).clear();
+                            rebuild();
+                            return List.copyOf(mSessions);
+                        });
+        sessions.forEach(DatabaseSession::close);
+        mOnChange.run();
+    }
+
+    void close() {
+        List<DatabaseSession> sessions = locked(() -> List.copyOf(mSessions));
+        sessions.forEach(DatabaseSession::close);
+        locked(
+                () -> {
+                    mStore.close();
+                    return null;
+                });
+    }
+
+    private List<DatabaseSession> raiseEpoch(long epoch) {
+        if (epoch < mEpoch) {
+            throw RefusedException.conflict(
+                    "old_epoch", "epoch " + epoch + " is below epoch " + mEpoch);
+        }
+        mEpoch = epoch;
+        return mSessions.stream().filter(s -> s.epoch() < epoch).toList();
+    }
+
+    private void checkLocked(DatabaseSession session, long term, boolean write) {
+        if (session.closed() || session.epoch() < mEpoch) {
+            throw RefusedException.conflict("old_epoch", "the session was closed");
+        }
+        if (term != mState.term()) {
+            throw RefusedException.conflict(
+                    "wrong_term",
+                    "term " + term + " is not term " + mState.term() + " of the copy");
+        }
+        if (write && mState.role() != Role.PRIMARY) {
+            throw RefusedException.conflict("not_primary", "the copy is not the primary");
+        }
+        if (!mState.confirmed()) {
+            throw RefusedException.conflict(
+                    "not_following", "the copy has not yet reached the primary of its term");
+        }
+    }
+
+    private LogPosition lastPosition() {
+        return mLog.isEmpty() ? LogPosition.ZERO : mLog.get(mLog.size() - 1).position();
+    }
+
+    private void rebuild() {
+        try {
+            mStore.close();
+            mStore = SqlStore.create();
+            mApplier = mStore.writer();
+        } catch (SQLException e) {
+            throw new IllegalStateException("database " + name() + " cannot be rebuilt", e);
+        }
+        mLog.forEach(this::replay);
+    }
+
+    private void replay(CommittedEntry entry) {
+        try {
+            for (LoggedStatement statement : entry.statements()) {
+                SqlStore.execute(mApplier, statement);
+            }
+            mApplier.commit();
+        } catch (SQLException e) {
+            try {
+                mApplier.rollback();
+            } catch (SQLException again) {
+                e.addSuppressed(again);
+            }
+            throw new IllegalStateException(
+                    name() + " cannot apply entry " + entry.position() + ": " + e.getMessage(), e);
+        }
+    }
+
+    private <T> T locked(Supplier<T> action) {
+        mLock.lock();
+        try {
+            return action.get();
+        } finally {
+            mLock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/LoggedStatement.java
@@ -0,0 +1,22 @@
+package org.crocusturn.standin.database;
+
+import java.util.List;
+import java.util.Objects;
+import org.crocusturn.core.callers.SqlValue;
+
+/**
+ * Is one statement as it runs on every copy.
+ *
+ * @param sql text of one statement
+ * @param parameters values of its placeholders
+ */
+record LoggedStatement(String sql, List<SqlValue> parameters) {
+    LoggedStatement {
+        Objects.requireNonNull(sql, "sql");
+        parameters = List.copyOf(parameters);
+    }
+
+    static LoggedStatement of(String sql, SqlValue... parameters) {
+        return new LoggedStatement(sql, List.of(parameters));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/RefusedException.java
@@ -0,0 +1,45 @@
+package org.crocusturn.standin.database;
+
+import org.crocusturn.core.Verdict;
+
+/** Carries a refusal of the database protocol; the request did not run and was rolled back. */
+final class RefusedException extends RuntimeException {
+    static final int MALFORMED = 400;
+    static final int CONFLICT = 409;
+    static final int TOO_MANY = 429;
+
+    private static final long serialVersionUID = 1L;
+
+    private final int mStatus;
+    private final String mCode;
+
+    private RefusedException(int status, String code, String message) {
+        super(message);
+        mStatus = status;
+        mCode = code;
+    }
+
+    static RefusedException malformed(String code, String message) {
+        return new RefusedException(MALFORMED, code, message);
+    }
+
+    static RefusedException conflict(String code, String message) {
+        return new RefusedException(CONFLICT, code, message);
+    }
+
+    static RefusedException tooMany(String code, String message) {
+        return new RefusedException(TOO_MANY, code, message);
+    }
+
+    int status() {
+        return mStatus;
+    }
+
+    String code() {
+        return mCode;
+    }
+
+    Verdict verdict() {
+        return Verdict.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/SplitWriter.java
@@ -0,0 +1,67 @@
+package org.crocusturn.standin.database;
+
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Sends answers that have a mark in many small TCP writes; belongs to one connection. */
+final class SplitWriter extends ChannelOutboundHandlerAdapter {
+    /** Header that marks an answer to be split. */
+    static final String HEADER = "crocusturn-standin-split";
+
+    private static final int PART_BYTES = 16;
+    private static final long GAP_NANOS = 1_000_000;
+
+    private boolean mSplit;
+    private long mNextNanos = System.nanoTime();
+
+    private SplitWriter() {}
+
+    /** Adds the handlers to the pipeline of a connection. */
+    static void addTo(ChannelPipeline pipeline) {
+        SplitWriter writer = new SplitWriter();
+        pipeline.addFirst(writer);
+        pipeline.addBefore(pipeline.lastContext().name(), "split-mark", writer.marks());
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (!mSplit || !(message instanceof ByteBuf bytes)) {
+            context.write(message, promise);
+            return;
+        }
+        while (bytes.readableBytes() > PART_BYTES) {
+            ByteBuf part = bytes.readRetainedSlice(PART_BYTES);
+            context.executor()
+                    .schedule(() -> context.writeAndFlush(part), nextDelay(), NANOSECONDS);
+        }
+        context.executor()
+                .schedule(() -> context.writeAndFlush(bytes, promise), nextDelay(), NANOSECONDS);
+    }
+
+    /** Returns a delay that keeps all parts of the connection in order. */
+    private long nextDelay() {
+        long nowNanos = System.nanoTime();
+        mNextNanos = Math.max(mNextNanos, nowNanos) + GAP_NANOS;
+        return mNextNanos - nowNanos;
+    }
+
+    /** Notes on the way to the encoder whether the answer is marked. */
+    private ChannelOutboundHandlerAdapter marks() {
+        return new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(
+                    ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                if (message instanceof HttpResponse response) {
+                    mSplit = response.headers().contains(HEADER);
+                }
+                context.write(message, promise);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/SqlRows.java
@@ -0,0 +1,103 @@
+package org.crocusturn.standin.database;
+
+import java.math.BigDecimal;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.ResultSetMetaData;
+import java.sql.SQLException;
+import java.sql.Types;
+import java.time.LocalDate;
+import java.time.LocalDateTime;
+import java.time.LocalTime;
+import java.time.OffsetDateTime;
+import java.time.OffsetTime;
+import java.util.ArrayList;
+import java.util.List;
+import org.crocusturn.core.callers.SqlValue;
+
+/**
+ * Is the result of one statement.
+ *
+ * @param columns names of the columns
+ * @param rows rows in order
+ * @param updated number of rows that the statement changed
+ */
+record SqlRows(List<String> columns, List<List<SqlValue>> rows, long updated) {
+    static SqlRows updated(long count) {
+        return new SqlRows(List.of(), List.of(), count);
+    }
+
+    /** Reads all rows of a query. */
+    static SqlRows read(ResultSet results) throws SQLException {
+        ResultSetMetaData meta = results.getMetaData();
+        List<String> columns = new ArrayList<>();
+        for (int i = 1; i <= meta.getColumnCount(); i++) {
+            columns.add(meta.getColumnLabel(i));
+        }
+        List<List<SqlValue>> rows = new ArrayList<>();
+        while (results.next()) {
+            List<SqlValue> row = new ArrayList<>(columns.size());
+            for (int i = 1; i <= columns.size(); i++) {
+                row.add(value(results, i, meta.getColumnType(i)));
+            }
+            rows.add(row);
+        }
+        return new SqlRows(columns, rows, 0);
+    }
+
+    /** Sets the placeholders of a statement. */
+    static void bind(PreparedStatement statement, List<SqlValue> parameters) throws SQLException {
+        for (int i = 0; i < parameters.size(); i++) {
+            SqlValue value = parameters.get(i);
+            if (value instanceof SqlValue.BooleanValue truth) {
+                statement.setBoolean(i + 1, truth.value());
+            } else if (value instanceof SqlValue.IntegerValue number) {
+                statement.setLong(i + 1, number.value());
+            } else if (value instanceof SqlValue.DecimalValue decimal) {
+                statement.setBigDecimal(i + 1, decimal.value());
+            } else if (value instanceof SqlValue.TextValue text) {
+                statement.setString(i + 1, text.value());
+            } else {
+                statement.setNull(i + 1, Types.NULL);
+            }
+        }
+    }
+
+    private static SqlValue value(ResultSet results, int column, int type) throws SQLException {
+        Object value =
+                switch (type) {
+                    case Types.DATE -> results.getObject(column, LocalDate.class);
+                    case Types.TIME -> results.getObject(column, LocalTime.class);
+                    case Types.TIME_WITH_TIMEZONE -> results.getObject(column, OffsetTime.class);
+                    case Types.TIMESTAMP -> results.getObject(column, LocalDateTime.class);
+                    case Types.TIMESTAMP_WITH_TIMEZONE ->
+                            results.getObject(column, OffsetDateTime.class);
+                    case Types.CLOB -> results.getString(column);
+                    default -> results.getObject(column);
+                };
+        if (value == null) {
+            return SqlValue.NullValue.INSTANCE;
+        }
+        if (value instanceof Boolean truth) {
+            return new SqlValue.BooleanValue(truth);
+        }
+        if (value instanceof BigDecimal decimal) {
+            return new SqlValue.DecimalValue(decimal);
+        }
+        if (value instanceof Double || value instanceof Float) {
+            return floating((Number) value);
+        }
+        if (value instanceof Number number) {
+            return new SqlValue.IntegerValue(number.longValue());
+        }
+        return new SqlValue.TextValue(
+                value instanceof byte[] ? results.getString(column) : value.toString());
+    }
+
+    /** A float that is not finite has no decimal form and becomes a text. */
+    private static SqlValue floating(Number number) {
+        return Double.isFinite(number.doubleValue())
+                ? new SqlValue.DecimalValue(new BigDecimal(number.toString()))
+                : new SqlValue.TextValue(number.toString());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/SqlStore.java
@@ -0,0 +1,138 @@
+package org.crocusturn.standin.database;
+
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.List;
+import java.util.UUID;
+import java.util.regex.Pattern;
+import org.h2.command.Prepared;
+import org.h2.command.ddl.DefineCommand;
+import org.h2.engine.SessionLocal;
+import org.h2.jdbc.JdbcConnection;
+import org.h2.jdbc.JdbcException;
+
+/**
+ * Is one in-memory database that exists until it is closed.
+ *
+ * <p>Reads run as a user that has no right to change anything, writes as one that cannot use
+ * functions and commands of administrators.
+ */
+final class SqlStore implements AutoCloseable {
+    /** What a statement does, as H2's own parser sees it. */
+    enum Effect {
+        READ,
+        CHANGE,
+        DEFINITION
+    }
+
+    private static final String READER = "reader";
+    private static final String WRITER = "writer";
+    private static final String PASSWORD = "standin";
+
+    /** H2 reports a query that reads the result of a change as read-only. */
+    private static final Pattern CHANGE_IN_QUERY =
+            Pattern.compile("\\b(FINAL|NEW|OLD)\\s+TABLE\\b", Pattern.CASE_INSENSITIVE);
+
+    private static final Pattern CHANGE =
+            Pattern.compile("(Insert|Update|Delete|Merge|MergeUsing)");
+
+    private final String mUrl = "jdbc:h2:mem:" + UUID.randomUUID();
+    private final Connection mAdmin;
+
+    private SqlStore() throws SQLException {
+        mAdmin = DriverManager.getConnection(mUrl + ";DATABASE_TO_LOWER=TRUE", "admin", PASSWORD);
+    }
+
+    /** Creates an empty database with the table of outcomes. */
+    static SqlStore create() throws SQLException {
+        SqlStore store = new SqlStore();
+        try (Statement statement = store.mAdmin.createStatement()) {
+            for (String sql :
+                    List.of(
+                            "SET DEFAULT_LOCK_TIMEOUT 1000",
+                            "CREATE USER " + READER + " PASSWORD '" + PASSWORD + "'",
+                            "CREATE USER " + WRITER + " PASSWORD '" + PASSWORD + "'",
+                            "GRANT SELECT ON SCHEMA public TO " + READER,
+                            "GRANT SELECT, INSERT, UPDATE, DELETE ON SCHEMA public TO " + WRITER,
+                            "GRANT ALTER ANY SCHEMA TO " + WRITER,
+                            "CREATE TABLE crocusturn_outcome (workspace VARCHAR(100),"
+                                    + " request_id VARCHAR(1000), updated BIGINT NOT NULL,"
+                                    + " PRIMARY KEY (workspace, request_id))")) {
+                statement.execute(sql);
+            }
+        }
+        return store;
+    }
+
+    Connection reader() throws SQLException {
+        return connect(READER);
+    }
+
+    Connection writer() throws SQLException {
+        return connect(WRITER);
+    }
+
+    /** Returns what a statement does, and refuses any that is neither read, change nor DDL. */
+    static Effect effect(Connection connection, String sql) throws SQLException {
+        SessionLocal session = (SessionLocal) connection.unwrap(JdbcConnection.class).getSession();
+        Prepared prepared;
+        try {
+            prepared = session.prepare(sql);
+        } catch (org.h2.message.DbException e) {
+            throw e.getSQLException();
+        }
+        if (prepared.isQuery()) {
+            boolean changes =
+                    !prepared.isReadOnly()
+                            || CHANGE_IN_QUERY.matcher(prepared.getPlanSQL(0)).find();
+            return changes ? Effect.CHANGE : Effect.READ;
+        }
+        if (prepared instanceof DefineCommand) {
+            return Effect.DEFINITION;
+        }
+        if (CHANGE.matcher(prepared.getClass().getSimpleName()).matches()) {
+            return Effect.CHANGE;
+        }
+        throw RefusedException.malformed(
+                "not_supported", "only queries, changes and data definition are supported");
+    }
+
+    static SqlRows execute(Connection connection, LoggedStatement logged) throws SQLException {
+        try (PreparedStatement statement = connection.prepareStatement(logged.sql())) {
+            SqlRows.bind(statement, logged.parameters());
+            if (!statement.execute()) {
+                return SqlRows.updated(statement.getLargeUpdateCount());
+            }
+            try (ResultSet results = statement.getResultSet()) {
+                return SqlRows.read(results);
+            }
+        }
+    }
+
+    /** Returns the text of an error without the statement, which could hold personal data. */
+    static String message(SQLException error) {
+        return error instanceof JdbcException known
+                ? known.getOriginalMessage()
+                : error.getMessage();
+    }
+
+    @Override
+    public void close() {
+        try (Statement statement = mAdmin.createStatement()) {
+            statement.execute("SHUTDOWN IMMEDIATELY");
+        } catch (SQLException e) {
+            // The database is closed already.
+            return;
+        }
+    }
+
+    private Connection connect(String user) throws SQLException {
+        Connection connection = DriverManager.getConnection(mUrl, user, PASSWORD);
+        connection.setAutoCommit(false);
+        return connection;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInMain.java
@@ -0,0 +1,128 @@
+package org.crocusturn.standin.database;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.daemon.net.NetThreads;
+
+/** Runs one stand-in as a process until it gets SIGTERM. */
+public final class StandInMain {
+    private static final int USAGE = 2;
+    private static final int IO_THREADS = 2;
+
+    private StandInMain() {}
+
+    /** Parses the arguments and serves. */
+    public static void main(String[] args) throws InterruptedException {
+        ArgumentParser parser = parser();
+        try {
+            Namespace options = parser.parseArgs(args);
+            serve(settings(options), Duration.ofMillis(options.getLong("leave_millis")));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(USAGE);
+        } catch (IllegalArgumentException | org.crocusturn.core.CrocusturnException e) {
+            System.err.println("standin: " + e.getMessage());
+            System.exit(USAGE);
+        }
+    }
+
+    private static void serve(StandInSettings settings, Duration leaveLimit)
+            throws InterruptedException {
+        NetThreads threads = NetThreads.start("standin", IO_THREADS);
+        StandInDatabase database = StandInDatabase.start(settings, threads);
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    database.leave(leaveLimit).join();
+                                    database.close();
+                                    // Without it the process would report the signal as its status.
+                                    Runtime.getRuntime().halt(0);
+                                },
+                                "leave"));
+        System.out.println(
+                "standin: "
+                        + database.record().id()
+                        + " serves "
+                        + database.record().address()
+                        + " status "
+                        + database.record().statusAddress());
+        System.out.flush();
+        Thread.currentThread().join();
+    }
+
+    private static StandInSettings settings(Namespace options) {
+        return new StandInSettings(
+                EndpointId.of(options.getString("endpoint")),
+                options.getString("service"),
+                DataCentreId.of(options.getString("data_centre")),
+                options.getString("address"),
+                options.getString("status_address"),
+                Arrays.stream(options.getString("databases").split(","))
+                        .map(StandInMain::database)
+                        .toList(),
+                Behaviour.PROMPT
+                        .withConnectMillis(options.getLong("connect_millis"))
+                        .withStatementMillis(options.getLong("statement_millis"))
+                        .withLagMillis(options.getLong("lag_millis")),
+                Arrays.stream(options.getString("control").split(","))
+                        .filter(s -> !s.isEmpty())
+                        .toList(),
+                secret(options.getString("announcement_secret_file")));
+    }
+
+    private static DatabaseRecord database(String text) {
+        List<String> parts = List.of(text.split(":"));
+        if (parts.size() != 3) {
+            throw new IllegalArgumentException(
+                    "database \"" + text + "\" must be NAME:SLOTS:CONNECTIONS");
+        }
+        return new DatabaseRecord(
+                parts.get(0), Integer.parseInt(parts.get(1)), Integer.parseInt(parts.get(2)));
+    }
+
+    private static String secret(String file) {
+        if (file.isEmpty()) {
+            return "none";
+        }
+        try {
+            return java.nio.file.Files.readString(java.nio.file.Path.of(file)).strip();
+        } catch (java.io.IOException e) {
+            throw new IllegalArgumentException("file \"" + file + "\" cannot be read", e);
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("standin").build().description("Runs a stand-in database.");
+        parser.addArgument("--endpoint").required(true).help("name of the endpoint");
+        parser.addArgument("--service").required(true).help("service that it belongs to");
+        parser.addArgument("--data-centre").required(true).help("where it stands");
+        parser.addArgument("--address").setDefault("127.0.0.1:0").help("database port");
+        parser.addArgument("--status-address").setDefault("127.0.0.1:0").help("status port");
+        parser.addArgument("--databases")
+                .required(true)
+                .help("NAME:SLOTS:CONNECTIONS of each database, separated by commas");
+        parser.addArgument("--control").setDefault("").help("control addresses, by commas");
+        parser.addArgument("--announcement-secret-file")
+                .setDefault("")
+                .help("file with the bearer secret of announcements");
+        addMillis(parser, "--connect-millis", 0, "time that opening a session takes");
+        addMillis(parser, "--statement-millis", 0, "time that a statement takes");
+        addMillis(parser, "--lag-millis", 0, "least age of what a replica applies");
+        addMillis(parser, "--leave-millis", 30_000, "longest time to leave after SIGTERM");
+        return parser;
+    }
+
+    private static void addMillis(ArgumentParser parser, String name, long value, String help) {
+        parser.addArgument(name).type(Long.class).setDefault(value).help(help);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInSettings.java
@@ -0,0 +1,103 @@
+package org.crocusturn.standin.database;
+
+import java.util.List;
+import java.util.Objects;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.daemon.net.Addresses;
+
+/**
+ * Are the settings of a stand-in.
+ *
+ * @param endpoint name of the endpoint
+ * @param service service that it belongs to
+ * @param dataCentre where it stands
+ * @param address IP address and port of the database protocol; port 0 chooses a free one
+ * @param statusAddress IP address and port of the status protocol; port 0 chooses a free one
+ * @param databases its databases
+ * @param behaviour behaviour at the start
+ * @param controlAddresses operators' addresses of the control hosts; may be empty
+ * @param announcementSecret bearer secret of announcements
+ */
+public record StandInSettings(
+        EndpointId endpoint,
+        String service,
+        DataCentreId dataCentre,
+        String address,
+        String statusAddress,
+        List<DatabaseRecord> databases,
+        Behaviour behaviour,
+        List<String> controlAddresses,
+        String announcementSecret) {
+    /** Checks the parts. */
+    public StandInSettings {
+        Objects.requireNonNull(endpoint, "endpoint");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(behaviour, "behaviour");
+        Objects.requireNonNull(announcementSecret, "announcementSecret");
+        Addresses.parse(address);
+        Addresses.parse(statusAddress);
+        databases = List.copyOf(databases);
+        controlAddresses = List.copyOf(controlAddresses);
+        controlAddresses.forEach(Addresses::parse);
+    }
+
+    /** Creates settings on free loopback ports, without delays and without control hosts. */
+    public static StandInSettings onLoopback(
+            String endpoint, String service, String dataCentre, List<DatabaseRecord> databases) {
+        return new StandInSettings(
+                EndpointId.of(endpoint),
+                service,
+                DataCentreId.of(dataCentre),
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                databases,
+                Behaviour.PROMPT,
+                List.of(),
+                "none");
+    }
+
+    /** Returns a copy with fixed addresses. */
+    public StandInSettings withAddresses(String database, String status) {
+        return new StandInSettings(
+                endpoint,
+                service,
+                dataCentre,
+                database,
+                status,
+                databases,
+                behaviour,
+                controlAddresses,
+                announcementSecret);
+    }
+
+    /** Returns a copy with another behaviour. */
+    public StandInSettings withBehaviour(Behaviour other) {
+        return new StandInSettings(
+                endpoint,
+                service,
+                dataCentre,
+                address,
+                statusAddress,
+                databases,
+                other,
+                controlAddresses,
+                announcementSecret);
+    }
+
+    /** Returns a copy that announces itself. */
+    public StandInSettings withControl(List<String> addresses, String secret) {
+        return new StandInSettings(
+                endpoint,
+                service,
+                dataCentre,
+                address,
+                statusAddress,
+                databases,
+                behaviour,
+                addresses,
+                secret);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/StatementSlots.java
@@ -0,0 +1,61 @@
+package org.crocusturn.standin.database;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.ring.BoundedRing;
+import org.crocusturn.core.ring.Duty;
+
+/** Are the threads of one database that each run one statement at a time. */
+final class StatementSlots {
+    private static final Logger LOG = LogManager.getLogger(StatementSlots.class);
+
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+
+    private final List<Duty<Runnable>> mSlots;
+    private final BoundedRing<Duty<Runnable>> mFree;
+
+    private StatementSlots(List<Duty<Runnable>> slots) {
+        mSlots = slots;
+        mFree = BoundedRing.withCapacity(slots.size());
+        slots.forEach(mFree::offer);
+    }
+
+    static StatementSlots start(String database, int count) {
+        return new StatementSlots(
+                IntStream.range(0, count).mapToObj(i -> start(database + "-slot-" + i)).toList());
+    }
+
+    /** Starts a duty that runs what it is handed. */
+    static Duty<Runnable> start(String name) {
+        return Duty.start(
+                name, 1_024, WorkHandler.INSTANCE, e -> LOG.error("standin: {} failed", name, e));
+    }
+
+    /** Reserves a free slot. */
+    Optional<Duty<Runnable>> acquire() {
+        try {
+            return mFree.poll(0);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    /** Returns a slot. */
+    void release(Duty<Runnable> slot) {
+        mFree.offer(slot);
+    }
+
+    /** Returns the number of slots that are reserved. */
+    int used() {
+        return mSlots.size() - mFree.size();
+    }
+
+    void stop() {
+        mSlots.forEach(slot -> slot.stop(STOP_TIMEOUT));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/database/WorkHandler.java
@@ -0,0 +1,19 @@
+package org.crocusturn.standin.database;
+
+import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.ring.DutyHandler;
+
+/** Runs what it is handed; has nothing to do at any time. */
+enum WorkHandler implements DutyHandler<Runnable> {
+    INSTANCE;
+
+    @Override
+    public void onEvent(Runnable work) {
+        work.run();
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        return nowNanos + TimeUnit.HOURS.toNanos(1);
+    }
+}
