--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -13,6 +14,7 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 /** Serves HTTP/1.1 with keep-alive and pipelining. */
 public final class HttpServer implements AutoCloseable {
@@ -38,6 +40,24 @@
      */
     public static HttpServer start(
             NetThreads threads, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
+        return start(threads, address, limits, handler, pipeline -> {});
+    }
+
+    /**
+     * Binds a port and starts to serve connections that an extension can change.
+     *
+     * @param threads I/O threads
+     * @param address address to bind; port 0 chooses a free one
+     * @param limits limits of each connection
+     * @param handler takes the requests
+     * @param extension changes the pipeline of each new connection
+     */
+    public static HttpServer start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            Consumer<ChannelPipeline> extension) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         Channel channel =
                 new ServerBootstrap()
@@ -46,7 +66,7 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(limits, handler, connections))
+                        .childHandler(initializer(limits, handler, connections, extension))
                         .bind(address)
                         .syncUninterruptibly()
                         .channel();
@@ -75,7 +95,10 @@
     }
 
     private static ChannelInitializer<SocketChannel> initializer(
-            HttpLimits limits, HttpHandler handler, ChannelGroup connections) {
+            HttpLimits limits,
+            HttpHandler handler,
+            ChannelGroup connections,
+            Consumer<ChannelPipeline> extension) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -96,6 +119,7 @@
                         // connection takes no more.
                         .addLast(new FlowControlHandler())
                         .addLast(connection);
+                extension.accept(channel.pipeline());
             }
         };
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -279,6 +280,11 @@
             mRequest = null;
         }
 
+        @Override
+        public HttpPeer peer() {
+            return new ChannelPeer(mContext.channel());
+        }
+
         @Override
         public void respond(HttpAnswer answer) {
             if (!mAnswered.compareAndSet(false, true)) {
@@ -297,4 +303,22 @@
             }
         }
     }
+
+    /** Is the other end of a channel. */
+    private record ChannelPeer(Channel channel) implements HttpPeer {
+        @Override
+        public String id() {
+            return channel.id().asLongText();
+        }
+
+        @Override
+        public void onClosed(Runnable action) {
+            channel.closeFuture().addListener(done -> action.run());
+        }
+
+        @Override
+        public void close() {
+            channel.close();
+        }
+    }
 }
