--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusLog.java
@@ -0,0 +1,156 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.crocusturn.core.LogPosition;
+
+/**
+ * Is the log of one member: a snapshot and the entries after it.
+ *
+ * <p>Immutable. Copying at an append is bounded by the snapshot interval.
+ *
+ * @param base snapshot before the first entry
+ * @param entries entries after the snapshot, without gaps
+ * @param membership latest membership in the log, committed or not
+ * @param membershipIndex index of the entry that set the membership
+ * @param unsavedFrom first index that changed since the last persist; {@link #NOTHING} if none
+ * @param baseUnsaved whether the snapshot changed since the last persist
+ */
+public record ConsensusLog(
+        Snapshot base,
+        List<LogEntry> entries,
+        Membership membership,
+        long membershipIndex,
+        long unsavedFrom,
+        boolean baseUnsaved) {
+    /** Value of the first changed index if nothing changed. */
+    public static final long NOTHING = Long.MAX_VALUE;
+
+    /** Checks that no part is null. */
+    public ConsensusLog {
+        Objects.requireNonNull(base, "base");
+        Objects.requireNonNull(membership, "membership");
+        entries = List.copyOf(entries);
+    }
+
+    /** Creates a log that is on disk already. */
+    public static ConsensusLog saved(Snapshot base, List<LogEntry> entries) {
+        return build(base, entries, NOTHING, false);
+    }
+
+    /** Creates a log of which nothing is on disk yet. */
+    public static ConsensusLog unsaved(Snapshot base) {
+        return build(base, List.of(), NOTHING, true);
+    }
+
+    private static ConsensusLog build(
+            Snapshot base, List<LogEntry> entries, long unsavedFrom, boolean baseUnsaved) {
+        Optional<LogEntry> change = lastMembership(entries);
+        return new ConsensusLog(
+                base,
+                entries,
+                change.map(ConsensusLog::membershipOf).orElse(base.membership()),
+                change.map(e -> e.position().index()).orElse(base.position().index()),
+                unsavedFrom,
+                baseUnsaved);
+    }
+
+    private static Optional<LogEntry> lastMembership(List<LogEntry> entries) {
+        return entries.stream()
+                .filter(e -> e.content() instanceof LogContent.MembershipContent)
+                .reduce((first, second) -> second);
+    }
+
+    private static Membership membershipOf(LogEntry entry) {
+        return ((LogContent.MembershipContent) entry.content()).membership();
+    }
+
+    /** Returns the index of the snapshot. */
+    public long baseIndex() {
+        return base.position().index();
+    }
+
+    /** Returns the position of the last entry, or of the snapshot if there is none. */
+    public LogPosition last() {
+        return entries.isEmpty() ? base.position() : entries.get(entries.size() - 1).position();
+    }
+
+    /** Returns the index of the last entry. */
+    public long lastIndex() {
+        return baseIndex() + entries.size();
+    }
+
+    /** Returns whether the log is the one of a member that knows nothing yet. */
+    public boolean blank() {
+        return base.membership().members().isEmpty();
+    }
+
+    /** Returns an entry after the snapshot. */
+    public LogEntry entry(long index) {
+        return entries.get(Math.toIntExact(index - baseIndex() - 1));
+    }
+
+    /** Returns the term at an index, or -1 if the log does not reach it or no longer holds it. */
+    public long termAt(long index) {
+        if (index == baseIndex()) {
+            return base.position().term();
+        }
+        return index < baseIndex() || index > lastIndex() ? -1 : entry(index).position().term();
+    }
+
+    /** Returns the first index of the run of entries that share the term at an index. */
+    public long firstOfTerm(long index) {
+        long first = index;
+        while (first - 1 > baseIndex() && termAt(first - 1) == termAt(index)) {
+            first--;
+        }
+        return first;
+    }
+
+    /** Returns entries from an index on, at most a number of them. */
+    public List<LogEntry> from(long index, int limit) {
+        int start = Math.toIntExact(index - baseIndex() - 1);
+        int end = (int) Math.min(entries.size(), (long) start + limit);
+        return start >= end ? List.of() : entries.subList(start, end);
+    }
+
+    /** Returns the membership after the entry at an index. */
+    public Membership membershipAt(long index) {
+        return lastMembership(from(baseIndex() + 1, Math.toIntExact(index - baseIndex())))
+                .map(ConsensusLog::membershipOf)
+                .orElse(base.membership());
+    }
+
+    /** Returns the log with one more entry. */
+    public ConsensusLog plus(long term, LogContent content) {
+        long index = lastIndex() + 1;
+        LogEntry entry = new LogEntry(LogPosition.of(term, index), content);
+        return withSuffix(index, List.of(entry));
+    }
+
+    /** Returns the log with all entries from an index on replaced. */
+    public ConsensusLog withSuffix(long index, List<LogEntry> suffix) {
+        List<LogEntry> kept = from(baseIndex() + 1, Math.toIntExact(index - baseIndex() - 1));
+        return build(
+                base,
+                Stream.concat(kept.stream(), suffix.stream()).toList(),
+                Math.min(unsavedFrom, index),
+                baseUnsaved);
+    }
+
+    /** Returns the log after a snapshot; later entries stay only if they follow the snapshot. */
+    public ConsensusLog withSnapshot(Snapshot snapshot) {
+        LogPosition position = snapshot.position();
+        boolean follows = termAt(position.index()) == position.term() && !blank();
+        return follows
+                ? build(snapshot, from(position.index() + 1, entries.size()), unsavedFrom, true)
+                : build(snapshot, List.of(), position.index() + 1, true);
+    }
+
+    /** Returns the log with all changes handed to the storage. */
+    public ConsensusLog withSaved() {
+        return new ConsensusLog(base, entries, membership, membershipIndex, NOTHING, false);
+    }
+}
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusMessage.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusMessage.java
@@ -88,4 +88,32 @@
 
     /** Asks the receiver to start an election at once because the leader stops. */
     record TransferLeadership(long term) implements ConsensusMessage {}
+
+    /**
+     * Asks the leader for an entry whose commit ends the recovery of a member without a usable log.
+     *
+     * @param term term of the member
+     * @param member host that recovers
+     * @param nonce random number drawn at the start of the member, which the reply repeats
+     */
+    record RecoveryRequest(long term, HostId member, long nonce) implements ConsensusMessage {
+        /** Checks that the member is not null. */
+        public RecoveryRequest {
+            Objects.requireNonNull(member, "member");
+        }
+    }
+
+    /**
+     * Names an entry that the leader appended after it received the request.
+     *
+     * @param term term of the leader
+     * @param nonce nonce of the request
+     * @param barrier position of the entry
+     */
+    record RecoveryReply(long term, long nonce, LogPosition barrier) implements ConsensusMessage {
+        /** Checks that the barrier is not null. */
+        public RecoveryReply {
+            Objects.requireNonNull(barrier, "barrier");
+        }
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/MembershipChanges.java
@@ -0,0 +1,131 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
+
+/** Decides changes of the consensus group, one member at a time. */
+final class MembershipChanges {
+    private MembershipChanges() {}
+
+    /** Appends a changed membership, which is in force from then on, or rejects the change. */
+    static Decision<ConsensusState, ConsensusAction> propose(
+            ConsensusState state, ConsensusInput.ChangeMembership input, long nowNanos) {
+        return Proposals.obstacle(state, nowNanos)
+                .or(() -> obstacle(state, input.change()))
+                .or(() -> quorumObstacle(state, input.change(), nowNanos))
+                .map(reason -> Proposals.reject(state, input.proposalId(), reason))
+                .orElseGet(() -> Decision.of(append(state, input, nowNanos)));
+    }
+
+    private static Optional<String> obstacle(ConsensusState state, MembershipChange change) {
+        // Majorities of two memberships overlap only if they differ in one voter.
+        if (state.log().membershipIndex() > state.commitIndex()) {
+            return Optional.of("another membership change is not committed yet");
+        }
+        if (change instanceof MembershipChange.AddLearner add) {
+            return when(member(state, add.host()).isPresent(), add.host() + " is a member already");
+        }
+        if (change instanceof MembershipChange.Promote promote) {
+            return promotionObstacle(state, promote.host());
+        }
+        HostId host = ((MembershipChange.Remove) change).host();
+        boolean last =
+                state.membership().voters().size() == 1
+                        && member(state, host).filter(Member::voter).isPresent();
+        return when(member(state, host).isEmpty(), host + " is not a member")
+                .or(() -> when(last, host + " is the last voter"));
+    }
+
+    private static Optional<String> promotionObstacle(ConsensusState state, HostId host) {
+        Optional<Member> member = member(state, host);
+        if (member.isEmpty() || member.get().voter()) {
+            return Optional.of(host + " is not a learner");
+        }
+        Progress progress = state.leading().orElseThrow().progress().get(host);
+        boolean caughtUp =
+                progress.counted()
+                        && progress.match() >= state.commitIndex()
+                        && progress.match() > 0;
+        return when(!caughtUp, host + " has not caught up");
+    }
+
+    /** Returns an obstacle if the voters that answer now would be no majority after the change. */
+    private static Optional<String> quorumObstacle(
+            ConsensusState state, MembershipChange change, long nowNanos) {
+        Membership next = new Membership(members(state.membership(), change));
+        ConsensusRole.Leader leader = state.leading().orElseThrow();
+        long answering =
+                next.voters().stream()
+                        .map(Member::host)
+                        .filter(
+                                host ->
+                                        host.equals(state.self())
+                                                || answers(leader.progress().get(host), nowNanos))
+                        .count();
+        return when(
+                answering < next.majority(),
+                "only " + answering + " of " + next.voters().size() + " voters would answer");
+    }
+
+    private static boolean answers(Progress progress, long nowNanos) {
+        return progress.counted()
+                && nowNanos - progress.ackedNanos() < ConsensusTimings.ELECTION_MAX_NANOS;
+    }
+
+    private static Optional<Member> member(ConsensusState state, HostId host) {
+        return state.membership().member(host);
+    }
+
+    private static Optional<String> when(boolean obstacle, String reason) {
+        return obstacle ? Optional.of(reason) : Optional.empty();
+    }
+
+    private static ConsensusState append(
+            ConsensusState state, ConsensusInput.ChangeMembership input, long nowNanos) {
+        Membership next = new Membership(members(state.membership(), input.change()));
+        ConsensusState appended =
+                Proposals.append(state, input.proposalId(), new LogContent.MembershipContent(next));
+        ConsensusRole.Leader leader = appended.leading().orElseThrow();
+        Map<HostId, Progress> progress =
+                next.members().stream()
+                        .map(Member::host)
+                        .filter(host -> !host.equals(state.self()))
+                        .collect(
+                                Collectors.toMap(
+                                        Function.identity(),
+                                        host ->
+                                                leader.progress()
+                                                        .getOrDefault(
+                                                                host, added(appended, nowNanos))));
+        return appended.withRole(leader.withProgress(progress));
+    }
+
+    private static Progress added(ConsensusState state, long nowNanos) {
+        return Progress.create(state.log().lastIndex(), nowNanos).withoutCount();
+    }
+
+    private static List<Member> members(Membership membership, MembershipChange change) {
+        List<Member> members = membership.members();
+        if (change instanceof MembershipChange.AddLearner add) {
+            Member learner = new Member(add.host(), add.linkAddress(), false);
+            return Stream.concat(members.stream(), Stream.of(learner)).toList();
+        }
+        if (change instanceof MembershipChange.Promote promote) {
+            return members.stream()
+                    .map(
+                            m ->
+                                    m.host().equals(promote.host())
+                                            ? new Member(m.host(), m.linkAddress(), true)
+                                            : m)
+                    .toList();
+        }
+        HostId removed = ((MembershipChange.Remove) change).host();
+        return members.stream().filter(m -> !m.host().equals(removed)).toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Proposals.java
@@ -0,0 +1,51 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.Optional;
+import org.crocusturn.core.Decision;
+
+/** Decides whether a proposal is appended. */
+final class Proposals {
+    private Proposals() {}
+
+    /** Appends a command or rejects it. */
+    static Decision<ConsensusState, ConsensusAction> propose(
+            ConsensusState state, ConsensusInput.Propose propose, long nowNanos) {
+        return obstacle(state, nowNanos)
+                .map(reason -> reject(state, propose.proposalId(), reason))
+                .orElseGet(
+                        () ->
+                                Decision.of(
+                                        append(
+                                                state,
+                                                propose.proposalId(),
+                                                new LogContent.CommandContent(
+                                                        propose.proposalId(), propose.command()))));
+    }
+
+    /** Returns why this member appends nothing now, if so. */
+    static Optional<String> obstacle(ConsensusState state, long nowNanos) {
+        if (state.leading().isEmpty()) {
+            return Optional.of("this host does not lead");
+        }
+        if (!Leases.valid(state, nowNanos)) {
+            return Optional.of("this host does not hold the leader lease");
+        }
+        long waiting = state.log().lastIndex() - state.commitIndex();
+        return waiting >= ConsensusTimings.PENDING_ENTRIES
+                ? Optional.of(waiting + " entries wait for a majority")
+                : Optional.empty();
+    }
+
+    static Decision<ConsensusState, ConsensusAction> reject(
+            ConsensusState state, long proposalId, String reason) {
+        return Decision.of(
+                state,
+                new ConsensusAction.ProposalRejected(proposalId, reason, state.leaderHint()));
+    }
+
+    static ConsensusState append(ConsensusState state, long proposalId, LogContent content) {
+        ConsensusLog log = state.log().plus(state.term(), content);
+        ConsensusRole.Leader leader = state.leading().orElseThrow();
+        return state.withLog(log).withRole(leader.withProposal(log.lastIndex(), proposalId));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Recoveries.java
@@ -0,0 +1,86 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.Optional;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.LogPosition;
+
+/**
+ * Decides when a member with a lost disk may vote and count again.
+ *
+ * <p>It asks the leader for a barrier, an entry appended after the member's start, and waits until
+ * that entry is committed without counting the member. docs/consensus.md explains why this is safe.
+ */
+final class Recoveries {
+    private Recoveries() {}
+
+    /** Asks the leader for a barrier unless it named one in this term. */
+    static ConsensusState ask(ConsensusState state, HostId leader) {
+        boolean named =
+                state.recovery().barrier().filter(b -> b.term() == state.term()).isPresent();
+        return !state.hard().recovering() || named
+                ? state
+                : state.withHeld(
+                        leader,
+                        new ConsensusMessage.RecoveryRequest(
+                                state.term(), state.self(), state.recovery().nonce()));
+    }
+
+    /** Appends a barrier for a member that asks, once for each of its starts. */
+    static Decision<ConsensusState, ConsensusAction> request(
+            ConsensusState state,
+            HostId from,
+            ConsensusMessage.RecoveryRequest request,
+            long nowNanos) {
+        if (request.term() > state.term()) {
+            return Elections.follow(state, request.term(), nowNanos);
+        }
+        return Consensus.leadingIn(state, request.term())
+                .filter(leader -> leader.progress().containsKey(from))
+                .map(
+                        leader ->
+                                Decision.<ConsensusState, ConsensusAction>of(
+                                        answer(state, leader, from, request.nonce())))
+                .orElse(Decision.of(state));
+    }
+
+    /** Notes the barrier. */
+    static ConsensusState reply(ConsensusState state, ConsensusMessage.RecoveryReply reply) {
+        boolean current = reply.term() == state.term() && reply.nonce() == state.recovery().nonce();
+        return current && state.hard().recovering()
+                ? state.withRecovery(
+                        new ConsensusState.Recovery(reply.nonce(), Optional.of(reply.barrier())))
+                : state;
+    }
+
+    /** Ends the recovery if the barrier of this term's leader is committed and synced here. */
+    static ConsensusState complete(ConsensusState state) {
+        boolean done =
+                state.hard().recovering()
+                        && state.recovery()
+                                .barrier()
+                                .filter(b -> b.term() == state.term())
+                                .filter(b -> b.index() <= state.commitIndex())
+                                .filter(b -> b.index() <= state.persists().durableIndex())
+                                .isPresent();
+        return done ? state.withHard(state.hard().withRecovered()) : state;
+    }
+
+    private static ConsensusState answer(
+            ConsensusState state, ConsensusRole.Leader leader, HostId from, long nonce) {
+        Optional<LogPosition> known =
+                Optional.ofNullable(leader.barriers().get(from))
+                        .filter(barrier -> barrier.nonce() == nonce)
+                        .map(ConsensusRole.Barrier::position);
+        ConsensusLog log =
+                known.isPresent()
+                        ? state.log()
+                        : state.log().plus(state.term(), new LogContent.EmptyContent());
+        LogPosition position = known.orElse(log.last());
+        return state.withLog(log)
+                .withRole(
+                        leader.withBarrier(from, new ConsensusRole.Barrier(nonce, position))
+                                .withProgress(from, leader.progress().get(from).withoutCount()))
+                .withHeld(from, new ConsensusMessage.RecoveryReply(state.term(), nonce, position));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Replication.java
@@ -0,0 +1,143 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.UnaryOperator;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.LogPosition;
+
+/** Decides what a leader sends to the other members and learns from their replies. */
+final class Replication {
+    private Replication() {}
+
+    /** Sends heartbeats when due; a leader that no majority answers gives up. */
+    static Decision<ConsensusState, ConsensusAction> tick(ConsensusState state, long nowNanos) {
+        ConsensusRole.Leader leader = state.leading().orElseThrow();
+        long contact =
+                Math.max(leader.electedNanos(), Leases.contactNanos(state, leader, nowNanos));
+        if (nowNanos - contact > ConsensusTimings.ELECTION_MAX_NANOS) {
+            return Elections.retire(state, nowNanos);
+        }
+        if (nowNanos - leader.heartbeatNanos() < 0) {
+            return Decision.of(state);
+        }
+        ConsensusState next =
+                state.withRole(leader.withHeartbeat(nowNanos + ConsensusTimings.HEARTBEAT_NANOS));
+        return sendAll(next, (host, progress) -> true, nowNanos);
+    }
+
+    /** Sends entries to the members that have not been sent them yet. */
+    static Decision<ConsensusState, ConsensusAction> sendNew(ConsensusState state, long nowNanos) {
+        return state.leading().isEmpty()
+                ? Decision.of(state)
+                : sendAll(state, (host, progress) -> hasNew(state, progress), nowNanos);
+    }
+
+    /** Notes what a member has. */
+    static Decision<ConsensusState, ConsensusAction> reply(
+            ConsensusState state, HostId from, ConsensusMessage.AppendReply reply, long nowNanos) {
+        if (reply.term() > state.term()) {
+            return Elections.follow(state, reply.term(), nowNanos);
+        }
+        return Decision.of(
+                update(
+                        state,
+                        from,
+                        reply.term(),
+                        progress -> noted(progress, reply, state, nowNanos)));
+    }
+
+    /** Notes that a member has a snapshot. */
+    static Decision<ConsensusState, ConsensusAction> snapshotReply(
+            ConsensusState state,
+            HostId from,
+            ConsensusMessage.SnapshotReply reply,
+            long nowNanos) {
+        if (reply.term() > state.term()) {
+            return Elections.follow(state, reply.term(), nowNanos);
+        }
+        return Decision.of(
+                update(
+                        state,
+                        from,
+                        reply.term(),
+                        progress -> progress.withMatch(reply.lastIndex())));
+    }
+
+    private static Progress noted(
+            Progress progress,
+            ConsensusMessage.AppendReply reply,
+            ConsensusState state,
+            long nowNanos) {
+        if (reply.learner()) {
+            return progress.withRecovering(reply.success(), reply.matchIndex());
+        }
+        // A request's round is its sending time, so the reply tells when the lease starts.
+        Progress acked = progress.withAck(Math.min(reply.round(), nowNanos));
+        return reply.success()
+                ? acked.withMatch(Math.min(reply.matchIndex(), state.log().lastIndex()))
+                : acked.withRetry(reply.matchIndex());
+    }
+
+    private static ConsensusState update(
+            ConsensusState state, HostId from, long term, UnaryOperator<Progress> change) {
+        return Consensus.leadingIn(state, term)
+                .filter(leader -> leader.progress().containsKey(from))
+                .map(
+                        leader ->
+                                state.withRole(
+                                        leader.withProgress(
+                                                from, change.apply(leader.progress().get(from)))))
+                .orElse(state);
+    }
+
+    private static boolean hasNew(ConsensusState state, Progress progress) {
+        return progress.next() > state.log().baseIndex()
+                && progress.next() <= state.log().lastIndex();
+    }
+
+    private static Decision<ConsensusState, ConsensusAction> sendAll(
+            ConsensusState state, BiFunction<HostId, Progress, Boolean> wanted, long nowNanos) {
+        ConsensusRole.Leader leader = state.leading().orElseThrow();
+        List<ConsensusAction> sends = new ArrayList<>();
+        for (Map.Entry<HostId, Progress> e : new TreeMap<>(leader.progress()).entrySet()) {
+            if (wanted.apply(e.getKey(), e.getValue())) {
+                ConsensusMessage message = message(state, e.getValue(), nowNanos);
+                sends.add(new ConsensusAction.Send(e.getKey(), message));
+                leader = leader.withProgress(e.getKey(), sent(e.getValue(), message, nowNanos));
+            }
+        }
+        return new Decision<>(state.withRole(leader), sends);
+    }
+
+    private static ConsensusMessage message(
+            ConsensusState state, Progress progress, long nowNanos) {
+        ConsensusLog log = state.log();
+        boolean behind = progress.next() <= log.baseIndex();
+        if (behind
+                && nowNanos - progress.snapshotNanos() >= ConsensusTimings.SNAPSHOT_RETRY_NANOS) {
+            return new ConsensusMessage.InstallSnapshot(
+                    state.term(), state.self(), log.base(), nowNanos);
+        }
+        List<LogEntry> entries =
+                behind ? List.of() : log.from(progress.next(), ConsensusTimings.BATCH_ENTRIES);
+        long previous = behind ? log.baseIndex() : progress.next() - 1;
+        return new ConsensusMessage.AppendRequest(
+                state.term(),
+                state.self(),
+                LogPosition.of(log.termAt(previous), previous),
+                entries,
+                state.commitIndex(),
+                nowNanos);
+    }
+
+    private static Progress sent(Progress progress, ConsensusMessage message, long nowNanos) {
+        return message instanceof ConsensusMessage.AppendRequest append
+                ? progress.withNext(progress.next() + append.entries().size())
+                : progress.withSnapshotSent(nowNanos);
+    }
+}
