--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -162,7 +162,8 @@
                 leases,
                 demands,
                 suspects,
-                leaving);
+                leaving,
+                mAnswered);
     }
 
     /** Returns a copy that knows when a report was sent. */
--- a/core/src/main/java/org/crocusturn/core/entryhosts/IngressStep.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/IngressStep.java
@@ -139,7 +139,7 @@
         }
         GroupRecord record = mView.state().groups().get(group);
         return record != null && record.lastEpoch() > transaction.epoch()
-                ? refused(ErrorCode.TRANSACTION_LOST, "the transaction was rolled back")
+                ? refused(ErrorCode.TRANSACTION_LOST, "the transaction is no longer open")
                 : Optional.empty();
     }
 
--- a/core/src/main/java/org/crocusturn/core/ring/BoundedRing.java
+++ b/core/src/main/java/org/crocusturn/core/ring/BoundedRing.java
@@ -38,10 +38,24 @@
 
     /** Adds an element at the end and returns true, or returns false if the ring is full. */
     public boolean offer(T element) {
+        return offer(element, mSlots.length);
+    }
+
+    /**
+     * Adds an element at the end unless too many wait.
+     *
+     * <p>New work is offered with a limit below the capacity, so that answers to accepted work
+     * always find room.
+     *
+     * @param element element to add
+     * @param limit number of waiting elements from which the element is refused
+     * @return whether the element was added
+     */
+    public boolean offer(T element, int limit) {
         Objects.requireNonNull(element, "element");
         mLock.lock();
         try {
-            if (mCount == mSlots.length) {
+            if (mCount >= Math.min(limit, mSlots.length)) {
                 return false;
             }
             mSlots[(mHead + mCount) % mSlots.length] = element;
--- a/core/src/main/java/org/crocusturn/core/ring/Duty.java
+++ b/core/src/main/java/org/crocusturn/core/ring/Duty.java
@@ -65,6 +65,11 @@
         return mRing.offer(event);
     }
 
+    /** Hands over an event unless the given number of events wait; see {@link BoundedRing}. */
+    public boolean offer(E event, int limit) {
+        return mRing.offer(event, limit);
+    }
+
     /** Returns the number of waiting events. */
     public int backlog() {
         return mRing.size();
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -0,0 +1,175 @@
+package org.crocusturn.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.controlhosts.Member;
+import org.crocusturn.core.controlhosts.Membership;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.platform.Phase;
+import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.daemon.controlhosts.ControlMember;
+import org.crocusturn.daemon.endpoints.AnnouncementHandler;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.HttpLimits;
+import org.crocusturn.daemon.net.HttpServer;
+import org.crocusturn.daemon.net.NetThreads;
+import org.crocusturn.daemon.operators.OperatorDuty;
+import org.crocusturn.daemon.operators.OperatorEvent;
+import org.crocusturn.daemon.operators.OperatorRoutes;
+import org.crocusturn.daemon.platform.HealthRoutes;
+import org.crocusturn.daemon.platform.LifecycleDuty;
+import org.crocusturn.daemon.platform.LifecycleEvent;
+import org.crocusturn.daemon.platform.Metrics;
+import org.crocusturn.daemon.platform.PlatformRoutes;
+import org.crocusturn.daemon.settings.ControlSettings;
+
+/** Is a control host: wires its member, duties and servers together. */
+public final class ControlDaemon implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ControlDaemon.class);
+    private static final int IO_THREADS = 2;
+    private static final int SMALL_RING = 4_096;
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ControlSettings mSettings;
+    private final NetThreads mThreads;
+    private final Metrics mMetrics = Metrics.create();
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+    private final Duty<LifecycleEvent> mLifecycle;
+    private final Duty<OperatorEvent> mOperatorDuty;
+    private final ControlMember mMember;
+    private final HttpServer mOperators;
+    private final HttpServer mEndpoints;
+    private final HttpServer mPlatform;
+
+    private ControlDaemon(ControlSettings settings) {
+        mSettings = settings;
+        mThreads = NetThreads.start(settings.host().value(), IO_THREADS);
+        mLifecycle =
+                start(
+                        "lifecycle",
+                        LifecycleDuty.create(
+                                settings.platform().balancerDelay(),
+                                settings.platform().drainLimit(),
+                                this::phaseChanged));
+        mMember =
+                ControlMember.start(
+                        settings, firstMembers(settings), mThreads, mMetrics, this::failed);
+        mOperatorDuty =
+                start("operators", OperatorDuty.create(mMember, event -> offerToOperators(event)));
+        mOperators =
+                HttpServer.start(
+                        mThreads,
+                        settings.operators(),
+                        HttpLimits.DEFAULT,
+                        OperatorRoutes.create(settings.operatorSecret(), mOperatorDuty));
+        mEndpoints =
+                HttpServer.start(
+                        mThreads,
+                        settings.endpoints(),
+                        HttpLimits.DEFAULT,
+                        AnnouncementHandler.create(
+                                settings.announcementSecret().text(), mMember::announced));
+        mPlatform =
+                HttpServer.start(
+                        mThreads,
+                        settings.platform().address(),
+                        HttpLimits.DEFAULT,
+                        HealthRoutes.create(mLifecycle, PlatformRoutes.create(mMetrics)));
+        mLifecycle.offer(new LifecycleEvent.StateKnown());
+        LOG.info(
+                "platform: control host {} serves operators at {}",
+                settings.host(),
+                Addresses.format(mOperators.address()));
+    }
+
+    /** Starts a control host. */
+    public static ControlDaemon start(ControlSettings settings) {
+        return new ControlDaemon(settings);
+    }
+
+    /** Returns the address of the operators' interface. */
+    public InetSocketAddress operatorsAddress() {
+        return mOperators.address();
+    }
+
+    /** Returns the address where endpoints announce themselves. */
+    public InetSocketAddress endpointsAddress() {
+        return mEndpoints.address();
+    }
+
+    /** Returns whether this host leads. */
+    public boolean leads() {
+        return mMember.leads();
+    }
+
+    /** Returns the replicated state that this host has applied. */
+    public ControlState state() {
+        return mMember.state();
+    }
+
+    /** Asks for a planned stop and returns at once. */
+    public void requestStop() {
+        mLifecycle.offer(new LifecycleEvent.StopRequested());
+    }
+
+    /** Waits until a planned stop has ended. */
+    public void awaitStopped() throws InterruptedException {
+        mStopped.await();
+    }
+
+    @Override
+    public void close() {
+        mOperators.close();
+        mEndpoints.close();
+        mPlatform.close();
+        mOperatorDuty.stop(STOP_TIMEOUT);
+        mMember.close();
+        mLifecycle.stop(STOP_TIMEOUT);
+        mThreads.close();
+        mStopped.countDown();
+    }
+
+    private static Optional<Membership> firstMembers(ControlSettings settings) {
+        if (!settings.bootstrap()) {
+            return Optional.empty();
+        }
+        List<Member> members =
+                settings.members().stream()
+                        .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
+                        .toList();
+        return Optional.of(new Membership(members));
+    }
+
+    private <E> Duty<E> start(String name, DutyHandler<E> handler) {
+        return Duty.start(
+                mSettings.host() + "-" + name,
+                SMALL_RING,
+                handler,
+                e -> LOG.error("platform: duty {} failed", name, e));
+    }
+
+    private boolean offerToOperators(OperatorEvent event) {
+        return mOperatorDuty.offer(event);
+    }
+
+    private void phaseChanged(Phase phase) {
+        if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
+            mMember.handOver();
+        }
+        if (phase == Phase.STOPPED) {
+            mStopped.countDown();
+        }
+    }
+
+    /** A member that cannot go on ends the process; the platform starts it again. */
+    private void failed(RuntimeException failure) {
+        LOG.error("platform: this control host stops", failure);
+        mStopped.countDown();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressEvent.java
@@ -0,0 +1,52 @@
+package org.crocusturn.daemon.callers;
+
+import java.util.Objects;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.platform.Phase;
+
+/** Is what the ingress duty reacts to. */
+public sealed interface IngressEvent {
+    /** A caller sent a request. */
+    record Received(org.crocusturn.core.entryhosts.CallerRequest request, CallerReply reply)
+            implements IngressEvent {
+        /** Checks that no part is null. */
+        public Received {
+            Objects.requireNonNull(request, "request");
+            Objects.requireNonNull(reply, "reply");
+        }
+    }
+
+    /** A leaseholder answered an attempt. */
+    record Replied(long attempt, Outcome outcome) implements IngressEvent {
+        /** Checks that the outcome is not null. */
+        public Replied {
+            Objects.requireNonNull(outcome, "outcome");
+        }
+    }
+
+    /** The link to another entry host was lost. */
+    record LinkLost(HostId host) implements IngressEvent {
+        /** Checks that the host is not null. */
+        public LinkLost {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** The control view changed. */
+    record ViewChanged(ControlView view) implements IngressEvent {
+        /** Checks that the view is not null. */
+        public ViewChanged {
+            Objects.requireNonNull(view, "view");
+        }
+    }
+
+    /** The process changed its phase. */
+    record PhaseChanged(Phase phase) implements IngressEvent {
+        /** Checks that the phase is not null. */
+        public PhaseChanged {
+            Objects.requireNonNull(phase, "phase");
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionTokenCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionTokenCodec.java
@@ -79,22 +79,30 @@
      *     the same secret signed for the workspace
      */
     public SessionToken decode(String text, WorkspaceId workspace) {
+        SessionToken token = decode(text);
+        if (!token.workspace().equals(workspace)) {
+            throw invalid();
+        }
+        return token;
+    }
+
+    /**
+     * Reads the text of a token whose workspace is compared later.
+     *
+     * @throws CrocusturnException with SESSION_INVALID if no host with the same secret signed it
+     */
+    public SessionToken decode(String text) {
         byte[] signed = bytes(text);
         byte[] payload = Arrays.copyOf(signed, signed.length - SharedSecret.MAC_BYTES);
         byte[] code = Arrays.copyOfRange(signed, payload.length, signed.length);
         if (!mKey.verify(code, payload)) {
             throw invalid();
         }
-        SessionToken token;
         try {
-            token = SessionTokenMapper.decode(payload);
+            return SessionTokenMapper.decode(payload);
         } catch (CrocusturnException e) {
             throw invalid();
         }
-        if (!token.workspace().equals(workspace)) {
-            throw invalid();
-        }
-        return token;
     }
 
     private String sign(SessionToken token) {
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -0,0 +1,196 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.EntryHost;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.NotLeader;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.ring.DutyHandler;
+
+/** Reports to the control leader and keeps this host's control view up to date. */
+public final class ControlLinkDuty implements DutyHandler<ControlLinkEvent> {
+    private static final Logger LOG = LogManager.getLogger(ControlLinkDuty.class);
+
+    /** Time between two regular reports, in nanoseconds. */
+    private static final long REPORT_NANOS = 200_000_000;
+
+    /** Least time between two reports, so that urgent ones cannot flood the leader. */
+    private static final long LEAST_NANOS = 5_000_000;
+
+    /** Time without an update after which another control host is tried, in nanoseconds. */
+    private static final long ANSWER_NANOS = 450_000_000;
+
+    /** Time between two tries of control hosts while none answers as leader, in nanoseconds. */
+    private static final long SEARCH_NANOS = 50_000_000;
+
+    private final EntryHost mSelf;
+    private final List<HostId> mControlHosts;
+    private final BiPredicate<HostId, EntryReport> mSender;
+    private final Consumer<ControlView> mOnView;
+    private final Set<HostId> mOpen = new HashSet<>();
+    private final Set<EndpointId> mSuspects = new HashSet<>();
+    private ControlView mView;
+    private Optional<HostId> mLeader = Optional.empty();
+    private List<HeldLease> mLeases = List.of();
+    private List<TokenDemand> mDemands = List.of();
+    private boolean mLeaving;
+    private boolean mUrgent;
+    private int mNextTry;
+    private long mLastReportNanos;
+    private long mLastUpdateNanos;
+
+    private ControlLinkDuty(
+            EntryHost self,
+            List<HostId> controlHosts,
+            ControlView view,
+            BiPredicate<HostId, EntryReport> sender,
+            Consumer<ControlView> onView) {
+        mSelf = self;
+        mControlHosts = List.copyOf(controlHosts);
+        mView = view;
+        mSender = sender;
+        mOnView = onView;
+        mLastReportNanos = System.nanoTime() - REPORT_NANOS;
+        mLastUpdateNanos = System.nanoTime();
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param self this host
+     * @param controlHosts control hosts, in the order in which they are tried
+     * @param view view of a host that knows nothing yet
+     * @param sender sends a report over the link to a control host; false if it was not sent
+     * @param onView told each new view
+     */
+    public static ControlLinkDuty create(
+            EntryHost self,
+            List<HostId> controlHosts,
+            ControlView view,
+            BiPredicate<HostId, EntryReport> sender,
+            Consumer<ControlView> onView) {
+        return new ControlLinkDuty(
+                Objects.requireNonNull(self, "self"),
+                controlHosts,
+                Objects.requireNonNull(view, "view"),
+                Objects.requireNonNull(sender, "sender"),
+                Objects.requireNonNull(onView, "onView"));
+    }
+
+    @Override
+    public void onEvent(ControlLinkEvent event) {
+        if (event instanceof ControlLinkEvent.LinkOpened opened) {
+            mOpen.add(opened.host());
+            mUrgent |= mLeader.isEmpty();
+        } else if (event instanceof ControlLinkEvent.LinkClosed closed) {
+            mOpen.remove(closed.host());
+            forgetLeader(closed.host(), "its link closed");
+        } else if (event instanceof ControlLinkEvent.Received received) {
+            receive(received);
+        } else if (event instanceof ControlLinkEvent.ReportChanged changed) {
+            mLeases = changed.leases();
+            mDemands = changed.demands();
+            mUrgent |= changed.urgent();
+        } else if (event instanceof ControlLinkEvent.Suspected suspected) {
+            mUrgent |= mSuspects.add(suspected.endpoint());
+        } else if (event instanceof ControlLinkEvent.Leaving) {
+            mLeaving = true;
+            mUrgent = true;
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (mLeader.isPresent() && nowNanos - mLastUpdateNanos >= ANSWER_NANOS) {
+            forgetLeader(mLeader.get(), "it does not answer");
+        }
+        long due = mLastReportNanos + pause();
+        if (due - nowNanos > 0) {
+            return due;
+        }
+        report(nowNanos);
+        return mLastReportNanos + pause();
+    }
+
+    private long pause() {
+        if (mUrgent) {
+            return LEAST_NANOS;
+        }
+        return mLeader.isPresent() ? REPORT_NANOS : SEARCH_NANOS;
+    }
+
+    private void report(long nowNanos) {
+        mLastReportNanos = nowNanos;
+        mUrgent = false;
+        Optional<HostId> target = mLeader.or(this::nextTry);
+        if (target.isEmpty()) {
+            return;
+        }
+        EntryReport report =
+                mView.nextReport(mSelf, mLeases, mDemands, Set.copyOf(mSuspects), mLeaving);
+        // The sending time is noted before the report leaves, so that leases can only be shorter.
+        mView = mView.withReportSent(report.sequence(), System.nanoTime());
+        if (mSender.test(target.get(), report) && mLeader.isPresent()) {
+            mSuspects.clear();
+        }
+    }
+
+    private Optional<HostId> nextTry() {
+        List<HostId> open = new ArrayList<>(mControlHosts);
+        open.retainAll(mOpen);
+        if (open.isEmpty()) {
+            return Optional.empty();
+        }
+        mNextTry = (mNextTry + 1) % open.size();
+        return Optional.of(open.get(mNextTry));
+    }
+
+    private void receive(ControlLinkEvent.Received received) {
+        if (received.message() instanceof ControlUpdate update) {
+            update(received.host(), update);
+        } else if (received.message() instanceof NotLeader notLeader) {
+            forgetLeader(received.host(), "it does not lead");
+            if (mLeader.isEmpty() && notLeader.leader().filter(mOpen::contains).isPresent()) {
+                mLeader = notLeader.leader();
+                mLastUpdateNanos = System.nanoTime();
+                mUrgent = true;
+            }
+        }
+    }
+
+    private void update(HostId host, ControlUpdate update) {
+        ControlView next = mView.withUpdate(update, System.nanoTime());
+        if (next == mView) {
+            return;
+        }
+        if (!mLeader.equals(Optional.of(host))) {
+            LOG.info("controlhosts: {} leads in term {}", host, update.leader());
+        }
+        mLeader = Optional.of(host);
+        mLastUpdateNanos = System.nanoTime();
+        mView = next;
+        mOnView.accept(next);
+    }
+
+    private void forgetLeader(HostId host, String reason) {
+        if (mLeader.equals(Optional.of(host))) {
+            LOG.info("controlhosts: {} is not the leader any more: {}", host, reason);
+            mLeader = Optional.empty();
+            mUrgent = true;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkEvent.java
@@ -0,0 +1,58 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.List;
+import java.util.Objects;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.TokenDemand;
+
+/** Is what the control link duty of an entry host reacts to. */
+public sealed interface ControlLinkEvent {
+    /** A link to a control host opened. */
+    record LinkOpened(HostId host) implements ControlLinkEvent {
+        /** Checks that the host is not null. */
+        public LinkOpened {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** A link to a control host closed. */
+    record LinkClosed(HostId host) implements ControlLinkEvent {
+        /** Checks that the host is not null. */
+        public LinkClosed {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** A control host sent a message. */
+    record Received(HostId host, PeerMessage message) implements ControlLinkEvent {
+        /** Checks that no part is null. */
+        public Received {
+            Objects.requireNonNull(host, "host");
+            Objects.requireNonNull(message, "message");
+        }
+    }
+
+    /** What the next report has to say changed. */
+    record ReportChanged(List<HeldLease> leases, List<TokenDemand> demands, boolean urgent)
+            implements ControlLinkEvent {
+        /** Copies the lists. */
+        public ReportChanged {
+            leases = List.copyOf(leases);
+            demands = List.copyOf(demands);
+        }
+    }
+
+    /** An endpoint refused or reset a connection. */
+    record Suspected(EndpointId endpoint) implements ControlLinkEvent {
+        /** Checks that the endpoint is not null. */
+        public Suspected {
+            Objects.requireNonNull(endpoint, "endpoint");
+        }
+    }
+
+    /** The host stops. */
+    record Leaving() implements ControlLinkEvent {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
@@ -0,0 +1,295 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.security.SecureRandom;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.GroupOperation;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.GrantedTokens;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.endpoints.GroupAction;
+import org.crocusturn.core.endpoints.GroupCoordinator;
+import org.crocusturn.core.endpoints.GroupInput;
+import org.crocusturn.core.endpoints.GroupState;
+import org.crocusturn.core.endpoints.GroupView;
+import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.daemon.net.NetThreads;
+import org.crocusturn.daemon.platform.DecisionLog;
+import org.crocusturn.daemon.platform.Metrics;
+
+/** Runs the coordinators of the groups whose leases this host holds. */
+public final class GroupsDuty implements DutyHandler<GroupsEvent> {
+    /** Time between ticks of groups with work, in nanoseconds; bounds the delay of a time limit. */
+    private static final long TICK_NANOS = 5_000_000;
+
+    /** Time between regular notes for the next report, in nanoseconds. */
+    private static final long REPORT_NANOS = 100_000_000;
+
+    private static final int SECRET_BYTES = 16;
+
+    private final GroupCoordinator mCoordinator = GroupCoordinator.standard();
+    private final SecureRandom mRandom = new SecureRandom();
+    private final DecisionLog mLog =
+            DecisionLog.create(LogManager.getLogger(GroupsDuty.class), "endpoints");
+    private final Map<GroupId, GroupState> mGroups = new TreeMap<>();
+    private final Map<String, EndpointId> mWatched = new HashMap<>();
+    private final GroupConnections mConnections;
+    private final GroupsListener mListener;
+    private final EndpointWatch mWatch;
+    private final Metrics mMetrics;
+    private ControlView mView;
+    private List<HeldLease> mLastHeld = List.of();
+    private boolean mLeaving;
+    private long mNextTickNanos;
+    private long mNextReportNanos;
+
+    private GroupsDuty(
+            ControlView view,
+            NetThreads threads,
+            Predicate<GroupsEvent> ownRing,
+            GroupsListener listener,
+            EndpointWatch watch,
+            Metrics metrics) {
+        mView = view;
+        mConnections = GroupConnections.create(threads, ownRing);
+        mListener = listener;
+        mWatch = watch;
+        mMetrics = metrics;
+    }
+
+    /** Starts and ends the watching of endpoints. */
+    public interface EndpointWatch {
+        /** Starts to watch an endpoint at its status address. */
+        void watch(EndpointId endpoint, String statusAddress);
+
+        /** Ends the watching of an endpoint. */
+        void unwatch(EndpointId endpoint);
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param view view of a host that knows nothing yet
+     * @param threads I/O threads for connections
+     * @param ownRing offers an event to the ring of this duty
+     * @param listener hears replies and reports
+     * @param watch watches endpoints
+     * @param metrics metrics of the process
+     */
+    public static GroupsDuty create(
+            ControlView view,
+            NetThreads threads,
+            Predicate<GroupsEvent> ownRing,
+            GroupsListener listener,
+            EndpointWatch watch,
+            Metrics metrics) {
+        return new GroupsDuty(
+                Objects.requireNonNull(view, "view"),
+                Objects.requireNonNull(threads, "threads"),
+                Objects.requireNonNull(ownRing, "ownRing"),
+                Objects.requireNonNull(listener, "listener"),
+                Objects.requireNonNull(watch, "watch"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    @Override
+    public void onEvent(GroupsEvent event) {
+        if (event instanceof GroupsEvent.Arrived arrived) {
+            arrive(arrived.origin(), arrived.request());
+        } else if (event instanceof GroupsEvent.ViewChanged changed) {
+            changeView(changed.view());
+        } else if (event instanceof GroupsEvent.Opened opened) {
+            if (mConnections.opened(opened)) {
+                step(opened.group(), new GroupInput.ConnectionOpened(opened.connection()));
+            }
+        } else if (event instanceof GroupsEvent.Failed failed) {
+            mConnections.forget(failed.group(), failed.connection());
+            step(
+                    failed.group(),
+                    new GroupInput.ConnectionFailed(failed.connection(), failed.failure()));
+        } else if (event instanceof GroupsEvent.Finished finished) {
+            step(
+                    finished.group(),
+                    new GroupInput.ResultReceived(
+                            finished.connection(), finished.command(), finished.result()));
+        } else if (event instanceof GroupsEvent.Observed observed) {
+            GroupInput input = new GroupInput.Observed(observed.observation());
+            held().forEach(group -> step(group, input));
+        } else if (event instanceof GroupsEvent.HandoverRequested) {
+            mLeaving = true;
+            held().forEach(group -> step(group, new GroupInput.HandoverRequested()));
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (mNextTickNanos - nowNanos <= 0) {
+            held().forEach(group -> step(group, new GroupInput.Tick()));
+            mNextTickNanos = nowNanos + TICK_NANOS;
+        }
+        if (mNextReportNanos - nowNanos <= 0) {
+            report(false);
+        }
+        return Math.min(mNextTickNanos, mNextReportNanos);
+    }
+
+    private void arrive(HostId origin, ForwardedRequest forwarded) {
+        String secret = "";
+        if (forwarded.request().operation() instanceof GroupOperation.Begin) {
+            byte[] random = new byte[SECRET_BYTES];
+            mRandom.nextBytes(random);
+            secret = HexFormat.of().formatHex(random);
+        }
+        step(
+                forwarded.request().group(),
+                new GroupInput.RequestArrived(
+                        origin, forwarded.epoch(), forwarded.request(), secret));
+    }
+
+    private void changeView(ControlView view) {
+        mView = view;
+        Set<GroupId> groups = new HashSet<>(mGroups.keySet());
+        groups.addAll(view.leases().keySet());
+        groups.forEach(group -> step(group, new GroupInput.ViewChanged(GroupView.of(view, group))));
+        view.newTokens().forEach(this::grant);
+        watchEndpoints();
+        mMetrics.leases(held().size());
+        mMetrics.versions(view.state().configuration().version(), view.state().version());
+        if (mLeaving) {
+            held().forEach(group -> step(group, new GroupInput.HandoverRequested()));
+        }
+    }
+
+    /** Gives tokens to the group of the workspace that wants most; each token goes to one group. */
+    private void grant(GrantedTokens tokens) {
+        long now = System.nanoTime();
+        held().stream()
+                .max(Comparator.comparingLong(group -> wanted(group, tokens.workspace(), now)))
+                .ifPresent(group -> step(group, new GroupInput.TokensGranted(tokens)));
+        mMetrics.granted(tokens.workspace().value(), tokens.tokens());
+    }
+
+    private long wanted(GroupId group, WorkspaceId workspace, long nowNanos) {
+        return mGroups.get(group).demands(nowNanos).stream()
+                .filter(d -> d.workspace().equals(workspace))
+                .mapToLong(TokenDemand::wanted)
+                .sum();
+    }
+
+    private List<GroupId> held() {
+        return mGroups.values().stream()
+                .filter(state -> state.held().isPresent() || state.busy() > 0)
+                .map(GroupState::group)
+                .toList();
+    }
+
+    private void watchEndpoints() {
+        Set<String> services = held().stream().map(GroupId::service).collect(Collectors.toSet());
+        Map<String, EndpointId> wanted = new HashMap<>();
+        for (EndpointRecord endpoint : mView.state().endpoints().values()) {
+            if (services.contains(endpoint.service())) {
+                wanted.put(endpoint.id() + " " + endpoint.statusAddress(), endpoint.id());
+            }
+        }
+        Set.copyOf(mWatched.keySet()).stream()
+                .filter(key -> !wanted.containsKey(key))
+                .forEach(key -> mWatch.unwatch(mWatched.remove(key)));
+        wanted.forEach(
+                (key, endpoint) -> {
+                    if (mWatched.put(key, endpoint) == null) {
+                        mWatch.watch(endpoint, key.substring(key.indexOf(' ') + 1));
+                    }
+                });
+    }
+
+    private void step(GroupId group, GroupInput input) {
+        GroupState state = mGroups.computeIfAbsent(group, GroupState::of);
+        Decision<GroupState, GroupAction> decision =
+                mCoordinator.step(state, input, System.nanoTime());
+        mGroups.put(group, decision.state());
+        decision.actions().forEach(action -> perform(group, action));
+        boolean urgent =
+                state.droppedTerm() != decision.state().droppedTerm()
+                        || state.released() != decision.state().released();
+        if (urgent) {
+            report(true);
+        }
+    }
+
+    private void perform(GroupId group, GroupAction action) {
+        if (action instanceof GroupAction.OpenConnection open) {
+            Optional<EndpointRecord> endpoint =
+                    Optional.ofNullable(mView.state().endpoints().get(open.endpoint()));
+            mConnections.open(group, open, endpoint.map(EndpointRecord::address));
+        } else if (action instanceof GroupAction.CloseConnection close) {
+            mConnections.close(group, close.connection());
+        } else if (action instanceof GroupAction.SendCommand send) {
+            mConnections.send(group, send);
+        } else if (action instanceof GroupAction.Reply reply) {
+            mListener.replied(reply.origin(), reply.request(), reply.outcome());
+        } else if (action instanceof GroupAction.LogRoute route) {
+            log(group, route);
+        } else if (action instanceof GroupAction.SuspectEndpoint suspect) {
+            mListener.suspected(suspect.endpoint());
+        } else if (action instanceof GroupAction.TokensNeeded) {
+            report(true);
+        } else if (action instanceof GroupAction.Released) {
+            report(true);
+        }
+    }
+
+    private void log(GroupId group, GroupAction.LogRoute route) {
+        mLog.write(
+                "request "
+                        + route.request()
+                        + " of "
+                        + route.workspace()
+                        + " from "
+                        + route.origin()
+                        + " for "
+                        + group
+                        + " goes to "
+                        + route.endpoint()
+                        + ": "
+                        + route.reason(),
+                System.nanoTime());
+    }
+
+    private void report(boolean urgent) {
+        long now = System.nanoTime();
+        List<HeldLease> leases =
+                mGroups.values().stream().flatMap(state -> state.held().stream()).toList();
+        Map<WorkspaceId, TokenDemand> demands = new TreeMap<>();
+        mGroups.values().stream()
+                .flatMap(state -> state.demands(now).stream())
+                .forEach(d -> demands.merge(d.workspace(), d, GroupsDuty::sum));
+        mListener.reportChanged(
+                leases, List.copyOf(demands.values()), urgent || !leases.equals(mLastHeld));
+        mLastHeld = leases;
+        mNextReportNanos = now + REPORT_NANOS;
+    }
+
+    private static TokenDemand sum(TokenDemand a, TokenDemand b) {
+        return new TokenDemand(
+                a.workspace(), a.wanted() + b.wanted(), a.spentTotal() + b.spentTotal());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsEvent.java
@@ -0,0 +1,69 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.util.Objects;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.entryhosts.ForwardedRequest;
+
+/** Is what the groups duty reacts to. */
+public sealed interface GroupsEvent {
+    /** A request came, from this host or over the link that the origin names. */
+    record Arrived(HostId origin, ForwardedRequest request) implements GroupsEvent {
+        /** Checks that no part is null. */
+        public Arrived {
+            Objects.requireNonNull(origin, "origin");
+            Objects.requireNonNull(request, "request");
+        }
+    }
+
+    /** The control view changed; its new tokens are given out. */
+    record ViewChanged(ControlView view) implements GroupsEvent {
+        /** Checks that the view is not null. */
+        public ViewChanged {
+            Objects.requireNonNull(view, "view");
+        }
+    }
+
+    /** A connection is open. */
+    record Opened(GroupId group, long connection, DatabaseClient client) implements GroupsEvent {
+        /** Checks that no part is null. */
+        public Opened {
+            Objects.requireNonNull(group, "group");
+            Objects.requireNonNull(client, "client");
+        }
+    }
+
+    /** A connection could not be opened or was closed by the other side. */
+    record Failed(GroupId group, long connection, Failure failure) implements GroupsEvent {
+        /** Checks that no part is null. */
+        public Failed {
+            Objects.requireNonNull(group, "group");
+            Objects.requireNonNull(failure, "failure");
+        }
+    }
+
+    /** A command ended. */
+    record Finished(GroupId group, long connection, long command, DatabaseResult result)
+            implements GroupsEvent {
+        /** Checks that no part is null. */
+        public Finished {
+            Objects.requireNonNull(group, "group");
+            Objects.requireNonNull(result, "result");
+        }
+    }
+
+    /** The status monitor saw something of an endpoint. */
+    record Observed(EndpointObservation observation) implements GroupsEvent {
+        /** Checks that the observation is not null. */
+        public Observed {
+            Objects.requireNonNull(observation, "observation");
+        }
+    }
+
+    /** The host stops and gives its leases back. */
+    record HandoverRequested() implements GroupsEvent {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinks.java
@@ -0,0 +1,169 @@
+package org.crocusturn.daemon.entryhosts;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.entryhosts.ForwardedReply;
+import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.LinkClient;
+import org.crocusturn.daemon.net.LinkServer;
+import org.crocusturn.daemon.net.NetThreads;
+import org.crocusturn.daemon.net.PeerLink;
+import org.crocusturn.daemon.net.PeerLinkHandler;
+import org.crocusturn.daemon.net.SharedSecret;
+
+/**
+ * Holds the links between this entry host and the others, in both directions.
+ *
+ * <p>Safe for any thread. A reply goes to the link that its request came over and to no later one,
+ * so that a restarted process cannot get the reply to a request of its predecessor.
+ */
+public final class EntryLinks implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(EntryLinks.class);
+
+    private final NetThreads mThreads;
+    private final HostId mSelf;
+    private final SharedSecret mSecret;
+    private final EntryLinksListener mListener;
+    private final Map<String, LinkClient> mClients = new ConcurrentHashMap<>();
+    private final Map<HostId, PeerLink> mOrigins = new ConcurrentHashMap<>();
+    private final Map<PeerLink, HostId> mOriginOfLink = new ConcurrentHashMap<>();
+    private final AtomicLong mNextLink = new AtomicLong(1);
+    private final LinkServer mServer;
+
+    private EntryLinks(
+            NetThreads threads,
+            InetSocketAddress address,
+            HostId self,
+            SharedSecret secret,
+            EntryLinksListener listener) {
+        mThreads = threads;
+        mSelf = self;
+        mSecret = secret;
+        mListener = listener;
+        mServer = LinkServer.start(threads, address, self, secret, new FromOthers());
+    }
+
+    /**
+     * Starts to accept links of other entry hosts.
+     *
+     * @param threads I/O threads
+     * @param address address to bind
+     * @param self this host
+     * @param secret secret that all processes of the system share
+     * @param listener takes requests, replies and lost links
+     */
+    public static EntryLinks start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HostId self,
+            SharedSecret secret,
+            EntryLinksListener listener) {
+        return new EntryLinks(
+                threads, address, self, secret, Objects.requireNonNull(listener, "listener"));
+    }
+
+    /** Returns the address where other entry hosts reach this one. */
+    public InetSocketAddress address() {
+        return mServer.address();
+    }
+
+    /** Opens links to the given addresses ahead of need and closes those to all others. */
+    public void keep(Set<String> addresses) {
+        addresses.forEach(this::client);
+        Set<String> unused = new HashSet<>(mClients.keySet());
+        unused.removeAll(addresses);
+        unused.forEach(
+                address -> {
+                    LinkClient client = mClients.remove(address);
+                    if (client != null) {
+                        client.close();
+                    }
+                });
+    }
+
+    /** Forwards a request; false if it was not sent. */
+    public boolean forward(String address, ForwardedRequest request) {
+        return client(address).send(request);
+    }
+
+    /** Replies to a request that came from an origin; a closed link drops the reply. */
+    public void reply(HostId origin, long request, Outcome outcome) {
+        PeerLink link = mOrigins.get(origin);
+        if (link != null && !link.send(new ForwardedReply(request, outcome))) {
+            LOG.warn("entryhosts: the link to {} takes no reply, it is closed", link.peer());
+            link.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        mClients.values().forEach(LinkClient::close);
+        mServer.close();
+    }
+
+    private LinkClient client(String address) {
+        return mClients.computeIfAbsent(
+                address,
+                text ->
+                        LinkClient.start(
+                                mThreads, Addresses.parse(text), mSelf, mSecret, new ToOthers()));
+    }
+
+    /** Takes what comes over links that others opened: their requests. */
+    private final class FromOthers implements PeerLinkHandler {
+        @Override
+        public void onOpen(PeerLink link) {
+            HostId origin = HostId.of(link.peer() + "." + mNextLink.getAndIncrement());
+            mOriginOfLink.put(link, origin);
+            mOrigins.put(origin, link);
+        }
+
+        @Override
+        public void onMessage(PeerLink link, PeerMessage message) {
+            HostId origin = mOriginOfLink.get(link);
+            if (origin != null && message instanceof ForwardedRequest request) {
+                mListener.requested(origin, request);
+            }
+        }
+
+        @Override
+        public void onClosed(PeerLink link) {
+            HostId origin = mOriginOfLink.remove(link);
+            if (origin != null) {
+                mOrigins.remove(origin);
+            }
+        }
+    }
+
+    /** Takes what comes over links that this host opened: replies. */
+    private final class ToOthers implements PeerLinkHandler {
+        @Override
+        public void onOpen(PeerLink link) {
+            LOG.info("entryhosts: link to {} is open", link.peer());
+        }
+
+        @Override
+        public void onMessage(PeerLink link, PeerMessage message) {
+            if (message instanceof ForwardedReply reply) {
+                mListener.replied(reply.id(), reply.outcome());
+            }
+        }
+
+        @Override
+        public void onClosed(PeerLink link) {
+            LOG.info("entryhosts: link to {} is closed", link.peer());
+            mListener.lost(link.peer());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderPorts.java
@@ -0,0 +1,35 @@
+package org.crocusturn.daemon.entryhosts;
+
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.operators.ControlCommand;
+
+/** Connects the leader duty with its control host; called from the thread of the duty. */
+public interface LeaderPorts {
+    /** Returns whether the leader lease of this host is valid now. */
+    boolean leads();
+
+    /** Returns the host that leads as far as this one knows. */
+    Optional<HostId> leaderHint();
+
+    /** Proposes a command; its fate is seen when it is applied. */
+    void propose(ControlCommand command);
+
+    /** Sends a message over the link of an entry host, if there is one. */
+    void send(HostId host, PeerMessage message);
+
+    /** Sends a command to an endpoint; the result comes back as an event. */
+    void order(String statusAddress, EndpointCommand command);
+
+    /** Starts to watch an endpoint. */
+    void watch(EndpointId endpoint, String statusAddress);
+
+    /** Ends the watching of an endpoint. */
+    void unwatch(EndpointId endpoint);
+
+    /** Lets learners that have caught up vote; a refused promotion is tried again later. */
+    void promoteLearners();
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -1,8 +1,8 @@
 package org.crocusturn.daemon.net;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
@@ -79,10 +79,7 @@
                         .timeout(REQUEST_TIMEOUT)
                         .header(
                                 "Authorization",
-                                "Bearer "
-                                        + new String(
-                                                mSecret.bytes(),
-                                                java.nio.charset.StandardCharsets.UTF_8))
+                                "Bearer " + mSecret.text())
                         .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
         changeId.ifPresent(id -> request.header("Crocusturn-Change-Id", id));
         try {
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
@@ -1,6 +1,8 @@
 package org.crocusturn.daemon.platform;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -27,7 +29,7 @@
     private final Duration mDrainLimit;
     private final Consumer<Phase> mOnPhase;
     private Lifecycle mLifecycle;
-    private int mBusy;
+    private final Map<String, Integer> mBusy = new HashMap<>();
 
     private LifecycleDuty(
             Duration balancerDelay, Duration drainLimit, Consumer<Phase> onPhase, long nowNanos) {
@@ -60,16 +62,20 @@
         } else if (event instanceof LifecycleEvent.StopRequested) {
             moveTo(mLifecycle.withStopRequested(nowNanos));
         } else if (event instanceof LifecycleEvent.BusyChanged changed) {
-            mBusy = changed.busy();
+            mBusy.put(changed.part(), changed.busy());
         }
     }
 
     @Override
     public long onTimer(long nowNanos) {
-        moveTo(mLifecycle.at(nowNanos, mBalancerDelay, mBusy, mDrainLimit));
+        moveTo(mLifecycle.at(nowNanos, mBalancerDelay, busy(), mDrainLimit));
         return nowNanos + TICK_NANOS;
     }
 
+    private int busy() {
+        return mBusy.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     private void moveTo(Lifecycle next) {
         if (next.phase() != mLifecycle.phase()) {
             LOG.info("platform: phase {} follows {}", next.phase(), mLifecycle.phase());
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleEvent.java
@@ -19,6 +19,16 @@
     /** The platform asks the process to stop. */
     record StopRequested() implements LifecycleEvent {}
 
-    /** The number of requests and leases that are left changed. */
-    record BusyChanged(int busy) implements LifecycleEvent {}
+    /**
+     * The work that one part has left changed.
+     *
+     * @param part name of the part
+     * @param busy number of its requests or leases
+     */
+    record BusyChanged(String part, int busy) implements LifecycleEvent {
+        /** Checks that the part is not null. */
+        public BusyChanged {
+            Objects.requireNonNull(part, "part");
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/Secret.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/Secret.java
@@ -56,6 +56,11 @@
         return mBytes.clone();
     }
 
+    /** Returns the text, for protocols that send it. */
+    public String text() {
+        return new String(mBytes, StandardCharsets.UTF_8);
+    }
+
     /** Returns whether a text is this secret; takes the same time for any text of equal length. */
     public boolean matches(String text) {
         return MessageDigest.isEqual(mBytes, text.getBytes(StandardCharsets.UTF_8));
