--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/LogRecordCodecTest.java
@@ -0,0 +1,58 @@
+package org.crocusturn.daemon.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.controlhosts.LogEntry;
+import org.crocusturn.daemon.controlhosts.ProtobufLogCodec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a restart that reads another state than the one that was stored. */
+class LogRecordCodecTest {
+    private static final ProtobufLogCodec CODEC = ProtobufLogCodec.create();
+
+    static Stream<LogEntry> entries() {
+        return WireSamples.entries();
+    }
+
+    @ParameterizedTest
+    @MethodSource("entries")
+    void keepsEntries(LogEntry entry) {
+        assertEquals(entry, CODEC.decodeEntry(CODEC.encodeEntry(entry)));
+    }
+
+    @Test
+    void keepsSnapshotsInEqualBytes() {
+        byte[] bytes = CODEC.encodeSnapshot(WireSamples.snapshot());
+        assertEquals(WireSamples.snapshot(), CODEC.decodeSnapshot(bytes));
+        assertArrayEquals(bytes, CODEC.encodeSnapshot(CODEC.decodeSnapshot(bytes)));
+    }
+
+    /** Guards against a cut snapshot that is taken for a smaller state. */
+    @Test
+    void refusesSnapshotsWithoutState() {
+        byte[] bytes = CODEC.encodeSnapshot(WireSamples.snapshot());
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] cut = Arrays.copyOf(bytes, length);
+            assertThrows(CrocusturnException.class, () -> CODEC.decodeSnapshot(cut));
+        }
+    }
+
+    @Property(tries = 1_000, seed = "1")
+    void survivesRandomBytes(@ForAll byte[] bytes) {
+        assertThrows(CrocusturnException.class, () -> decodeBoth(bytes));
+    }
+
+    private static void decodeBoth(byte[] bytes) {
+        CODEC.decodeEntry(bytes);
+        CODEC.decodeSnapshot(bytes);
+    }
+}
