--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/DrainWatchTest.java
@@ -0,0 +1,46 @@
+package org.crocusturn.daemon.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against callers that hold answers, and against cutting off those that read steadily. */
+class DrainWatchTest {
+    private static final int WAITING = 65_536;
+
+    @ParameterizedTest
+    @CsvSource({"0, false", "1, false", "16384, true", "65536, true"})
+    void closesUnlessEnoughIsRead(int readBytes, boolean open) {
+        DrainWatch watch = new DrainWatch(Duration.ofSeconds(1));
+        EmbeddedChannel channel = new EmbeddedChannel(new ChannelDuplexHandler());
+        channel.freezeTime();
+        ChannelHandlerContext context = channel.pipeline().firstContext();
+        channel.write(Unpooled.wrappedBuffer(new byte[WAITING]));
+        watch.start(context);
+
+        // An embedded channel writes everything at a flush, so what is not read is added again.
+        channel.flush();
+        if (readBytes < WAITING) {
+            channel.write(Unpooled.wrappedBuffer(new byte[WAITING - readBytes]));
+        }
+        watch.start(context);
+        advance(channel);
+        assertEquals(open, channel.isOpen());
+
+        advance(channel);
+        assertEquals(readBytes == WAITING, channel.isOpen());
+        channel.finishAndReleaseAll();
+    }
+
+    private static void advance(EmbeddedChannel channel) {
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/FrameRelay.java
@@ -0,0 +1,119 @@
+package org.crocusturn.daemon.net;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stands between the ends of links and passes their frames on, changes them or holds them back. */
+final class FrameRelay implements AutoCloseable {
+    final AtomicInteger mConnections = new AtomicInteger();
+    final AtomicInteger mFramesOfClient = new AtomicInteger();
+    private final ExecutorService mExecutor = Executors.newCachedThreadPool();
+    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private final ServerSocket mListener;
+    private final InetSocketAddress mTarget;
+    private volatile Tampering mOfClient = (number, frame) -> List.of(frame);
+    private volatile Tampering mOfServer = (number, frame) -> List.of(frame);
+    private volatile boolean mFrozen;
+    private volatile CountDownLatch mStall = new CountDownLatch(0);
+
+    FrameRelay(InetSocketAddress target) throws IOException {
+        mTarget = target;
+        mListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mExecutor.execute(this::accept);
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) mListener.getLocalSocketAddress();
+    }
+
+    void tamper(boolean framesOfServer, Tampering tampering) {
+        if (framesOfServer) {
+            mOfServer = tampering;
+        } else {
+            mOfClient = tampering;
+        }
+    }
+
+    /** Keeps all connections open but passes nothing on. */
+    void freeze() {
+        mFrozen = true;
+    }
+
+    /** Reads nothing any more until the relay is closed. */
+    void stall() {
+        mStall = new CountDownLatch(1);
+    }
+
+    void cut() {
+        mSockets.forEach(FrameRelay::close);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mListener.close();
+        cut();
+        mExecutor.shutdownNow();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket client = mListener.accept();
+                Socket server = new Socket(mTarget.getAddress(), mTarget.getPort());
+                mSockets.addAll(List.of(client, server));
+                mConnections.incrementAndGet();
+                mExecutor.execute(() -> pass(client, server, false));
+                mExecutor.execute(() -> pass(server, client, true));
+            }
+        } catch (IOException | RejectedExecutionException e) {
+            cut();
+        }
+    }
+
+    private void pass(Socket from, Socket to, boolean ofServer) {
+        try {
+            DataInputStream in = new DataInputStream(from.getInputStream());
+            DataOutputStream out = new DataOutputStream(to.getOutputStream());
+            for (int number = 0; true; number++) {
+                byte[] frame = in.readNBytes(in.readInt());
+                if (!ofServer) {
+                    mFramesOfClient.incrementAndGet();
+                }
+                Tampering tampering = ofServer ? mOfServer : mOfClient;
+                mStall.await();
+                for (byte[] changed : mFrozen ? List.<byte[]>of() : tampering.on(number, frame)) {
+                    out.writeInt(changed.length);
+                    out.write(changed);
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            close(from);
+            close(to);
+        }
+    }
+
+    private static void close(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Decides what becomes of one frame of one connection. */
+    interface Tampering {
+        List<byte[]> on(int number, byte[] frame);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
@@ -0,0 +1,317 @@
+package org.crocusturn.daemon.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against crossed answers and against callers that hold memory or connections. */
+class HttpServerConnectionTest {
+    private static final int MAX_BODY = 1_000;
+    private static final int MAX_PIPELINED = 4;
+    private static final Duration LONG = Duration.ofMinutes(5);
+    private static final Duration SHORT = Duration.ofMillis(300);
+
+    private final BlockingQueue<HttpExchange> mExchanges = new LinkedBlockingQueue<>();
+    private NetThreads mThreads;
+    private HttpServer mServer;
+
+    @BeforeEach
+    void start() {
+        mThreads = NetThreads.start("test", 1);
+        mServer = serve(LONG, LONG, mExchanges::add);
+    }
+
+    @AfterEach
+    void stop() {
+        mServer.close();
+        mThreads.close();
+    }
+
+    /** Guards against an answer that reaches another request of the same connection. */
+    @Test
+    void answersInOrderOfRequests() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0") + get("/1") + get("/2") + get("/3"));
+            List<HttpExchange> exchanges = take(4);
+            Collections.reverse(exchanges);
+            exchanges.forEach(HttpServerConnectionTest::echo);
+            for (int n = 0; n < 4; n++) {
+                assertEquals("200 /" + n, client.read());
+            }
+        }
+    }
+
+    /** Guards against one read that dispatches more requests than may wait. */
+    @Test
+    void stopsToReadAtTheLimitOfPipelinedRequests() throws Exception {
+        int requests = 1_000;
+        AtomicInteger waiting = new AtomicInteger();
+        AtomicInteger most = new AtomicInteger();
+        mServer.close();
+        mServer =
+                serve(
+                        LONG,
+                        LONG,
+                        exchange -> {
+                            most.accumulateAndGet(waiting.incrementAndGet(), Math::max);
+                            mExchanges.add(exchange);
+                        });
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            StringBuilder all = new StringBuilder();
+            for (int n = 0; n < requests; n++) {
+                all.append(get("/" + n));
+            }
+            client.send(all.toString());
+            for (int n = 0; n < requests; n++) {
+                HttpExchange exchange = take(1).get(0);
+                waiting.decrementAndGet();
+                echo(exchange);
+                assertEquals("200 /" + n, client.read());
+            }
+        }
+        assertTrue(most.get() <= MAX_PIPELINED, "most " + most.get());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '"',
+            value = {
+                "GET / HTTP/1.1~host: a~authorization: x~authorization: x~~, 400",
+                "GET / HTTP/1.1~host: a~Crocusturn-Session: x~crocusturn-session: y~~, 400",
+                "GET / HTTP/1.1~host: a~host: a~~, 400",
+                "GET / HTTP/1.1~~, 400",
+                "GET /~host: a~~, 400",
+                "GET / HTTP/2.0~host: a~~, 400",
+                "GET / HTTP/1.1~host: a~no colon~~, 400",
+                "POST / HTTP/1.1~host: a~content-length: 1~content-length: 2~~ab, 400",
+                "POST / HTTP/1.1~host: a~content-length: -1~~, 400",
+                "POST / HTTP/1.1~host: a~content-length: 1x~~a, 400",
+                "POST / HTTP/1.1~host: a~transfer-encoding: gzip~~a, 400",
+                "POST / HTTP/1.1~host: a~transfer-encoding: chunked~~zz~~, 400",
+                "POST / HTTP/1.1~host: a~content-length: 1001~~, 413",
+                "POST / HTTP/1.1~host: a~content-length: 99999999999~~, 413",
+                "POST / HTTP/1.1~host: a~expect: 100-continue~content-length: 1001~~, 413"
+            })
+    void refusesMalformedRequests(String request, int status) throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(request.replace("~", "\r\n"));
+            String answer = client.read();
+            String code = status == 413 ? "too_large" : "malformed_request";
+            assertTrue(answer.startsWith(status + " {\"code\":\"" + code), answer);
+            assertTrue(answer.endsWith("\"verdict\":\"not_run\"}"), answer);
+            assertTrue(client.readToEnd());
+        }
+        assertTrue(mExchanges.isEmpty());
+    }
+
+    /** Guards against a reset that destroys the refusal while the caller still sends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"content-length: 3000000", "transfer-encoding: chunked"})
+    void refusesLongBodiesReadably(String length) throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send("POST / HTTP/1.1\r\nhost: a\r\n" + length + "\r\n\r\n");
+            String part = "1f4\r\n" + "x".repeat(500) + "\r\n";
+            client.send(part.repeat(2_000));
+            assertTrue(client.read().startsWith("413 "));
+        }
+    }
+
+    /** Guards against bodies whose parts hold more memory than their bytes. */
+    @Test
+    void takesBodiesInSmallParts() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send("POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+            client.send("1\r\ny\r\n".repeat(MAX_BODY) + "0\r\n\r\n");
+            HttpExchange exchange = take(1).get(0);
+            assertEquals("y".repeat(MAX_BODY), text(exchange.request().body()));
+            exchange.forgetRequest();
+            exchange.respond(HttpAnswer.json(200, new byte[0]));
+            assertEquals("200", client.read());
+        }
+    }
+
+    /** Guards against requests that run although their answer can no longer be sent. */
+    @Test
+    void ignoresRequestsAfterTheLast() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send("GET /0 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n" + get("/1"));
+            echo(take(1).get(0));
+            assertEquals("200 /0", client.read());
+            assertTrue(client.readToEnd());
+            assertTrue(mExchanges.isEmpty());
+        }
+    }
+
+    /** Guards against accepted requests whose answers are dropped when the host stops. */
+    @Test
+    void answersWhatItAcceptedBeforeItCloses() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0") + get("/1"));
+            List<HttpExchange> exchanges = take(2);
+            exchanges.get(0).respond(HttpAnswer.json(503, new byte[0]).withClose());
+            assertEquals("503", client.read());
+            echo(exchanges.get(1));
+            assertEquals("200 /1", client.read());
+            assertTrue(client.readToEnd());
+        }
+    }
+
+    /** Guards against an interim answer that is taken for that of an earlier request. */
+    @Test
+    void continuesOnlyAfterEarlierAnswers() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0"));
+            HttpExchange first = take(1).get(0);
+            client.send(
+                    "POST /1 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+                            + "content-length: 1\r\n\r\n");
+            echo(first);
+            assertEquals("200 /0", client.read());
+            assertEquals("100", client.read());
+            client.send("b");
+            echo(take(1).get(0));
+            assertEquals("200 /1", client.read());
+        }
+    }
+
+    /** Guards against callers that hold a connection by sending a request slowly or not at all. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"", "POST / HT", "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\na"})
+    void closesSlowSenders(String part) throws Exception {
+        mServer.close();
+        mServer = serve(SHORT, part.isEmpty() ? SHORT : LONG, mExchanges::add);
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(part);
+            assertTrue(client.readToEnd());
+        }
+        assertTrue(mExchanges.isEmpty());
+    }
+
+    /** Guards against callers that hold answers in memory by not reading them. */
+    @Test
+    void closesSlowReaders() throws Exception {
+        mServer.close();
+        mServer = serve(SHORT, LONG, mExchanges::add);
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0"));
+            take(1).get(0).respond(HttpAnswer.json(200, new byte[64 << 20]));
+            Await.until("the connection is closed", () -> mServer.connections() == 0);
+        }
+    }
+
+    /** Guards against large answers that are cut or that block the next one. */
+    @Test
+    void sendsLargeAnswersWhole() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0") + get("/1"));
+            String large = "x".repeat(8 << 20);
+            byte[] body = large.getBytes(StandardCharsets.UTF_8);
+            take(2).forEach(exchange -> exchange.respond(HttpAnswer.json(200, body)));
+            assertTrue(client.read().equals("200 " + large));
+            assertTrue(client.read().equals("200 " + large));
+        }
+    }
+
+    /** Guards against answers to connections that are gone. */
+    @Test
+    void survivesAbruptCloses() throws Exception {
+        RawHttpClient gone = new RawHttpClient(mServer.address());
+        gone.send(get("/0") + "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\na");
+        HttpExchange late = take(1).get(0);
+        gone.reset();
+        Await.until("the connection is closed", () -> mServer.connections() == 0);
+        echo(late);
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/1"));
+            echo(take(1).get(0));
+            assertEquals("200 /1", client.read());
+        }
+    }
+
+    /** Guards against a caller that waits for ever because a handler failed. */
+    @Test
+    void answersWhenTheHandlerFails() throws Exception {
+        mServer.close();
+        mServer =
+                serve(
+                        LONG,
+                        LONG,
+                        exchange -> {
+                            throw new IllegalStateException("fault of the test");
+                        });
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0"));
+            String answer = client.read();
+            assertTrue(answer.startsWith("500 "), answer);
+            assertTrue(answer.contains("may_have_run"), answer);
+            assertFalse(answer.contains("fault of the test"), answer);
+        }
+    }
+
+    /** Guards against more connections than the host has memory for. */
+    @Test
+    void closesConnectionsOverTheLimit() throws Exception {
+        try (RawHttpClient first = new RawHttpClient(mServer.address());
+                RawHttpClient second = new RawHttpClient(mServer.address())) {
+            Await.until("two connections are open", () -> mServer.connections() == 2);
+            try (RawHttpClient third = new RawHttpClient(mServer.address())) {
+                assertTrue(third.readToEnd());
+            }
+            first.send(get("/0"));
+            second.send(get("/0"));
+            take(2).forEach(HttpServerConnectionTest::echo);
+            assertEquals("200 /0", first.read());
+            assertEquals("200 /0", second.read());
+        }
+    }
+
+    private HttpServer serve(Duration requestTimeout, Duration idleTimeout, HttpHandler handler) {
+        return HttpServer.start(
+                mThreads,
+                new InetSocketAddress("127.0.0.1", 0),
+                new HttpLimits(MAX_BODY, MAX_PIPELINED, requestTimeout, idleTimeout, 2),
+                handler);
+    }
+
+    private List<HttpExchange> take(int count) throws InterruptedException {
+        List<HttpExchange> result = new ArrayList<>();
+        while (result.size() < count) {
+            HttpExchange next = mExchanges.poll(20, TimeUnit.SECONDS);
+            assertNotNull(next, "a request did not arrive");
+            result.add(next);
+        }
+        return result;
+    }
+
+    private static void echo(HttpExchange exchange) {
+        byte[] path = exchange.request().path().getBytes(StandardCharsets.UTF_8);
+        exchange.respond(HttpAnswer.json(200, path));
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nhost: a\r\n\r\n";
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
