--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/FakeEndpoint.java
@@ -0,0 +1,102 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.Role;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.operators.EndpointRecord;
+
+/** Is a database instance that keeps the rules of the database protocol. */
+final class FakeEndpoint {
+    /** Is one entry of a copy's log. */
+    record Entry(long term, long id) {}
+
+    static final class Copy {
+        Role mRole = Role.REPLICA;
+        long mTerm;
+        long mFollows = -1;
+        List<Entry> mLog = new ArrayList<>();
+
+        LogPosition position() {
+            long term = mLog.isEmpty() ? 0 : mLog.get(mLog.size() - 1).term();
+            return LogPosition.of(term, mLog.size());
+        }
+    }
+
+    final EndpointRecord mRecord;
+    final Map<String, Copy> mCopies = new TreeMap<>();
+    long mDownUntil;
+    long mFrozenUntil;
+
+    FakeEndpoint(EndpointRecord record) {
+        mRecord = record;
+        record.databases().forEach(d -> mCopies.put(d.name(), new Copy()));
+    }
+
+    boolean isUp(long now) {
+        return now >= mDownUntil && now >= mFrozenUntil;
+    }
+
+    void crash(long until) {
+        mDownUntil = until;
+        for (Copy copy : mCopies.values()) {
+            copy.mRole = Role.REPLICA;
+            copy.mFollows = -1;
+        }
+    }
+
+    CopyStatus status(String database) {
+        Copy copy = mCopies.get(database);
+        long lag = copy.mRole == Role.PRIMARY || copy.mFollows >= 0 ? 0 : Long.MAX_VALUE;
+        return new CopyStatus(database, copy.mRole, copy.mTerm, copy.position(), lag);
+    }
+
+    List<CopyStatus> statuses() {
+        return mCopies.keySet().stream().map(this::status).toList();
+    }
+
+    CopyStatus run(EndpointCommand command) {
+        Copy copy = mCopies.get(command.database());
+        if (command instanceof EndpointCommand.Fence fence && fence.term() > copy.mTerm) {
+            copy.mTerm = fence.term();
+            copy.mRole = Role.REPLICA;
+            copy.mFollows = -1;
+        } else if (command instanceof EndpointCommand.Promote promote
+                && promote.term() >= copy.mTerm) {
+            copy.mTerm = promote.term();
+            copy.mRole = Role.PRIMARY;
+        } else if (command instanceof EndpointCommand.Follow follow
+                && follow.term() >= copy.mTerm) {
+            copy.mTerm = follow.term();
+            copy.mRole = Role.REPLICA;
+            copy.mFollows = Integer.parseInt(follow.primaryStatusAddress().split(":")[1]);
+        }
+        return status(command.database());
+    }
+
+    boolean append(String database, Entry entry) {
+        Copy copy = mCopies.get(database);
+        boolean accepts = copy.mRole == Role.PRIMARY && copy.mTerm == entry.term();
+        return accepts && copy.mLog.add(entry);
+    }
+
+    /** Takes up to a number of entries over from the primary that the copy follows. */
+    static void replicate(Copy from, Copy to, int limit) {
+        if (from.mRole != Role.PRIMARY || from.mTerm != to.mTerm) {
+            return;
+        }
+        int same = 0;
+        int shortest = Math.min(from.mLog.size(), to.mLog.size());
+        while (same < shortest && from.mLog.get(same).equals(to.mLog.get(same))) {
+            same++;
+        }
+        int end = Math.min(from.mLog.size(), same + limit);
+        List<Entry> next = new ArrayList<>(to.mLog.subList(0, same));
+        next.addAll(from.mLog.subList(same, end));
+        to.mLog = next;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/SimulatedWorld.java
@@ -0,0 +1,471 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.ControlStateMachine;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+
+/**
+ * Runs a control leader with fake hosts and endpoints in simulated time. The seed decides all
+ * delays, losses, duplicates and faults, so a run can be repeated.
+ */
+final class SimulatedWorld {
+    static final long MS = 1_000_000L;
+    static final List<DataCentreId> CENTRES =
+            List.of(DataCentreId.of("north"), DataCentreId.of("south"));
+
+    private record Event(long at, long order, Runnable action) {}
+
+    private record Write(FakeEntryHost host, long incarnation, GroupId group, long term, long id) {}
+
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    final SplittableRandom mRandom;
+    private final UnaryOperator<LeaderState> mFault;
+    private final boolean mCalm;
+    private final ControlLeader mLogic = ControlLeader.standard();
+    final Map<HostId, FakeEntryHost> mHosts = new TreeMap<>();
+    final Map<EndpointId, FakeEndpoint> mEndpoints = new TreeMap<>();
+    final Map<WorkspaceId, Double> mLoad = new TreeMap<>();
+    private final Map<WorkspaceId, double[]> mUsed = new HashMap<>();
+    private final Map<GroupId, Set<Long>> mAcknowledged = new TreeMap<>();
+    final List<String> mViolations = new ArrayList<>();
+    private List<ControlCommand> mPending = new ArrayList<>();
+    ControlState mControl = ControlState.EMPTY;
+    private LeaderState mLeader = LeaderState.idle();
+    private FakeClock mLeaderClock;
+    private boolean mLeads;
+    private long mTerm;
+    private long mStalledUntil;
+    private long mNow;
+    private long mOrder;
+    private long mIds;
+    long mAcks;
+    long mSpends;
+    long mLongestWait;
+    long mPromotions;
+    long mAssignments;
+
+    SimulatedWorld(long seed, boolean calm, UnaryOperator<LeaderState> fault) {
+        mRandom = new SplittableRandom(seed);
+        mCalm = calm;
+        mFault = fault;
+        for (int i = 0; i < 4; i++) {
+            HostId id = HostId.of("entry-" + i);
+            FakeEntryHost host =
+                    new FakeEntryHost(id, CENTRES.get(i % 2), clock(), mRandom.nextLong());
+            mHosts.put(id, host);
+            every(200 * MS, () -> report(host));
+        }
+        for (int i = 0; i < 3; i++) {
+            FakeEndpoint endpoint = new FakeEndpoint(record(i));
+            mEndpoints.put(endpoint.mRecord.id(), endpoint);
+            every(100 * MS, () -> observe(endpoint));
+            every(1000 * MS, () -> announce(endpoint));
+        }
+        for (int i = 0; i < 4; i++) {
+            mLoad.put(WorkspaceId.of("w" + i), calm ? 0.5 : i == 0 ? 5.0 : 0.9);
+        }
+        commit(new ControlCommand.ApplyConfiguration("first", configuration()));
+        every(20 * MS, this::tick);
+        every(10 * MS, this::replicate);
+        every(10 * MS, this::work);
+        lead();
+        if (!calm) {
+            every(400 * MS, this::fault);
+        }
+    }
+
+    private static EndpointRecord record(int i) {
+        List<DatabaseRecord> databases =
+                List.of(new DatabaseRecord("a", 2, 16), new DatabaseRecord("b", 2, 16));
+        return new EndpointRecord(
+                EndpointId.of("db-" + i),
+                "s",
+                CENTRES.get(i % 2),
+                "127.0.0.1:" + i,
+                "127.0.0.1:" + i,
+                databases,
+                false);
+    }
+
+    private static Configuration configuration() {
+        List<Workspace> workspaces = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Map<String, String> placed = i < 2 ? Map.of("s", i == 0 ? "a" : "b") : Map.of();
+            RateLimit rate = new RateLimit(i == 3 ? 4 : 60, i == 3 ? 4 : 30);
+            workspaces.add(new Workspace(WorkspaceId.of("w" + i), rate, Set.of("s"), placed));
+        }
+        Service service =
+                new Service("s", List.of("a", "b"), 3, 2, 16, AcknowledgeMode.DURABLE, true);
+        return new Configuration(1, CENTRES, workspaces, List.of(service), List.of());
+    }
+
+    private FakeClock clock() {
+        return new FakeClock(0.99 + mRandom.nextDouble() * 0.02, mRandom.nextLong() >> 4);
+    }
+
+    /** Runs until a time and returns what was violated, at most the first few. */
+    List<String> run(long untilNanos) {
+        while (!mEvents.isEmpty() && mEvents.peek().at() <= untilNanos && mViolations.size() < 5) {
+            Event event = mEvents.poll();
+            mNow = event.at();
+            event.action().run();
+            checkLeases();
+        }
+        return mViolations;
+    }
+
+    private void after(long delay, Runnable action) {
+        mEvents.add(new Event(mNow + Math.max(1, delay), mOrder++, action));
+    }
+
+    private void every(long period, Runnable action) {
+        after(
+                (long) (period * (0.9 + 0.2 * mRandom.nextDouble())),
+                () -> {
+                    action.run();
+                    every(period, action);
+                });
+    }
+
+    private void send(Runnable delivery) {
+        int kind = mCalm ? 50 : mRandom.nextInt(100);
+        if (kind == 0) {
+            return;
+        }
+        after(delay(kind), delivery);
+        if (kind == 1) {
+            after(delay(50), delivery);
+        }
+    }
+
+    private long delay(int kind) {
+        long base = MS / 2 + mRandom.nextLong(2 * MS);
+        return kind < 6 ? base + mRandom.nextLong(1500 * MS) : base;
+    }
+
+    private void lead() {
+        mPending.stream().filter(c -> mRandom.nextBoolean()).toList().forEach(this::commit);
+        mPending = new ArrayList<>();
+        mLeads = true;
+        mLeaderClock = clock();
+        mLeader = LeaderState.idle();
+        feed(new LeaderInput.LeadershipGained(++mTerm, mControl));
+        mLeader = mFault.apply(mLeader);
+    }
+
+    private void feed(LeaderInput input) {
+        if (!mLeads) {
+            return;
+        }
+        if (mNow < mStalledUntil) {
+            long term = mTerm;
+            after(mStalledUntil - mNow, () -> feed(input, term));
+            return;
+        }
+        Decision<LeaderState, LeaderAction> decision =
+                mLogic.step(mLeader, input, mLeaderClock.at(mNow));
+        mLeader = decision.state();
+        decision.actions().forEach(this::act);
+    }
+
+    private void feed(LeaderInput input, long term) {
+        if (term == mTerm) {
+            feed(input);
+        }
+    }
+
+    private void act(LeaderAction action) {
+        long term = mTerm;
+        if (action instanceof LeaderAction.Propose propose) {
+            mPending.add(propose.command());
+            after(
+                    2 * MS + mRandom.nextLong(10 * MS),
+                    () -> commitProposed(propose.command(), term));
+        } else if (action instanceof LeaderAction.SendUpdate update) {
+            FakeEntryHost host = mHosts.get(update.host());
+            long incarnation = host.mIncarnation;
+            send(() -> deliver(host, incarnation, update));
+        } else if (action instanceof LeaderAction.Order order) {
+            send(() -> run(order.command(), term));
+        }
+    }
+
+    private void commitProposed(ControlCommand command, long term) {
+        if (mLeads && term == mTerm && mPending.remove(command)) {
+            commit(command);
+        }
+    }
+
+    private void commit(ControlCommand command) {
+        ControlState before = mControl;
+        long version = mControl.version() + 1;
+        mControl = ControlStateMachine.apply(mControl, version, command).state();
+        if (command instanceof ControlCommand.CompletePromotion complete
+                && !before.groups().equals(mControl.groups())) {
+            mPromotions++;
+            checkNothingLost(complete);
+        }
+        mAssignments += command instanceof ControlCommand.AssignLease ? 1 : 0;
+        feed(new LeaderInput.CommandApplied(version, command, mControl));
+    }
+
+    private void deliver(FakeEntryHost host, long incarnation, LeaderAction.SendUpdate update) {
+        if (host.mIncarnation != incarnation || mNow < host.mCutUntil) {
+            return;
+        }
+        if (mNow < host.mFrozenUntil) {
+            after(host.mFrozenUntil - mNow, () -> deliver(host, incarnation, update));
+        } else if (host.update(update.update(), mNow)) {
+            report(host);
+        }
+    }
+
+    private void report(FakeEntryHost host) {
+        if (mNow < host.mFrozenUntil || mNow < host.mCutUntil) {
+            return;
+        }
+        LeaderInput input = new LeaderInput.ReportReceived(host.report(mNow));
+        long term = mTerm;
+        send(() -> feed(input, term));
+    }
+
+    private void run(EndpointCommand command, long term) {
+        FakeEndpoint endpoint = mEndpoints.get(command.endpoint());
+        if (!endpoint.isUp(mNow)) {
+            return;
+        }
+        var status = endpoint.run(command);
+        if (command instanceof EndpointCommand.Promote) {
+            checkPromotion(GroupId.of("s", command.database()), command);
+        }
+        EndpointCommandResult result = new EndpointCommandResult(command, Optional.of(status));
+        send(() -> feed(new LeaderInput.CommandFinished(result), term));
+    }
+
+    private void observe(FakeEndpoint endpoint) {
+        EndpointId id = endpoint.mRecord.id();
+        long term = mTerm;
+        if (endpoint.isUp(mNow)) {
+            EndpointObservation seen = new EndpointObservation.Seen(id, endpoint.statuses());
+            send(() -> feed(new LeaderInput.Observed(seen), term));
+        } else if (mNow < endpoint.mDownUntil) {
+            EndpointObservation refused = new EndpointObservation.ConnectionRefused(id);
+            send(() -> feed(new LeaderInput.Observed(refused), term));
+        }
+    }
+
+    private void announce(FakeEndpoint endpoint) {
+        if (endpoint.isUp(mNow)) {
+            feed(new LeaderInput.AnnouncementReceived(endpoint.mRecord));
+        }
+    }
+
+    private void tick() {
+        feed(new LeaderInput.Tick());
+    }
+
+    private void replicate() {
+        for (FakeEndpoint endpoint : mEndpoints.values()) {
+            endpoint.mCopies.forEach(
+                    (name, copy) -> {
+                        FakeEndpoint from = mEndpoints.get(EndpointId.of("db-" + copy.mFollows));
+                        boolean works = from != null && from.isUp(mNow) && endpoint.isUp(mNow);
+                        if (works && mRandom.nextInt(3) > 0) {
+                            FakeEndpoint.replicate(
+                                    from.mCopies.get(name), copy, mRandom.nextInt(20));
+                        }
+                    });
+        }
+    }
+
+    private void work() {
+        for (FakeEntryHost host : mHosts.values()) {
+            boolean fresh = mNow >= host.mFrozenUntil;
+            for (GroupId group : fresh ? Set.copyOf(host.mHeld.keySet()) : Set.<GroupId>of()) {
+                release(host, host.mHeld.get(group));
+                write(host, group);
+            }
+        }
+        mControl.configuration().workspaces().forEach(this::offer);
+    }
+
+    private void release(FakeEntryHost host, FakeEntryHost.Held held) {
+        if (held.mMoving && !held.mReleased && mRandom.nextInt(5) == 0) {
+            held.mReleased = true;
+            report(host);
+        }
+    }
+
+    private void write(FakeEntryHost host, GroupId group) {
+        long term = host.ackTerm(group, mNow);
+        var primary =
+                Optional.ofNullable(host.mState.groups().get(group)).flatMap(g -> g.primary());
+        if (term == 0 || primary.isEmpty() || !mEndpoints.get(primary.get()).isUp(mNow)) {
+            return;
+        }
+        Write write = new Write(host, host.mIncarnation, group, term, ++mIds);
+        FakeEndpoint.Entry entry = new FakeEndpoint.Entry(term, write.id());
+        if (mEndpoints.get(primary.get()).append(group.database(), entry)) {
+            after(delay(mRandom.nextInt(100)) + 5 * MS, () -> acknowledge(write));
+        }
+    }
+
+    // The entry host looks at the lease and at the replicas at the moment of the answer.
+    private void acknowledge(Write write) {
+        FakeEntryHost host = write.host();
+        if (mNow < host.mFrozenUntil) {
+            after(host.mFrozenUntil - mNow, () -> acknowledge(write));
+            return;
+        }
+        FakeEndpoint.Entry entry = new FakeEndpoint.Entry(write.term(), write.id());
+        long copies =
+                mEndpoints.values().stream()
+                        .map(e -> e.mCopies.get(write.group().database()))
+                        .filter(c -> c.mTerm == write.term() && c.mLog.contains(entry))
+                        .count();
+        boolean allowed =
+                host.mIncarnation == write.incarnation()
+                        && host.ackTerm(write.group(), mNow) == write.term();
+        if (allowed && copies >= 2) {
+            mAcks++;
+            mAcknowledged.computeIfAbsent(write.group(), g -> new HashSet<>()).add(write.id());
+            var current = mControl.groups().get(write.group());
+            check(
+                    current.term() == write.term() || current.primary().isEmpty(),
+                    "acknowledged at term " + write.term() + " after term " + current.term());
+        }
+    }
+
+    private void offer(Workspace workspace) {
+        double rate = workspace.rate().perSecond() * mLoad.get(workspace.id());
+        GroupId group = mControl.groupOf(workspace.id(), "s").orElseThrow();
+        for (FakeEntryHost host : mHosts.values()) {
+            if (mNow < host.mFrozenUntil) {
+                continue;
+            }
+            var waiting = host.waiting(workspace.id());
+            boolean holds = host.believes(group, mNow);
+            if (holds && mRandom.nextDouble() < rate / 100 && waiting.size() < 60) {
+                waiting.add(mNow);
+            }
+            if (!holds) {
+                waiting.clear();
+            }
+            while (!waiting.isEmpty() && host.spend(workspace.id(), mNow)) {
+                long wait = mNow - waiting.poll();
+                mLongestWait = Math.max(mLongestWait, wait);
+                spent(workspace);
+            }
+            if (!waiting.isEmpty()) {
+                mLongestWait = Math.max(mLongestWait, mNow - waiting.peek());
+            }
+        }
+    }
+
+    // A leaky bucket over true time finds the worst window; 1% is for the leader's clock.
+    private void spent(Workspace workspace) {
+        mSpends++;
+        double[] used = mUsed.computeIfAbsent(workspace.id(), w -> new double[2]);
+        double drained = workspace.rate().perSecond() * 1.01 * (mNow - used[1]) / (1000 * MS);
+        used[0] = Math.max(0, used[0] - drained) + 1;
+        used[1] = mNow;
+        check(used[0] <= workspace.rate().burst() + 1e-6, workspace.id() + " over its rate");
+    }
+
+    private void fault() {
+        FakeEntryHost host = List.copyOf(mHosts.values()).get(mRandom.nextInt(mHosts.size()));
+        FakeEndpoint endpoint =
+                List.copyOf(mEndpoints.values()).get(mRandom.nextInt(mEndpoints.size()));
+        long time = 50 * MS + mRandom.nextLong(2500 * MS);
+        switch (mRandom.nextInt(9)) {
+            case 0 -> host.mFrozenUntil = mNow + time;
+            case 1 -> host.mCutUntil = mNow + time;
+            case 2 -> {
+                host.restart(mRandom.nextLong());
+                feed(new LeaderInput.EntryLinkClosed(host.mId));
+            }
+            case 3 -> feed(new LeaderInput.EntryLinkClosed(host.mId));
+            case 4 -> endpoint.crash(mNow + time);
+            case 5 -> endpoint.mFrozenUntil = mNow + time;
+            case 6 -> {
+                mLeads = false;
+                after(300 * MS + mRandom.nextLong(400 * MS), this::lead);
+            }
+            case 7 -> mStalledUntil = mNow + mRandom.nextLong(250 * MS);
+            default -> {
+                boolean drained = mControl.drained().isEmpty();
+                DataCentreId centre = CENTRES.get(mRandom.nextInt(2));
+                CENTRES.forEach(
+                        c ->
+                                commit(
+                                        new ControlCommand.SetDataCentreDrained(
+                                                "d" + ++mIds, c, drained && c.equals(centre))));
+            }
+        }
+    }
+
+    private void checkLeases() {
+        for (GroupId group : mControl.groups().keySet()) {
+            long holders = mHosts.values().stream().filter(h -> h.believes(group, mNow)).count();
+            check(holders <= 1, holders + " hosts hold " + group);
+        }
+    }
+
+    private void checkPromotion(GroupId group, EndpointCommand command) {
+        long term = ((EndpointCommand.Promote) command).term();
+        for (FakeEntryHost host : mHosts.values()) {
+            long acknowledges = host.ackTerm(group, mNow);
+            check(
+                    acknowledges == 0 || acknowledges >= term,
+                    host.mId + " can acknowledge term " + acknowledges + " at promotion " + term);
+        }
+    }
+
+    private void checkNothingLost(ControlCommand.CompletePromotion complete) {
+        Set<Long> kept = new HashSet<>();
+        mEndpoints
+                .get(complete.primary())
+                .mCopies
+                .get(complete.group().database())
+                .mLog
+                .forEach(e -> kept.add(e.id()));
+        check(
+                kept.containsAll(mAcknowledged.getOrDefault(complete.group(), Set.of())),
+                "promotion of " + complete + " lost acknowledged writes");
+    }
+
+    private void check(boolean sound, String violation) {
+        if (!sound) {
+            mViolations.add("at " + mNow / MS + " ms: " + violation);
+        }
+    }
+}
