--- a/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
@@ -45,6 +45,7 @@
     final FakeClock mClock;
     final Map<GroupId, Held> mHeld = new TreeMap<>();
     final Map<WorkspaceId, Deque<Long>> mWaiting = new TreeMap<>();
+    final Map<WorkspaceId, Integer> mAhead = new TreeMap<>();
     final Map<WorkspaceId, Long> mSpent = new TreeMap<>();
     private final Map<WorkspaceId, List<Tokens>> mTokens = new TreeMap<>();
     private final Map<Long, Long> mSentAt = new HashMap<>();
@@ -91,7 +92,8 @@
         List<TokenDemand> demands = new ArrayList<>();
         mWaiting.forEach(
                 (w, q) ->
-                        demands.add(new TokenDemand(w, q.size() + 3, mSpent.getOrDefault(w, 0L))));
+                        demands.add(
+                                new TokenDemand(w, wanted(w, now), mSpent.getOrDefault(w, 0L))));
         return new EntryReport(
                 mId,
                 mIncarnation,
@@ -106,6 +108,12 @@
                 mAnswered);
     }
 
+    // Only the holder of the workspace's group asks for tokens, some of them ahead of need.
+    private long wanted(WorkspaceId workspace, long now) {
+        boolean holds = mState.groupOf(workspace, "s").filter(g -> believes(g, now)).isPresent();
+        return holds ? mWaiting.get(workspace).size() + mAhead.get(workspace) : 0;
+    }
+
     /** Takes an update in and returns whether something changed that the leader waits for. */
     boolean update(ControlUpdate update, long now) {
         Long sent = mSentAt.get(update.sequence());
--- a/core/src/test/java/org/crocusturn/core/entryhosts/SimulatedWorld.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/SimulatedWorld.java
@@ -91,7 +91,10 @@
             every(1000 * MS, () -> announce(endpoint));
         }
         for (int i = 0; i < 4; i++) {
-            mLoad.put(WorkspaceId.of("w" + i), calm ? 0.5 : i == 0 ? 5.0 : 0.9);
+            WorkspaceId workspace = WorkspaceId.of("w" + i);
+            mLoad.put(workspace, calm ? 0.5 : i == 0 ? 5.0 : 0.9);
+            int ahead = i == 1 ? 25 : 3;
+            mHosts.values().forEach(h -> h.mAhead.put(workspace, ahead));
         }
         commit(new ControlCommand.ApplyConfiguration("first", configuration()));
         every(20 * MS, this::tick);
@@ -366,7 +369,7 @@
     }
 
     private void offer(Workspace workspace) {
-        double rate = workspace.rate().perSecond() * mLoad.get(workspace.id());
+        double rate = workspace.rate().perSecond() * load(workspace.id());
         GroupId group = mControl.groupOf(workspace.id(), "s").orElseThrow();
         for (FakeEntryHost host : mHosts.values()) {
             if (mNow < host.mFrozenUntil) {
@@ -374,7 +377,8 @@
             }
             var waiting = host.waiting(workspace.id());
             boolean holds = host.believes(group, mNow);
-            if (holds && mRandom.nextDouble() < rate / 100 && waiting.size() < 60) {
+            int arrivals = (int) (rate / 100 + mRandom.nextDouble());
+            for (int i = 0; holds && i < arrivals && waiting.size() < 60; i++) {
                 waiting.add(mNow);
             }
             if (!holds) {
@@ -391,6 +395,15 @@
         }
     }
 
+    // One workspace rests for most of the time and then sends its burst at once.
+    private double load(WorkspaceId workspace) {
+        boolean bursts = !mCalm && workspace.equals(WorkspaceId.of("w1"));
+        if (bursts) {
+            return mNow / MS % 1300 < 1200 ? 0 : 100;
+        }
+        return mLoad.get(workspace);
+    }
+
     // A leaky bucket over true time finds the worst window; 1% is for the leader's clock.
     private void spent(Workspace workspace) {
         mSpends++;
