--- /dev/null
+++ b/standin/src/test/java/org/crocusturn/standin/database/Fleet.java
@@ -0,0 +1,179 @@
+package org.crocusturn.standin.database;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.SqlValue;
+import org.crocusturn.core.callers.Statement;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.DatabaseCommand;
+import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.core.endpoints.EndpointCommand;
+import org.crocusturn.core.operators.DatabaseRecord;
+import org.crocusturn.daemon.endpoints.DatabaseClient;
+import org.crocusturn.daemon.endpoints.EndpointCommander;
+import org.crocusturn.daemon.net.NetThreads;
+
+/** Are a few stand-ins on loopback, with clients, for tests. */
+final class Fleet implements AutoCloseable {
+    static final Duration TIMEOUT = Duration.ofSeconds(10);
+    static final String DATABASE = "visits";
+
+    private final NetThreads mThreads = NetThreads.start("fleet", 3);
+    private final EndpointCommander mCommander = EndpointCommander.create(mThreads, TIMEOUT);
+    private final List<StandInDatabase> mStandIns;
+
+    Fleet(int count, Behaviour behaviour) {
+        mStandIns =
+                Stream.iterate(1, i -> i + 1)
+                        .limit(count)
+                        .map(i -> start("db-" + i, behaviour))
+                        .toList();
+    }
+
+    /** Starts stand-ins of which the first is primary of term 1 and has table t. */
+    static Fleet withPrimary(int count, Behaviour behaviour) throws Exception {
+        Fleet fleet = new Fleet(count, behaviour);
+        fleet.promote(0, 1);
+        fleet.followAll(0, 1);
+        try (DatabaseClient client = fleet.open(0, 1)) {
+            done(fleet.run(client, write(1, "CREATE TABLE t (id BIGINT PRIMARY KEY, n BIGINT)")));
+        }
+        for (int i = 0; i < count; i++) {
+            int copy = i;
+            await(() -> fleet.status(copy).position().index() == 1);
+        }
+        return fleet;
+    }
+
+    NetThreads threads() {
+        return mThreads;
+    }
+
+    StandInDatabase standIn(int index) {
+        return mStandIns.get(index);
+    }
+
+    CopyStatus status(int index) {
+        return standIn(index).status(DATABASE);
+    }
+
+    DatabaseClient open(int index, long epoch) throws Exception {
+        return DatabaseClient.open(
+                        mThreads, 1, standIn(index).record().address(), DATABASE, epoch, TIMEOUT)
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    DatabaseResult run(DatabaseClient client, DatabaseCommand command) throws Exception {
+        return run(client, command, TIMEOUT);
+    }
+
+    DatabaseResult run(DatabaseClient client, DatabaseCommand command, Duration timeout)
+            throws Exception {
+        return client.run(command, timeout).get(10, TimeUnit.SECONDS);
+    }
+
+    Optional<CopyStatus> fence(int index, long term) throws Exception {
+        return command(
+                index, new EndpointCommand.Fence(standIn(index).record().id(), DATABASE, term));
+    }
+
+    Optional<CopyStatus> promote(int index, long term) throws Exception {
+        return command(
+                index, new EndpointCommand.Promote(standIn(index).record().id(), DATABASE, term));
+    }
+
+    Optional<CopyStatus> follow(int index, int primary, long term) throws Exception {
+        return command(
+                index,
+                new EndpointCommand.Follow(
+                        standIn(index).record().id(),
+                        DATABASE,
+                        term,
+                        standIn(primary).record().statusAddress()));
+    }
+
+    void followAll(int primary, long term) throws Exception {
+        for (int i = 0; i < mStandIns.size(); i++) {
+            if (i != primary) {
+                assertTrue(follow(i, primary, term).isPresent(), "follow was refused");
+            }
+        }
+    }
+
+    /** Returns the value of the only row and column, read on a copy. */
+    SqlValue value(int index, long epoch, long term, String sql) throws Exception {
+        try (DatabaseClient client = open(index, epoch)) {
+            return done(run(client, read(term, sql))).rows().get(0).get(0);
+        }
+    }
+
+    static DatabaseCommand write(long term, String sql, SqlValue... parameters) {
+        return new DatabaseCommand.Run(term, Statement.write(sql, parameters));
+    }
+
+    static DatabaseCommand read(long term, String sql, SqlValue... parameters) {
+        return new DatabaseCommand.Run(term, Statement.read(sql, parameters));
+    }
+
+    static DatabaseCommand once(long term, String requestId, String sql) {
+        return new DatabaseCommand.RunOnce(
+                term, WorkspaceId.of("bakery"), Statement.write(sql).withRequestId(requestId));
+    }
+
+    static DatabaseResult.Done done(DatabaseResult result) {
+        return assertInstanceOf(DatabaseResult.Done.class, result, result::toString);
+    }
+
+    static SqlValue integer(long value) {
+        return new SqlValue.IntegerValue(value);
+    }
+
+    static LogPosition at(long term, long index) {
+        return LogPosition.of(term, index);
+    }
+
+    /** Waits for a condition, at most 10 s. */
+    static void await(BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + TIMEOUT.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadlineNanos, "the condition did not come true");
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    @Override
+    public void close() {
+        mStandIns.forEach(StandInDatabase::close);
+        mThreads.close();
+    }
+
+    private Optional<CopyStatus> command(int index, EndpointCommand command) throws Exception {
+        return mCommander
+                .send(standIn(index).record().statusAddress(), command)
+                .get(10, TimeUnit.SECONDS)
+                .status();
+    }
+
+    private StandInDatabase start(String name, Behaviour behaviour) {
+        return StandInDatabase.start(
+                StandInSettings.onLoopback(
+                                name,
+                                "taftish-db",
+                                "abdali",
+                                List.of(
+                                        new DatabaseRecord(DATABASE, 2, 4),
+                                        new DatabaseRecord("refills", 2, 4)))
+                        .withBehaviour(behaviour),
+                mThreads);
+    }
+}
