--- a/core/src/test/java/org/crocusturn/core/endpoints/FakeCopy.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/FakeCopy.java
@@ -66,6 +66,9 @@
 
     /** Runs a command; a read returns the names of the expected writes that it does not see. */
     DatabaseResult run(long connection, DatabaseCommand command, Set<String> expected, long now) {
+        if (!mSessionEpochs.containsKey(connection)) {
+            return new DatabaseResult.Lost(Failure.mayHaveRun("the session is closed"));
+        }
         if (command instanceof DatabaseCommand.Rollback) {
             mBuffers.remove(connection);
             return done(List.of(), position(), false);
