Store the control hosts' log and run its members

FileLogStorage appends one record a sync, so only the last can be torn. ControlNode joins the consensus duty and the storage duty. Three members on real files agree, survive a lost disk and replace a member in tests.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
@@ -0,0 +1,230 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.controlhosts.Consensus;
+import org.crocusturn.core.controlhosts.ConsensusAction;
+import org.crocusturn.core.controlhosts.ConsensusInput;
+import org.crocusturn.core.controlhosts.ConsensusState;
+import org.crocusturn.core.controlhosts.LogContent;
+import org.crocusturn.core.controlhosts.Snapshot;
+import org.crocusturn.core.ring.DutyHandler;
+
+/** Owns the consensus state of this host, runs its decisions and does their actions. */
+public final class ConsensusDuty implements DutyHandler<ConsensusEvent> {
+    private static final Logger LOG = LogManager.getLogger(ConsensusDuty.class);
+
+    /** Time between two attempts to hand persists to a full ring, in nanoseconds. */
+    private static final long PERSIST_RETRY_NANOS = 2_000_000;
+
+    /** Time between timer calls before the start and after a failure, in nanoseconds. */
+    private static final long IDLE_NANOS = 1_000_000_000;
+
+    private final ConsensusTransport mTransport;
+    private final ConsensusListener mListener;
+    private final Predicate<ConsensusAction.Persist> mStorage;
+    private final BiConsumer<Long, ProposalResult> mResults;
+    private final Runnable mOnFailed;
+    private final Queue<ConsensusAction.Persist> mUnwritten = new ArrayDeque<>();
+    private final Queue<ConsensusInput> mInputs = new ArrayDeque<>();
+    private final List<CompletableFuture<Void>> mTransfers = new ArrayList<>();
+    private volatile ConsensusState mState;
+    private volatile boolean mFailed;
+    private boolean mStarted;
+
+    private ConsensusDuty(
+            ConsensusState state,
+            ConsensusTransport transport,
+            ConsensusListener listener,
+            Predicate<ConsensusAction.Persist> storage,
+            BiConsumer<Long, ProposalResult> results,
+            Runnable onFailed) {
+        mState = state;
+        mTransport = transport;
+        mListener = listener;
+        mStorage = storage;
+        mResults = results;
+        mOnFailed = onFailed;
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param state first state
+     * @param storage takes persists in order; returns false if its ring is full
+     * @param results told what became of each proposal id
+     * @param onFailed run once when the member stops because of a failure
+     */
+    public static ConsensusDuty create(
+            ConsensusState state,
+            ConsensusTransport transport,
+            ConsensusListener listener,
+            Predicate<ConsensusAction.Persist> storage,
+            BiConsumer<Long, ProposalResult> results,
+            Runnable onFailed) {
+        return new ConsensusDuty(
+                Objects.requireNonNull(state, "state"),
+                Objects.requireNonNull(transport, "transport"),
+                Objects.requireNonNull(listener, "listener"),
+                Objects.requireNonNull(storage, "storage"),
+                Objects.requireNonNull(results, "results"),
+                Objects.requireNonNull(onFailed, "onFailed"));
+    }
+
+    /** Returns the latest state; safe for use by any thread. */
+    public ConsensusState state() {
+        return mState;
+    }
+
+    /** Returns whether the member has stopped because of a failure; safe for any thread. */
+    public boolean failed() {
+        return mFailed;
+    }
+
+    @Override
+    public void onEvent(ConsensusEvent event) {
+        if (event instanceof ConsensusEvent.Started) {
+            mStarted = true;
+        } else if (event instanceof ConsensusEvent.StorageFailed stop) {
+            fail(stop.failure());
+        } else if (event instanceof ConsensusEvent.Transfer transfer) {
+            mTransfers.add(transfer.done());
+            step(new ConsensusInput.TransferRequested());
+        } else if (event instanceof ConsensusEvent.Input input && !refuse(input.input())) {
+            step(input.input());
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (mFailed || !mStarted) {
+            return nowNanos + IDLE_NANOS;
+        }
+        writeMore();
+        if (nowNanos - Consensus.nextTickNanos(mState) >= 0) {
+            step(new ConsensusInput.Tick());
+        }
+        long next = Consensus.nextTickNanos(mState);
+        return mUnwritten.isEmpty() ? next : Math.min(next, nowNanos + PERSIST_RETRY_NANOS);
+    }
+
+    /** Refuses what would add persists while the storage is behind; the network may lose it too. */
+    private boolean refuse(ConsensusInput input) {
+        if (mUnwritten.isEmpty() && !mFailed) {
+            return false;
+        }
+        if (input instanceof ConsensusInput.Propose propose) {
+            rejectBusy(propose.proposalId());
+        } else if (input instanceof ConsensusInput.ChangeMembership change) {
+            rejectBusy(change.proposalId());
+        }
+        return mFailed || !(input instanceof ConsensusInput.Persisted);
+    }
+
+    private void rejectBusy(long proposalId) {
+        String reason = mFailed ? "this host has failed" : "the storage is behind";
+        mResults.accept(proposalId, new ProposalResult.Rejected(reason, mState.leaderHint()));
+    }
+
+    private void step(ConsensusInput input) {
+        mInputs.add(input);
+        try {
+            while (!mInputs.isEmpty() && !mFailed) {
+                ConsensusState before = mState;
+                Decision<ConsensusState, ConsensusAction> decision =
+                        Consensus.step(before, mInputs.remove(), System.nanoTime());
+                mState = decision.state();
+                decision.actions().forEach(this::act);
+                notice(before, mState);
+            }
+        } catch (RuntimeException e) {
+            fail(e);
+        }
+    }
+
+    private void notice(ConsensusState before, ConsensusState after) {
+        if (!before.membership().equals(after.membership())) {
+            LOG.info("controlhosts: the members are {}", after.membership().members());
+            mListener.onMembership(after.membership());
+        }
+        if (before.hard().recovering() && !after.hard().recovering()) {
+            LOG.info("controlhosts: recovery ended at index {}", after.commitIndex());
+        }
+        if (!mTransfers.isEmpty() && !transferring(after)) {
+            mTransfers.forEach(done -> done.complete(null));
+            mTransfers.clear();
+        }
+    }
+
+    private static boolean transferring(ConsensusState state) {
+        return state.leading().filter(leader -> leader.transfer().isPresent()).isPresent();
+    }
+
+    private void act(ConsensusAction action) {
+        if (action instanceof ConsensusAction.Send send) {
+            mTransport.send(send.to(), send.message());
+        } else if (action instanceof ConsensusAction.Persist persist) {
+            mUnwritten.add(persist);
+            writeMore();
+        } else if (action instanceof ConsensusAction.Apply apply) {
+            if (apply.entry().content() instanceof LogContent.CommandContent content) {
+                mListener.onCommitted(apply.entry().position().index(), content.command());
+            }
+        } else if (action instanceof ConsensusAction.Restore restore) {
+            restore(restore.snapshot());
+        } else if (action instanceof ConsensusAction.TakeSnapshot take) {
+            // It becomes the next step, because the actions of this one have to be done first.
+            mInputs.add(new ConsensusInput.SnapshotTaken(take.index(), mListener.controlState()));
+        } else {
+            tell(action);
+        }
+    }
+
+    private void restore(Snapshot snapshot) {
+        LOG.info("controlhosts: the state is replaced by a snapshot at {}", snapshot.position());
+        mListener.onRestored(snapshot);
+    }
+
+    private void tell(ConsensusAction action) {
+        if (action instanceof ConsensusAction.ProposalCommitted done) {
+            mResults.accept(done.proposalId(), new ProposalResult.Committed(done.index()));
+        } else if (action instanceof ConsensusAction.ProposalRejected rejected) {
+            mResults.accept(
+                    rejected.proposalId(),
+                    new ProposalResult.Rejected(rejected.reason(), rejected.leader()));
+        } else if (action instanceof ConsensusAction.ProposalUnknown unknown) {
+            mResults.accept(unknown.proposalId(), new ProposalResult.Unknown());
+        } else if (action instanceof ConsensusAction.LeadershipGained gained) {
+            LOG.info("controlhosts: this host leads term {}", gained.term());
+            mListener.onLeadershipGained(gained.term());
+        } else if (action instanceof ConsensusAction.LeadershipLost lost) {
+            LOG.info("controlhosts: this host no longer leads term {}", lost.term());
+            mListener.onLeadershipLost(lost.term());
+        }
+    }
+
+    private void writeMore() {
+        while (!mUnwritten.isEmpty() && mStorage.test(mUnwritten.element())) {
+            mUnwritten.remove();
+        }
+    }
+
+    private void fail(RuntimeException failure) {
+        if (!mFailed) {
+            mFailed = true;
+            LOG.error("controlhosts: this member stops", failure);
+            mTransfers.forEach(done -> done.complete(null));
+            mOnFailed.run();
+            mListener.onFailure(failure);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -0,0 +1,227 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.Consensus;
+import org.crocusturn.core.controlhosts.ConsensusAction;
+import org.crocusturn.core.controlhosts.ConsensusInput;
+import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.ConsensusState;
+import org.crocusturn.core.controlhosts.Membership;
+import org.crocusturn.core.controlhosts.MembershipChange;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.ring.Duty;
+
+/**
+ * Runs one member of the consensus group: the consensus duty and the storage duty.
+ *
+ * <p>All methods may be called from any thread. Futures are completed on the consensus thread, so
+ * what depends on them must not block.
+ */
+public final class ControlNode implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ControlNode.class);
+
+    private static final int RING_CAPACITY = 4_096;
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
+
+    private final LogStorage mStorage;
+    private final Map<Long, CompletableFuture<ProposalResult>> mOpen = new ConcurrentHashMap<>();
+    private final AtomicLong mNextProposal = new AtomicLong();
+    private final ConsensusDuty mHandler;
+    private final Duty<ConsensusAction.Persist> mStorageDuty;
+    private final Duty<ConsensusEvent> mConsensusDuty;
+    private volatile boolean mClosed;
+
+    private ControlNode(
+            LogStorage storage,
+            ConsensusState state,
+            ConsensusTransport transport,
+            ConsensusListener listener) {
+        mStorage = storage;
+        mHandler =
+                ConsensusDuty.create(
+                        state, transport, listener, this::write, this::settle, this::abandon);
+        mStorageDuty =
+                Duty.start(
+                        "control-storage",
+                        RING_CAPACITY,
+                        StorageDuty.create(storage, this::reportSynced, this::reportFailure),
+                        this::reportFailure);
+        mConsensusDuty =
+                Duty.start("control-consensus", RING_CAPACITY, mHandler, this::reportFailure);
+    }
+
+    /**
+     * Starts a member.
+     *
+     * @param folder data folder; created if missing
+     * @param self own host
+     * @param first members of a group that starts for the first time; empty for a host that joins a
+     *     group. It is used only if the folder is empty. An empty folder without it makes the
+     *     member a learner until it has recovered.
+     * @param codec encodes entries and snapshots
+     * @param transport carries messages
+     * @param listener owns the applied state
+     * @throws org.crocusturn.core.CrocusturnException if the folder is damaged or in use
+     */
+    public static ControlNode start(
+            Path folder,
+            HostId self,
+            Optional<Membership> first,
+            LogCodec codec,
+            ConsensusTransport transport,
+            ConsensusListener listener) {
+        Objects.requireNonNull(self, "self");
+        Objects.requireNonNull(first, "first");
+        Objects.requireNonNull(transport, "transport");
+        Objects.requireNonNull(listener, "listener");
+        LogStorage storage = FileLogStorage.open(folder, codec);
+        try {
+            ConsensusState state = firstState(storage.load(), self, first);
+            listener.onRestored(state.log().base());
+            listener.onMembership(state.membership());
+            ControlNode node = new ControlNode(storage, state, transport, listener);
+            node.mConsensusDuty.offer(new ConsensusEvent.Started());
+            return node;
+        } catch (RuntimeException e) {
+            storage.close();
+            throw e;
+        }
+    }
+
+    private static ConsensusState firstState(
+            Optional<StoredLog> stored, HostId self, Optional<Membership> first) {
+        long seed = new SecureRandom().nextLong();
+        long now = System.nanoTime();
+        if (stored.isPresent()) {
+            StoredLog log = stored.get();
+            LOG.info(
+                    "controlhosts: {} restarts with a snapshot at {} and {} entries",
+                    self,
+                    log.base().position(),
+                    log.entries().size());
+            return ConsensusState.restarted(self, log.hard(), log.base(), log.entries(), seed, now);
+        }
+        LOG.info("controlhosts: {} starts with an empty folder, first {}", self, first.isPresent());
+        return first.map(members -> ConsensusState.bootstrapping(self, members, seed, now))
+                .orElseGet(() -> ConsensusState.recovering(self, seed, now));
+    }
+
+    /** Returns the host that leads, as far as this member knows. */
+    public Optional<HostId> leaderHint() {
+        return mHandler.state().leaderHint();
+    }
+
+    /** Returns whether this host leads and no other host can lead now. */
+    public boolean leaderLeaseValid() {
+        return !mHandler.failed()
+                && Consensus.leaderLeaseValid(mHandler.state(), System.nanoTime());
+    }
+
+    /** Returns the latest consensus state, for status pages and tests. */
+    public ConsensusState state() {
+        return mHandler.state();
+    }
+
+    /** Proposes a command; the future ends once its outcome is known. */
+    public CompletableFuture<ProposalResult> propose(ControlCommand command) {
+        Objects.requireNonNull(command, "command");
+        return submit(id -> new ConsensusInput.Propose(id, command));
+    }
+
+    /** Adds, promotes or removes one member; the future ends once the outcome is known. */
+    public CompletableFuture<ProposalResult> changeMembership(MembershipChange change) {
+        Objects.requireNonNull(change, "change");
+        return submit(id -> new ConsensusInput.ChangeMembership(id, change));
+    }
+
+    /** Takes a message of another member; drops it if this host is overloaded. */
+    public void onMessage(HostId from, ConsensusMessage message) {
+        if (!offer(new ConsensusInput.Received(from, message))) {
+            LOG.debug("controlhosts: a message of {} is dropped because the ring is full", from);
+        }
+    }
+
+    /** Hands leadership over; the future ends when this host does not lead or nobody can follow. */
+    public CompletableFuture<Void> transferLeadership() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        if (!mConsensusDuty.offer(new ConsensusEvent.Transfer(done))) {
+            done.complete(null);
+        }
+        return done;
+    }
+
+    /** Hands leadership over and stops the member; open proposals end as unknown. */
+    public void stop() {
+        transferLeadership()
+                .completeOnTimeout(null, STOP_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS)
+                .join();
+        close();
+    }
+
+    /** Stops the member at once; open proposals end as unknown. */
+    @Override
+    public void close() {
+        mClosed = true;
+        boolean ended = mConsensusDuty.stop(STOP_TIMEOUT) && mStorageDuty.stop(STOP_TIMEOUT);
+        if (ended) {
+            mStorage.close();
+        } else {
+            LOG.error("controlhosts: the member did not stop within {}", STOP_TIMEOUT);
+        }
+        abandon();
+    }
+
+    private CompletableFuture<ProposalResult> submit(LongFunction<ConsensusInput> input) {
+        long id = mNextProposal.incrementAndGet();
+        CompletableFuture<ProposalResult> result = new CompletableFuture<>();
+        mOpen.put(id, result);
+        if (mClosed || mHandler.failed() || !offer(input.apply(id))) {
+            settle(id, new ProposalResult.Rejected("this host takes no proposals", leaderHint()));
+        } else if (mClosed || mHandler.failed()) {
+            settle(id, new ProposalResult.Unknown());
+        }
+        return result;
+    }
+
+    private boolean offer(ConsensusInput input) {
+        return mConsensusDuty.offer(new ConsensusEvent.Input(input));
+    }
+
+    private void settle(long id, ProposalResult result) {
+        Optional.ofNullable(mOpen.remove(id)).ifPresent(future -> future.complete(result));
+    }
+
+    private void abandon() {
+        mOpen.keySet().forEach(id -> settle(id, new ProposalResult.Unknown()));
+    }
+
+    private boolean write(ConsensusAction.Persist persist) {
+        return mStorageDuty.offer(persist);
+    }
+
+    private boolean reportSynced(long sequence) {
+        return offer(new ConsensusInput.Persisted(sequence));
+    }
+
+    private void reportFailure(RuntimeException failure) {
+        if (mClosed) {
+            LOG.debug("controlhosts: the stop interrupted a write", failure);
+            return;
+        }
+        LOG.error("controlhosts: the storage or the consensus failed", failure);
+        mConsensusDuty.offer(new ConsensusEvent.StorageFailed(failure));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LogRecords.java
@@ -0,0 +1,87 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.HardState;
+import org.crocusturn.core.controlhosts.LogEntry;
+
+/** Encodes the payloads of the log file and the hard state file. */
+final class LogRecords {
+    private static final int VERSION = 1;
+
+    private LogRecords() {}
+
+    /**
+     * Is the change of the log that one persist asks for.
+     *
+     * @param fromIndex index from which on earlier entries are replaced
+     * @param entries new entries
+     */
+    record Change(long fromIndex, List<LogEntry> entries) {}
+
+    static byte[] encodeHard(HardState hard) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(VERSION);
+        out.writeLong(hard.term());
+        out.writeBoolean(hard.recovering());
+        out.writeUTF(hard.vote().map(HostId::value).orElse(""));
+        return bytes.toByteArray();
+    }
+
+    static HardState decodeHard(byte[] payload) throws IOException {
+        DataInputStream in = open(payload);
+        long term = in.readLong();
+        boolean recovering = in.readBoolean();
+        Optional<HostId> vote =
+                Optional.of(in.readUTF()).filter(name -> !name.isEmpty()).map(HostId::of);
+        return new HardState(term, vote, recovering);
+    }
+
+    static byte[] encodeChanges(List<Change> changes, LogCodec codec) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(VERSION);
+        out.writeInt(changes.size());
+        for (Change change : changes) {
+            out.writeLong(change.fromIndex());
+            out.writeInt(change.entries().size());
+            for (LogEntry entry : change.entries()) {
+                byte[] encoded = codec.encodeEntry(entry);
+                out.writeInt(encoded.length);
+                out.write(encoded);
+            }
+        }
+        return bytes.toByteArray();
+    }
+
+    static List<Change> decodeChanges(byte[] payload, LogCodec codec) throws IOException {
+        DataInputStream in = open(payload);
+        List<Change> changes = new ArrayList<>();
+        for (int left = in.readInt(); left > 0; left--) {
+            long fromIndex = in.readLong();
+            List<LogEntry> entries = new ArrayList<>();
+            for (int n = in.readInt(); n > 0; n--) {
+                entries.add(codec.decodeEntry(in.readNBytes(in.readInt())));
+            }
+            changes.add(new Change(fromIndex, entries));
+        }
+        return changes;
+    }
+
+    private static DataInputStream open(byte[] payload) throws IOException {
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload));
+        int version = in.readByte();
+        if (version != VERSION) {
+            throw new IOException("record version " + version + " is not supported");
+        }
+        return in;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/RecordFile.java
@@ -0,0 +1,141 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.zip.CRC32C;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+
+/** Reads and writes files of records: marker, length, CRC32C of length and payload, payload. */
+final class RecordFile {
+    /** Start of each record, so that a search for records after a damaged one is cheap. */
+    private static final int MARKER = 0xC70C0501;
+
+    private static final int HEADER_BYTES = 12;
+
+    private RecordFile() {}
+
+    /**
+     * Is the content of a file.
+     *
+     * @param payloads payloads of the valid records
+     * @param validBytes size of the valid part
+     * @param totalBytes size of the file
+     */
+    record Content(List<byte[]> payloads, long validBytes, long totalBytes) {
+        boolean torn() {
+            return validBytes < totalBytes;
+        }
+    }
+
+    /** Returns the bytes of one record. */
+    static ByteBuffer encode(byte[] payload) {
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
+        buffer.putInt(MARKER).putInt(payload.length).putInt(checksum(payload)).put(payload);
+        return buffer.flip();
+    }
+
+    /**
+     * Reads all records up to the first bad one.
+     *
+     * @throws CrocusturnException if a valid record follows a bad one, which a torn write cannot do
+     */
+    static Content read(Path file) throws IOException {
+        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
+        List<byte[]> payloads = new ArrayList<>();
+        int offset = 0;
+        for (OptionalInt end = end(bytes, offset); end.isPresent(); end = end(bytes, offset)) {
+            byte[] payload = new byte[end.getAsInt() - offset - HEADER_BYTES];
+            bytes.get(offset + HEADER_BYTES, payload);
+            payloads.add(payload);
+            offset = end.getAsInt();
+        }
+        refuseLaterRecord(file, bytes, offset);
+        return new Content(payloads, offset, bytes.capacity());
+    }
+
+    /**
+     * Replaces a file by one with a single record, so that a crash leaves the old or the new one.
+     */
+    static void replace(Path file, byte[] payload) throws IOException {
+        Path temporary = temporary(file);
+        try (FileChannel channel =
+                FileChannel.open(
+                        temporary,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            write(channel, encode(payload));
+            channel.force(true);
+        }
+        Files.move(
+                temporary,
+                file,
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        syncFolder(file.getParent());
+    }
+
+    static Path temporary(Path file) {
+        return file.resolveSibling(file.getFileName() + ".tmp");
+    }
+
+    static void write(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    /** Syncs a folder, without which a new or renamed file can be missing after a crash. */
+    static void syncFolder(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    private static void refuseLaterRecord(Path file, ByteBuffer bytes, int bad) {
+        for (int offset = bad + 1; offset + HEADER_BYTES <= bytes.capacity(); offset++) {
+            if (bytes.getInt(offset) == MARKER && end(bytes, offset).isPresent()) {
+                throw CrocusturnException.notRun(
+                        ErrorCode.INTERNAL,
+                        "file "
+                                + file
+                                + " has a damaged record at byte "
+                                + bad
+                                + " before a valid one at byte "
+                                + offset);
+            }
+        }
+    }
+
+    private static OptionalInt end(ByteBuffer bytes, int offset) {
+        if (offset + HEADER_BYTES > bytes.capacity() || bytes.getInt(offset) != MARKER) {
+            return OptionalInt.empty();
+        }
+        int length = bytes.getInt(offset + 4);
+        int start = offset + HEADER_BYTES;
+        if (length < 0 || length > bytes.capacity() - start) {
+            return OptionalInt.empty();
+        }
+        byte[] payload = new byte[length];
+        bytes.get(start, payload);
+        return checksum(payload) == bytes.getInt(offset + 8)
+                ? OptionalInt.of(start + length)
+                : OptionalInt.empty();
+    }
+
+    private static int checksum(byte[] payload) {
+        CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).flip());
+        crc.update(payload);
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlNodeTest.java
@@ -0,0 +1,254 @@
+package org.crocusturn.daemon.controlhosts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.Member;
+import org.crocusturn.core.controlhosts.Membership;
+import org.crocusturn.core.controlhosts.MembershipChange;
+import org.crocusturn.core.controlhosts.Snapshot;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against members that stop working together on real files, threads and clocks. */
+class ControlNodeTest {
+    private static final long DEADLINE_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final List<HostId> HOSTS = Stream.of("c1", "c2", "c3").map(HostId::of).toList();
+    private static final HostId FOURTH = HostId.of("c4");
+    private static final Membership FIRST =
+            new Membership(HOSTS.stream().map(h -> new Member(h, "127.0.0.1:1", true)).toList());
+
+    private final Map<HostId, ControlNode> mNodes = new ConcurrentHashMap<>();
+    private final Map<HostId, Recorder> mRecorders = new ConcurrentHashMap<>();
+
+    @TempDir Path mFolder;
+
+    @AfterEach
+    void closeAll() {
+        mNodes.values().forEach(ControlNode::close);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 2_300})
+    void appliesTheSameCommandsEverywhereAndAfterRestart(int commands) {
+        HOSTS.forEach(host -> start(host, Optional.of(FIRST)));
+        commit(commands);
+        awaitEqual(commands);
+        mNodes.values().forEach(ControlNode::close);
+        HOSTS.forEach(host -> start(host, Optional.empty()));
+        commit(1);
+        awaitEqual(commands + 1);
+    }
+
+    @Test
+    void handsLeadershipOverAtAPlannedStop() {
+        HOSTS.forEach(host -> start(host, Optional.of(FIRST)));
+        commit(5);
+        HostId leader = leader();
+        long started = System.nanoTime();
+        mNodes.remove(leader).stop();
+        assertTrue(!leader().equals(leader), "another host leads");
+        assertTrue(
+                System.nanoTime() - started < DEADLINE_NANOS, "leadership moves before the limit");
+        commit(5);
+    }
+
+    /** A host that lost its disk must count again, or the loss of a second host stops the group. */
+    @Test
+    void toleratesTheLossOfASecondHostAfterALostDisk() throws IOException {
+        HOSTS.forEach(host -> start(host, Optional.of(FIRST)));
+        commit(10);
+        HostId lost = HOSTS.stream().filter(h -> !h.equals(leader())).findFirst().orElseThrow();
+        mNodes.remove(lost).close();
+        commit(10);
+        FileLogStorageTest.deleteAll(mFolder.resolve(lost.value()));
+        start(lost, Optional.empty());
+        await(() -> !mNodes.get(lost).state().hard().recovering(), "recovery ends");
+        mNodes.remove(leader()).close();
+        commit(10);
+        awaitEqual(30);
+    }
+
+    @Test
+    void replacesAMember() {
+        HOSTS.forEach(host -> start(host, Optional.of(FIRST)));
+        commit(10);
+        start(FOURTH, Optional.empty());
+        change(new MembershipChange.AddLearner(FOURTH, "127.0.0.1:1"));
+        change(new MembershipChange.Promote(FOURTH));
+        HostId removed = leader();
+        change(new MembershipChange.Remove(removed));
+        mNodes.remove(removed).close();
+        commit(10);
+        awaitEqual(20);
+        assertEquals(3, mNodes.get(leader()).state().membership().voters().size());
+    }
+
+    @Test
+    void rejectsAProposalWithoutALeader() {
+        start(HOSTS.get(0), Optional.of(FIRST));
+        ProposalResult result =
+                mNodes.get(HOSTS.get(0)).propose(command(1)).orTimeout(30, TimeUnit.SECONDS).join();
+        assertInstanceOf(ProposalResult.Rejected.class, result);
+    }
+
+    private void start(HostId host, Optional<Membership> first) {
+        Recorder recorder = new Recorder();
+        mRecorders.put(host, recorder);
+        mNodes.put(
+                host,
+                ControlNode.start(
+                        mFolder.resolve(host.value()),
+                        host,
+                        first,
+                        new FakeLogCodec(),
+                        (to, message) -> deliver(host, to, message),
+                        recorder));
+    }
+
+    private void deliver(HostId from, HostId to, ConsensusMessage message) {
+        Optional.ofNullable(mNodes.get(to)).ifPresent(node -> node.onMessage(from, message));
+    }
+
+    private HostId leader() {
+        await(() -> leading().isPresent(), "a host leads");
+        return leading().orElseThrow();
+    }
+
+    private Optional<HostId> leading() {
+        return mNodes.entrySet().stream()
+                .filter(e -> e.getValue().leaderLeaseValid())
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    private void commit(int commands) {
+        IntStream.range(0, commands).forEach(n -> commitOne(n));
+    }
+
+    private void commitOne(int number) {
+        await(
+                () ->
+                        leading()
+                                .map(mNodes::get)
+                                .map(node -> node.propose(command(number)))
+                                .map(f -> f.orTimeout(30, TimeUnit.SECONDS).join())
+                                .filter(ProposalResult.Committed.class::isInstance)
+                                .isPresent(),
+                "command " + number + " is committed");
+    }
+
+    private void change(MembershipChange change) {
+        await(
+                () ->
+                        mNodes.get(leader())
+                                        .changeMembership(change)
+                                        .orTimeout(30, TimeUnit.SECONDS)
+                                        .join()
+                                instanceof ProposalResult.Committed,
+                change + " is committed");
+    }
+
+    /** Waits until all members applied the same commands, as counted by those in their state. */
+    private void awaitEqual(int commands) {
+        await(
+                () ->
+                        mNodes.keySet().stream()
+                                        .map(mRecorders::get)
+                                        .map(Recorder::lastIndex)
+                                        .distinct()
+                                        .count()
+                                == 1,
+                "all members applied the same index");
+        Map<Long, ControlCommand> all = new TreeMap<>();
+        for (HostId host : mNodes.keySet()) {
+            mRecorders
+                    .get(host)
+                    .mCommands
+                    .forEach(
+                            (index, command) -> {
+                                ControlCommand other = all.putIfAbsent(index, command);
+                                assertTrue(
+                                        other == null || other.equals(command),
+                                        "index " + index + " holds " + other + " and " + command);
+                            });
+        }
+        assertTrue(all.size() <= commands, all.size() + " commands, not " + commands);
+    }
+
+    private static ControlCommand command(int number) {
+        return new ControlCommand.RemoveEndpoint(EndpointId.of("e" + number));
+    }
+
+    private static void await(BooleanSupplier condition, String what) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - start < DEADLINE_NANOS, "timed out until " + what);
+            LockSupport.parkNanos(2_000_000);
+        }
+    }
+
+    /** Records what was applied. */
+    private static final class Recorder implements ConsensusListener {
+        private final Map<Long, ControlCommand> mCommands = new ConcurrentSkipListMap<>();
+        private volatile long mLastIndex;
+
+        private long lastIndex() {
+            return mLastIndex;
+        }
+
+        @Override
+        public void onRestored(Snapshot snapshot) {
+            mLastIndex = snapshot.state().version();
+        }
+
+        @Override
+        public void onCommitted(long index, ControlCommand command) {
+            assertTrue(index > mLastIndex, "index " + index + " after " + mLastIndex);
+            mCommands.put(index, command);
+            mLastIndex = index;
+        }
+
+        @Override
+        public ControlState controlState() {
+            return FakeLogCodec.state(mLastIndex);
+        }
+
+        @Override
+        public void onLeadershipGained(long term) {}
+
+        @Override
+        public void onLeadershipLost(long term) {}
+
+        @Override
+        public void onMembership(Membership membership) {}
+
+        @Override
+        public void onFailure(RuntimeException failure) {
+            throw new AssertionError("the member failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FileLogStorageTest.java
@@ -0,0 +1,218 @@
+package org.crocusturn.daemon.controlhosts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.FileVisitResult;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.SimpleFileVisitor;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.controlhosts.ConsensusAction.Persist;
+import org.crocusturn.core.controlhosts.HardState;
+import org.crocusturn.core.controlhosts.LogContent;
+import org.crocusturn.core.controlhosts.LogEntry;
+import org.crocusturn.core.controlhosts.Member;
+import org.crocusturn.core.controlhosts.Membership;
+import org.crocusturn.core.controlhosts.Snapshot;
+import org.crocusturn.core.operators.ControlCommand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against synced entries that a restart loses, and against damage that goes unnoticed. */
+class FileLogStorageTest {
+    private static final HostId HOST = HostId.of("c1");
+    private static final Membership MEMBERS =
+            new Membership(List.of(new Member(HOST, "127.0.0.1:1", true)));
+
+    @TempDir Path mFolder;
+
+    @Test
+    void cutsATailThatIsTornAtAnyByte() throws IOException {
+        byte[] whole = writeThree();
+        long kept = sizeOfTwo();
+        for (int size = (int) kept; size < whole.length; size++) {
+            Files.write(log(), Arrays.copyOf(whole, size));
+            assertEquals(entries(1, 4, 1), reopened().entries(), "log cut to " + size + " bytes");
+            assertEquals(kept, Files.size(log()), "the torn tail is removed");
+        }
+        persist(new Persist(4, hard(1), Optional.empty(), 4, entries(4, 7, 1)));
+        assertEquals(entries(1, 7, 1), reopened().entries(), "appending goes on after the cut");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 0x80, 0xff})
+    void refusesDamageBeforeAValidRecord(int flip) throws IOException {
+        byte[] whole = writeThree();
+        for (int at = 0; at < sizeOfTwo(); at++) {
+            byte[] damaged = whole.clone();
+            damaged[at] ^= (byte) flip;
+            Files.write(log(), damaged);
+            CrocusturnException e = assertThrows(CrocusturnException.class, this::reopened);
+            assertTrue(e.getMessage().contains("damaged record"), e.getMessage());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"snapshot, damaged", "hard, damaged"})
+    void refusesADamagedFile(String file, String message) throws IOException {
+        writeThree();
+        byte[] bytes = Files.readAllBytes(mFolder.resolve(file));
+        bytes[bytes.length - 1] ^= 1;
+        Files.write(mFolder.resolve(file), bytes);
+        CrocusturnException e = assertThrows(CrocusturnException.class, this::reopened);
+        assertTrue(e.getMessage().contains(message), e.getMessage());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"snapshot", "log", "hard"})
+    void refusesAMissingFile(String file) throws IOException {
+        writeThree();
+        persist(new Persist(4, hard(1), Optional.of(snapshot(2)), 3, entries(3, 5, 1)));
+        Files.delete(mFolder.resolve(file));
+        assertThrows(CrocusturnException.class, this::reopened);
+    }
+
+    /** Compares with a list in memory after restarts, replaced suffixes and snapshots. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void recoversTheNewestStateAfterManyChanges(long seed) {
+        Random random = new Random(seed);
+        List<LogEntry> model = new ArrayList<>();
+        Snapshot base = snapshot(0);
+        FileLogStorage storage = FileLogStorage.open(mFolder, new FakeLogCodec());
+        storage.persist(List.of(new Persist(1, hard(0), Optional.of(base), 1, List.of())));
+        for (long n = 1; n <= 500; n++) {
+            long last = base.position().index() + model.size();
+            long from = Math.max(base.position().index() + 1, last + 1 - random.nextInt(3));
+            List<LogEntry> added = entries(from, from + 1 + random.nextInt(4), n);
+            model.removeIf(e -> e.position().index() >= from);
+            model.addAll(added);
+            Optional<Snapshot> next = Optional.empty();
+            if (random.nextInt(40) == 0) {
+                base = new Snapshot(model.get(0).position(), MEMBERS, FakeLogCodec.state(n));
+                next = Optional.of(base);
+                model.remove(0);
+            }
+            List<LogEntry> written = next.isPresent() ? List.copyOf(model) : added;
+            long start = next.map(s -> s.position().index() + 1).orElse(from);
+            storage.persist(List.of(new Persist(n + 1, hard(n / 10), next, start, written)));
+            if (random.nextInt(20) == 0 || n == 500) {
+                storage.close();
+                storage = FileLogStorage.open(mFolder, new FakeLogCodec());
+                StoredLog expected = new StoredLog(hard(n / 10), base, model);
+                assertEquals(Optional.of(expected), storage.load());
+            }
+        }
+        storage.close();
+    }
+
+    @Test
+    void recoversFromACrashBetweenSnapshotAndLog() throws IOException {
+        byte[] before = writeThree();
+        persist(new Persist(4, hard(1), Optional.of(snapshot(2)), 3, entries(3, 7, 1)));
+        Files.write(log(), before);
+        assertEquals(snapshot(2), reopened().base());
+        assertEquals(entries(3, 7, 1), reopened().entries());
+    }
+
+    @Test
+    void findsNothingInADeletedFolder() throws IOException {
+        writeThree();
+        deleteAll(mFolder);
+        try (FileLogStorage storage = FileLogStorage.open(mFolder, new FakeLogCodec())) {
+            assertEquals(Optional.empty(), storage.load());
+        }
+    }
+
+    @Test
+    void refusesAFolderInUse() {
+        try (FileLogStorage storage = FileLogStorage.open(mFolder, new FakeLogCodec())) {
+            assertEquals(Optional.empty(), storage.load());
+            assertThrows(CrocusturnException.class, this::reopened);
+        }
+    }
+
+    static void deleteAll(Path folder) throws IOException {
+        Files.walkFileTree(
+                folder,
+                new SimpleFileVisitor<>() {
+                    @Override
+                    public FileVisitResult visitFile(Path file, BasicFileAttributes attributes)
+                            throws IOException {
+                        Files.delete(file);
+                        return FileVisitResult.CONTINUE;
+                    }
+                });
+        Files.delete(folder);
+    }
+
+    private byte[] writeThree() throws IOException {
+        persist(new Persist(1, hard(1), Optional.of(snapshot(0)), 1, List.of()));
+        persist(new Persist(2, hard(1), Optional.empty(), 1, entries(1, 4, 1)));
+        Files.write(
+                mFolder.resolveSibling("size-" + mFolder.getFileName()),
+                List.of("" + Files.size(log())));
+        persist(new Persist(3, hard(1), Optional.empty(), 4, entries(4, 7, 1)));
+        return Files.readAllBytes(log());
+    }
+
+    private long sizeOfTwo() throws IOException {
+        return Long.parseLong(
+                Files.readAllLines(mFolder.resolveSibling("size-" + mFolder.getFileName())).get(0));
+    }
+
+    private Path log() {
+        return mFolder.resolve("log");
+    }
+
+    private StoredLog reopened() {
+        try (FileLogStorage storage = FileLogStorage.open(mFolder, new FakeLogCodec())) {
+            return storage.load().orElseThrow();
+        }
+    }
+
+    private void persist(Persist persist) {
+        try (FileLogStorage storage = FileLogStorage.open(mFolder, new FakeLogCodec())) {
+            storage.load();
+            storage.persist(List.of(persist));
+        }
+    }
+
+    private static HardState hard(long term) {
+        return new HardState(term, Optional.of(HOST), false);
+    }
+
+    private static Snapshot snapshot(long index) {
+        return new Snapshot(
+                LogPosition.of(index == 0 ? 0 : 1, index), MEMBERS, FakeLogCodec.state(index));
+    }
+
+    private static List<LogEntry> entries(long from, long to, long term) {
+        return LongStream.range(from, to)
+                .mapToObj(
+                        index ->
+                                new LogEntry(
+                                        LogPosition.of(term, index),
+                                        new LogContent.CommandContent(
+                                                index,
+                                                new ControlCommand.RemoveEndpoint(
+                                                        EndpointId.of("e" + index)))))
+                .toList();
+    }
+}
