--- a/daemon/src/main/java/org/crocusturn/daemon/Main.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/Main.java
@@ -1,9 +1,6 @@
 package org.crocusturn.daemon;
 
 import org.crocusturn.daemon.operators.CommandLine;
-import org.crocusturn.daemon.operators.DaemonCommands;
-import org.crocusturn.daemon.settings.ControlSettings;
-import org.crocusturn.daemon.settings.EntrySettings;
 
 /** Is the program {@code crocusturn}. */
 public final class Main {
@@ -12,20 +9,8 @@
     /** Runs one command and exits with its status. */
     public static void main(String[] arguments) {
         chooseLogFormat();
-        DaemonCommands daemons =
-                new DaemonCommands() {
-                    @Override
-                    public void runEntry(EntrySettings settings) {
-                        throw new IllegalArgumentException("not available yet");
-                    }
-
-                    @Override
-                    public void runControl(ControlSettings settings) {
-                        throw new IllegalArgumentException("not available yet");
-                    }
-                };
         System.exit(
-                CommandLine.create(daemons, System.getenv(), System.out, System.err)
+                CommandLine.create(new RunningDaemons(), System.getenv(), System.out, System.err)
                         .run(arguments)
                         .code());
     }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/RunningDaemons.java
@@ -0,0 +1,47 @@
+package org.crocusturn.daemon;
+
+import org.crocusturn.daemon.operators.DaemonCommands;
+import org.crocusturn.daemon.platform.StopSignal;
+import org.crocusturn.daemon.settings.ControlSettings;
+import org.crocusturn.daemon.settings.EntrySettings;
+
+/** Runs the daemons of the command line until they are stopped. */
+final class RunningDaemons implements DaemonCommands {
+
+    @Override
+    public void runEntry(EntrySettings settings) {
+        EntryDaemon daemon = EntryDaemon.start(settings);
+        StopSignal.onStop(
+                () -> {
+                    daemon.requestStop();
+                    await(daemon::awaitStopped);
+                    daemon.close();
+                });
+        await(daemon::awaitStopped);
+    }
+
+    @Override
+    public void runControl(ControlSettings settings) {
+        ControlDaemon daemon = ControlDaemon.start(settings);
+        StopSignal.onStop(
+                () -> {
+                    daemon.requestStop();
+                    await(daemon::awaitStopped);
+                    daemon.close();
+                });
+        await(daemon::awaitStopped);
+    }
+
+    /** Waits for something that can be interrupted. */
+    private interface Waiting {
+        void await() throws InterruptedException;
+    }
+
+    private static void await(Waiting waiting) {
+        try {
+            waiting.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -42,7 +42,6 @@
 import org.crocusturn.daemon.operators.ControlStatus;
 import org.crocusturn.daemon.platform.Metrics;
 import org.crocusturn.daemon.settings.ControlSettings;
-import org.crocusturn.daemon.wire.ProtobufLogCodec;
 
 /**
  * Is this host's part in the consensus group, with the duties that follow from it.
@@ -103,7 +102,7 @@
                         settings.dataFolder(),
                         mSelf,
                         first,
-                        new ProtobufLogCodec(),
+                        ProtobufLogCodec.create(),
                         this::sendConsensus,
                         new FromConsensus());
     }
@@ -165,8 +164,7 @@
 
     @Override
     public CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress) {
-        boolean known =
-                mNode.state().membership().member(host).filter(Member::voter).isPresent();
+        boolean known = mNode.state().membership().member(host).filter(Member::voter).isPresent();
         if (known) {
             return CompletableFuture.completedFuture(accepted());
         }
@@ -182,8 +180,7 @@
     public CompletableFuture<ControlStatus> status() {
         CompletableFuture<Set<HostId>> hosts = new CompletableFuture<>();
         offerToLeader(new LeaderEvent.HostsAsked(hosts));
-        return hosts.completeOnTimeout(
-                        Set.of(), STATUS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        return hosts.completeOnTimeout(Set.of(), STATUS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(this::status);
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -86,8 +86,7 @@
         } else if (event instanceof LeaderEvent.Announced announced) {
             stepIfLeading(new LeaderInput.AnnouncementReceived(announced.endpoint()));
         } else if (event instanceof LeaderEvent.HostsAsked asked) {
-            asked.reply()
-                    .complete(leads() ? liveHosts() : Set.of());
+            asked.reply().complete(leads() ? liveHosts() : Set.of());
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
@@ -77,9 +77,7 @@
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(host.resolve(route))
                         .timeout(REQUEST_TIMEOUT)
-                        .header(
-                                "Authorization",
-                                "Bearer " + mSecret.text())
+                        .header("Authorization", "Bearer " + mSecret.text())
                         .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
         changeId.ifPresent(id -> request.header("Crocusturn-Change-Id", id));
         try {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ConsensusMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConsensusMapper.java
@@ -123,6 +123,33 @@
         return new ConsensusMessage.TransferLeadership(value.getTerm());
     }
 
+    static ControlHostsProto.RecoveryRequest encode(ConsensusMessage.RecoveryRequest value) {
+        return ControlHostsProto.RecoveryRequest.newBuilder()
+                .setTerm(value.term())
+                .setMember(value.member().value())
+                .setNonce(value.nonce())
+                .build();
+    }
+
+    static ConsensusMessage.RecoveryRequest decode(ControlHostsProto.RecoveryRequest value) {
+        return new ConsensusMessage.RecoveryRequest(
+                value.getTerm(), HostId.of(value.getMember()), value.getNonce());
+    }
+
+    static ControlHostsProto.RecoveryReply encode(ConsensusMessage.RecoveryReply value) {
+        return ControlHostsProto.RecoveryReply.newBuilder()
+                .setTerm(value.term())
+                .setNonce(value.nonce())
+                .setBarrier(CommonMapper.encode(value.barrier()))
+                .build();
+    }
+
+    static ConsensusMessage.RecoveryReply decode(ControlHostsProto.RecoveryReply value) {
+        Wire.require(value.hasBarrier(), "barrier");
+        return new ConsensusMessage.RecoveryReply(
+                value.getTerm(), value.getNonce(), CommonMapper.decode(value.getBarrier()));
+    }
+
     static ControlHostsProto.ForwardedProposal encode(ForwardedProposal value) {
         return ControlHostsProto.ForwardedProposal.newBuilder()
                 .setId(value.id())
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
@@ -73,6 +73,16 @@
                             MessageCase.TRANSFER_LEADERSHIP,
                             (e, m) -> e.setTransferLeadership(ConsensusMapper.encode(m)),
                             e -> ConsensusMapper.decode(e.getTransferLeadership())),
+                    new MessageKind<>(
+                            ConsensusMessage.RecoveryRequest.class,
+                            MessageCase.RECOVERY_REQUEST,
+                            (e, m) -> e.setRecoveryRequest(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getRecoveryRequest())),
+                    new MessageKind<>(
+                            ConsensusMessage.RecoveryReply.class,
+                            MessageCase.RECOVERY_REPLY,
+                            (e, m) -> e.setRecoveryReply(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getRecoveryReply())),
                     new MessageKind<>(
                             ForwardedProposal.class,
                             MessageCase.FORWARDED_PROPOSAL,
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -25,7 +25,8 @@
                         .setLinkAddress(value.linkAddress())
                         .setSequence(value.sequence())
                         .setKnownVersion(value.knownVersion())
-                        .setLeaving(value.leaving());
+                        .setLeaving(value.leaving())
+                        .setAnswered(value.answered());
         value.leases().forEach(l -> builder.addLeases(encode(l)));
         value.demands().forEach(d -> builder.addDemands(encode(d)));
         value.suspects().stream().sorted().forEach(s -> builder.addSuspects(s.value()));
@@ -43,7 +44,8 @@
                 value.getLeasesList().stream().map(ReportMapper::decode).toList(),
                 value.getDemandsList().stream().map(ReportMapper::decode).toList(),
                 value.getSuspectsList().stream().map(EndpointId::of).collect(Collectors.toSet()),
-                value.getLeaving());
+                value.getLeaving(),
+                value.getAnswered());
     }
 
     static ControlHostsProto.NotLeader encode(NotLeader value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/StateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/StateMapper.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
@@ -24,7 +25,9 @@
         OperatorsProto.ControlState.Builder builder =
                 OperatorsProto.ControlState.newBuilder()
                         .setVersion(value.version())
-                        .setConfiguration(ConfigurationMapper.encode(value.configuration()));
+                        .setConfiguration(ConfigurationMapper.encode(value.configuration()))
+                        .setConfigurationChange(value.configurationChange());
+        new TreeMap<>(value.withdrawn()).forEach(builder::putWithdrawn);
         value.drained().stream().sorted().forEach(d -> builder.addDrained(d.value()));
         addKeys(builder, value);
         addEndpoints(builder, value);
@@ -59,7 +62,9 @@
                 map(
                         value.getChangesList(),
                         OperatorsProto.StoredChange::getKey,
-                        c -> RecordMapper.decode(c.getOutcome())));
+                        c -> RecordMapper.decode(c.getOutcome())),
+                value.getConfigurationChange(),
+                value.getWithdrawnMap());
     }
 
     private static void addKeys(OperatorsProto.ControlState.Builder builder, ControlState value) {
