--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -104,15 +104,15 @@
         SessionTokenCodec tokens =
                 SessionTokenCodec.of(SharedSecret.of(settings.sessionSecret().bytes()));
         mLifecycle = startLifecycle();
+        mLinks =
+                EntryLinks.start(
+                        mThreads, settings.link(), settings.host(), linkSecret, new FromLinks());
+        mControl = startControl(empty);
         mMonitor =
                 StatusMonitor.start(
                         mThreads, seen -> offerToGroups(new GroupsEvent.Observed(seen)));
         mGroups = startGroups(empty);
         mIngress = startIngress(empty, tokens);
-        mLinks =
-                EntryLinks.start(
-                        mThreads, settings.link(), settings.host(), linkSecret, new FromLinks());
-        mControl = startControl(empty);
         settings.controlHosts().forEach(peer -> connect(peer, linkSecret));
         mCallers =
                 HttpServer.start(
@@ -316,7 +316,8 @@
     private final class FromLinks implements EntryLinksListener {
         @Override
         public void requested(HostId origin, ForwardedRequest request) {
-            if (!mGroups.offer(new GroupsEvent.Arrived(origin, request), MAX_WAITING)) {
+            if (mGroups == null
+                    || !mGroups.offer(new GroupsEvent.Arrived(origin, request), MAX_WAITING)) {
                 mLinks.reply(
                         origin,
                         request.request().id(),
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -40,8 +40,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final ControlLeader mLeader = ControlLeader.standard();
-    private final DecisionLog mLog =
-            DecisionLog.create(LogManager.getLogger(LeaderDuty.class), "entryhosts");
+    private final DecisionLog mLog = DecisionLog.create(LogManager.getLogger(LeaderDuty.class), "");
     private final Map<EndpointId, String> mWatched = new HashMap<>();
     private final Map<org.crocusturn.core.GroupId, Long> mFailovers = new HashMap<>();
     private final LeaderPorts mPorts;
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/DecisionLog.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/DecisionLog.java
@@ -22,7 +22,7 @@
 
     private DecisionLog(Logger logger, String prefix, long nowNanos) {
         mLogger = logger;
-        mPrefix = prefix;
+        mPrefix = prefix.isEmpty() ? "" : prefix + ": ";
         mWindowNanos = nowNanos;
     }
 
@@ -30,7 +30,7 @@
      * Creates a log.
      *
      * @param logger where lines go
-     * @param prefix fixed prefix of the part, such as {@code endpoints}
+     * @param prefix fixed prefix of the part, such as {@code endpoints}; empty if lines have theirs
      */
     public static DecisionLog create(Logger logger, String prefix) {
         return new DecisionLog(Objects.requireNonNull(logger, "logger"), prefix, System.nanoTime());
@@ -40,7 +40,7 @@
     public void write(String line, long nowNanos) {
         if (nowNanos - mWindowNanos >= SECOND_NANOS) {
             if (mSuppressed > 0) {
-                mLogger.info("{}: {} further decisions were not logged", mPrefix, mSuppressed);
+                mLogger.info("{}{} further decisions were not logged", mPrefix, mSuppressed);
             }
             mWindowNanos = nowNanos;
             mLines = 0;
@@ -48,7 +48,7 @@
         }
         if (mLines < LINES_PER_SECOND) {
             mLines++;
-            mLogger.info("{}: {}", mPrefix, line);
+            mLogger.info("{}{}", mPrefix, line);
         } else {
             mSuppressed++;
         }
