--- a/core/src/main/java/org/crocusturn/core/endpoints/ConnectionPool.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/ConnectionPool.java
@@ -1,5 +1,6 @@
 package org.crocusturn.core.endpoints;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -106,6 +107,20 @@
                         .findFirst();
     }
 
+    /** Returns whether a connection is being opened. */
+    public boolean isOpening(long connection) {
+        return mConnections.get(connection) == Use.OPENING;
+    }
+
+    /** Returns the open connections without work. */
+    public List<Long> idleConnections() {
+        return mConnections
+                .entries()
+                .filter(e -> e.value() == Use.IDLE)
+                .map(PersistentMap.Entry::key)
+                .toList();
+    }
+
     /** Returns all connections. */
     public Stream<Long> connections() {
         return mConnections.keys();
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
@@ -23,12 +23,14 @@
 
     private final GroupStep mStep;
     private final List<EndpointId> mWanted = new ArrayList<>();
+
+    /** Copies in the order of their load; null until a read needs them. */
     private List<CopyView> mReplicas;
+
     private Plan mPlan;
 
     private GroupDispatch(GroupStep step) {
         mStep = step;
-        mReplicas = step.replicas();
     }
 
     /** Is what happens to the first request of a workspace. */
@@ -44,7 +46,11 @@
     }
 
     static void run(GroupStep step) {
-        if (!step.leaseValid() || step.mReleased) {
+        boolean nothing =
+                step.mTransactionLane.isEmpty()
+                        && step.mReplicaLane.isEmpty()
+                        && step.mPrimaryLane.isEmpty();
+        if (nothing || !step.leaseValid() || step.mReleased) {
             return;
         }
         GroupDispatch dispatch = new GroupDispatch(step);
@@ -128,6 +134,7 @@
         Statement statement = work.statement().orElseThrow();
         RoutingPolicy policy =
                 mStep.mPolicies.routing().choose(statement, work.request().hasToken(), mStep.mView);
+        mReplicas = mReplicas == null ? mStep.replicas() : mReplicas;
         Route route = policy.route(query(mStep, work, mReplicas));
         if (route instanceof Route.ToReplica replica) {
             return startable(replica.endpoint())
@@ -220,7 +227,7 @@
         mStep.mActions.add(
                 new GroupAction.SendCommand(connection, command, command(work, term), timeout));
         if (start.role() == Role.REPLICA) {
-            mReplicas = mStep.replicas();
+            mReplicas = null;
         }
     }
 
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
@@ -103,6 +103,31 @@
             }
         }
         step.mCopies = copies;
+        leaveRemoved(step);
+    }
+
+    /** Closes the connections to removed endpoints, and the idle ones to those out of service. */
+    private static void leaveRemoved(GroupStep step) {
+        for (PersistentMap.Entry<Long, EndpointId> entry : step.mConnections.entries().toList()) {
+            long connection = entry.key();
+            CopyView copy = step.mCopies.get(entry.value());
+            Running running = step.mRunning.get(connection);
+            if (copy == null && running != null) {
+                GroupResults.abandon(step, running, "the endpoint was removed");
+            } else if (copy == null) {
+                step.mTransactions
+                        .all()
+                        .filter(t -> t.connection() == connection)
+                        .findFirst()
+                        .ifPresent(step::drop);
+                step.close(connection);
+            }
+        }
+        step.mCopies
+                .values()
+                .filter(c -> !c.inService())
+                .filter(c -> !step.mView.primary().equals(Optional.of(c.endpoint())))
+                .forEach(c -> step.pool(c.endpoint()).idleConnections().forEach(step::close));
     }
 
     /** Ends what still runs at a primary whose term may no longer be acknowledged. */
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupLinks.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLinks.java
@@ -15,8 +15,11 @@
     private GroupLinks() {}
 
     static void opened(GroupStep step, GroupInput.ConnectionOpened opened) {
-        if (step.mConnections.contains(opened.connection())) {
-            step.idle(opened.connection());
+        EndpointId endpoint = step.mConnections.get(opened.connection());
+        if (endpoint != null) {
+            if (step.pool(endpoint).isOpening(opened.connection())) {
+                step.idle(opened.connection());
+            }
         } else {
             step.mActions.add(new GroupAction.CloseConnection(opened.connection()));
         }
