--- a/standin/src/main/java/org/crocusturn/standin/database/CopyState.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/CopyState.java
@@ -30,9 +30,13 @@
                 : new CopyState(Role.REPLICA, newTerm, Optional.empty(), false);
     }
 
-    /** Returns the state after a promotion. */
+    /** Returns the state after a promotion; a copy that follows a primary needs a higher term. */
     CopyState withPromotion(long newTerm) {
         checkTerm(newTerm);
+        if (newTerm == term && source.isPresent()) {
+            throw RefusedException.conflict(
+                    "has_primary", "term " + newTerm + " has another primary");
+        }
         return new CopyState(Role.PRIMARY, newTerm, Optional.empty(), true);
     }
 
--- a/standin/src/test/java/org/crocusturn/standin/database/AnnouncementDutyTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/database/AnnouncementDutyTest.java
@@ -36,21 +36,21 @@
                                 AnnouncementHandler.create("s", seen::add));
                 StandInDatabase standIn = standIn(threads, control)) {
             await(() -> seen.contains(standIn.record()));
-            try (DatabaseClient client = open(threads, standIn)) {
-                if (!inUse) {
-                    client.close();
-                }
-                CompletableFuture<Void> left = standIn.leave(Duration.ofMinutes(1));
-                await(() -> seen.contains(standIn.record().withLeaving(true)));
-                long announced = seen.size();
-                if (inUse) {
-                    await(() -> seen.size() > announced);
-                    assertFalse(left.isDone(), "left while a session was open");
-                    client.close();
-                }
-                left.get(10, TimeUnit.SECONDS);
-                assertEquals(0, standIn.sessions("visits"));
+            DatabaseClient client = open(threads, standIn);
+            Runnable disconnect = client::close;
+            if (!inUse) {
+                disconnect.run();
             }
+            CompletableFuture<Void> left = standIn.leave(Duration.ofMinutes(1));
+            await(() -> seen.contains(standIn.record().withLeaving(true)));
+            long announced = seen.size();
+            if (inUse) {
+                await(() -> seen.size() > announced);
+                assertFalse(left.isDone(), "left while a session was open");
+                disconnect.run();
+            }
+            left.get(10, TimeUnit.SECONDS);
+            assertEquals(0, standIn.sessions("visits"));
         }
     }
 
--- a/standin/src/test/java/org/crocusturn/standin/database/StandInDatabaseTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/database/StandInDatabaseTest.java
@@ -220,6 +220,23 @@
         }
     }
 
+    /** Guards against a statement of a lost leaseholder that commits after the next one came. */
+    @Test
+    void runningStatementOfOlderEpochDoesNotCommit() throws Exception {
+        try (Fleet fleet = Fleet.withPrimary(1, Behaviour.PROMPT.withStatementMillis(200));
+                DatabaseClient older = fleet.open(0, 1)) {
+            var running = older.run(write(1, INSERT, integer(1), integer(0)), Fleet.TIMEOUT);
+            await(() -> fleet.standIn(0).counters().fieldNames().contains("parameters"));
+            try (DatabaseClient newer = fleet.open(0, 2)) {
+                assertInstanceOf(DatabaseResult.Lost.class, running.get(10, TimeUnit.SECONDS));
+                await(() -> fleet.standIn(0).sessions(DATABASE) == 1);
+                assertEquals(at(1, 1), fleet.status(0).position());
+                assertEquals(
+                        integer(0), done(fleet.run(newer, read(1, COUNT))).rows().get(0).get(0));
+            }
+        }
+    }
+
     /** Guards against limits that a client can exceed without a trace. */
     @Test
     void limitsAreVisible() throws Exception {
--- /dev/null
+++ b/standin/src/test/java/org/crocusturn/standin/database/StatusDutyTest.java
@@ -0,0 +1,102 @@
+package org.crocusturn.standin.database;
+
+import static org.crocusturn.standin.database.Fleet.await;
+import static org.crocusturn.standin.database.Fleet.done;
+import static org.crocusturn.standin.database.Fleet.integer;
+import static org.crocusturn.standin.database.Fleet.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.daemon.endpoints.DatabaseClient;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.net.HttpAnswer;
+import org.crocusturn.daemon.net.HttpClientConnection;
+import org.crocusturn.daemon.net.HttpRequest;
+import org.crocusturn.daemon.net.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a status port that takes what it cannot carry out. */
+class StatusDutyTest {
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "POST | /v1/fence | {\"term\":1} | 400 | database",
+                "POST | /v1/fence | {\"database\":\"visits\"} | 400 | term",
+                "POST | /v1/promote | {\"database\":\"visits\",\"term\":\"1\"} | 400 | term",
+                "POST | /v1/promote | {\"database\":\"none\",\"term\":1} | 400 | no such database",
+                "POST | /v1/follow | {\"database\":\"visits\",\"term\":1} | 400 | primary",
+                "POST | /v1/follow | {\"database\":\"visits\",\"term\":1,\"primary\":\"x\"}"
+                        + " | 400 | primary",
+                "POST | /v1/faults | {\"lagMillis\":-1} | 400 | lagMillis",
+                "POST | /v1/faults | {\"faults\":[{\"kind\":\"x\"}]} | 400 | kind",
+                "POST | /v1/other | {\"database\":\"visits\",\"term\":1} | 400 | no such route",
+                "GET | /v1/status?wait=1 | {} | 400 | since",
+                "GET | /v1/replication?database=visits&term=1&afterTerm=0&afterIndex=0&wait=0"
+                        + " | {} | 409 | primary"
+            })
+    void refusesByName(String method, String path, String body, int status, String named)
+            throws Exception {
+        try (Fleet fleet = new Fleet(1, Behaviour.PROMPT)) {
+            HttpAnswer answer = send(fleet, method, path, body);
+            assertEquals(status, answer.status());
+            JsonNode error = Json.read(answer.body());
+            assertTrue(error.path("message").asText().contains(named), error::toString);
+            assertEquals(0, fleet.status(0).term());
+        }
+    }
+
+    /** Guards against faults and counters that only work within one process. */
+    @Test
+    void faultsAndCountersWorkOverHttp() throws Exception {
+        try (Fleet fleet = Fleet.withPrimary(2, Behaviour.PROMPT);
+                DatabaseClient client = fleet.open(0, 1)) {
+            String faults =
+                    "{\"lagMillis\":7,\"faults\":[{\"kind\":\"drop-after\",\"times\":1,"
+                            + "\"database\":\"visits\",\"route\":\"/v1/run\"}]}";
+            assertEquals(200, send(fleet, "POST", "/v1/faults", faults).status());
+            String sql = "INSERT INTO t VALUES (?, ?)";
+            var lost = fleet.run(client, write(1, sql, integer(1), integer(2)));
+            assertInstanceOf(DatabaseResult.Lost.class, lost);
+            try (DatabaseClient second = fleet.open(0, 1)) {
+                done(fleet.run(second, write(1, sql, integer(2), integer(2))));
+            }
+            await(() -> fleet.status(1).position().index() == 3);
+            JsonNode counters = Json.read(send(fleet, "GET", "/v1/counters", "{}").body());
+            long ran = 0;
+            for (JsonNode statement : counters.path("statements")) {
+                if (statement.path("sql").asText().equals(sql)) {
+                    assertEquals(2, statement.path("parameters").size());
+                    ran += statement.path("count").asLong();
+                }
+            }
+            assertEquals(2, ran);
+            assertEquals(1, counters.path("mostStatements").path("visits").asInt());
+            assertTrue(counters.path("headerNames").toString().contains("\"content-type\""));
+            assertTrue(counters.path("fieldNames").toString().contains("\"access\""));
+        }
+    }
+
+    private static HttpAnswer send(Fleet fleet, String method, String path, String body)
+            throws Exception {
+        var address = Addresses.parse(fleet.standIn(0).record().statusAddress());
+        try (HttpClientConnection connection =
+                HttpClientConnection.connect(fleet.threads(), address, Fleet.TIMEOUT)
+                        .get(10, TimeUnit.SECONDS)) {
+            return connection
+                    .send(
+                            new HttpRequest(
+                                    method, path, Map.of(), body.getBytes(StandardCharsets.UTF_8)),
+                            Fleet.TIMEOUT)
+                    .get(10, TimeUnit.SECONDS);
+        }
+    }
+}
