Share rate tokens by claims and test promotions and token accounts

Hosts that demanded more than the level got an equal part of the level at each report, which left part of the rate unused and favoured the first to report. Each demanding host now has a claim to its part of the rate since it was last served.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
@@ -124,7 +124,7 @@
                 buckets.getOrDefault(demand.workspace(), TokenBucket.of(startNanos))
                         .at(rate, nowNanos)
                         .withDemand(host, demand, rate);
-        long tokens = bucket.grantable(host, demand, nowNanos);
+        long tokens = bucket.grantable(host, demand, rate, nowNanos);
         long id = tokens > 0 ? lastId + 1 : lastId;
         PMap<HostId, PVector<SentGrant>> sent =
                 tokens > 0
@@ -142,7 +142,7 @@
                                                         host.reportNanos())))
                         : unconfirmed;
         return new RateAuthority(
-                buckets.plus(demand.workspace(), bucket.withGrant(host, demand, id, tokens)),
+                buckets.plus(demand.workspace(), bucket.withGrant(host, demand, rate, id, tokens)),
                 rates,
                 sent,
                 startNanos,
--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
@@ -65,7 +65,12 @@
             return host.proved() && host.sentAfterNanos() - safeNanos >= 0
                     ? withLedger(
                             host,
-                            new TokenLedger(demand.spentTotal(), 0, host.reportNanos(), List.of()))
+                            new TokenLedger(
+                                    demand.spentTotal(),
+                                    0,
+                                    host.reportNanos(),
+                                    host.reportNanos(),
+                                    List.of()))
                     : this;
         }
         TokenLedger spent = known.withSpent(demand.spentTotal(), host.reportNanos());
@@ -77,22 +82,45 @@
                 Math.min(level + refund, cap), filledNanos, safeNanos, next.ledgers());
     }
 
-    /** Returns how many tokens a host gets now: its need, but no more than its equal share. */
-    long grantable(EntryHost host, TokenDemand demand, long nowNanos) {
+    /**
+     * Returns how many tokens a host gets now: its need, but no more than its share. Each demanding
+     * host has a claim to an equal part of what the rate brought since its last grant, and to an
+     * equal part of what the level holds beyond all claims. The claims keep demanding hosts
+     * together at the full rate however seldom they report.
+     */
+    long grantable(EntryHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
         TokenLedger ledger = ledgers.get(Process.of(host));
         if (ledger == null || level < 1) {
             return 0;
         }
-        long others =
-                ledgers.entrySet().stream()
-                        .filter(e -> !e.getKey().equals(Process.of(host)))
-                        .filter(e -> e.getValue().isDemanding(nowNanos))
-                        .count();
-        long share = Math.max(1, (long) Math.floor(level / (others + 1)));
-        return Math.min(Math.max(0, demand.wanted() - ledger.held(nowNanos)), share);
+        List<TokenLedger> others = others(host, nowNanos);
+        double part = rate.perSecond() / (others.size() + 1);
+        double own = accrued(ledger, part, nowNanos);
+        double all =
+                own
+                        + others.stream()
+                                .mapToDouble(o -> Math.min(o.unmet(), accrued(o, part, nowNanos)))
+                                .sum();
+        double share = level >= all ? own + (level - all) / (others.size() + 1) : level * own / all;
+        long need = Math.max(0, demand.wanted() - ledger.held(nowNanos));
+        return Math.min(need, (long) Math.max(1, share));
+    }
+
+    private List<TokenLedger> others(EntryHost host, long nowNanos) {
+        return ledgers.entrySet().stream()
+                .filter(e -> !e.getKey().equals(Process.of(host)))
+                .map(Map.Entry::getValue)
+                .filter(l -> l.isDemanding(nowNanos))
+                .toList();
+    }
+
+    private static double accrued(TokenLedger ledger, double perSecond, long nowNanos) {
+        long claim = Math.min(nowNanos - ledger.servedNanos(), TokenLedger.MAX_CLAIM_NANOS);
+        return perSecond * claim / Duration.ofSeconds(1).toNanos();
     }
 
-    TokenBucket withGrant(EntryHost host, TokenDemand demand, long id, long tokens) {
+    TokenBucket withGrant(
+            EntryHost host, TokenDemand demand, RateLimit rate, long id, long tokens) {
         TokenLedger ledger = ledgers.get(Process.of(host));
         if (ledger == null) {
             return this;
@@ -101,11 +129,16 @@
         if (tokens == 0) {
             return withLedger(host, ledger.withUnmet(unmet));
         }
+        double part = rate.perSecond() / (others(host, host.reportNanos()).size() + 1);
+        double nanos =
+                Math.min(
+                        tokens / part * Duration.ofSeconds(1).toNanos(),
+                        TokenLedger.MAX_CLAIM_NANOS);
         OutstandingGrant grant =
                 new OutstandingGrant(
                         id, tokens, tokens, host.sequence(), host.reportNanos(), false);
         return new TokenBucket(level - tokens, filledNanos, safeNanos, ledgers)
-                .withLedger(host, ledger.withGrant(grant, unmet));
+                .withLedger(host, ledger.withGrant(grant, unmet, (long) nanos));
     }
 
     private TokenBucket withLedger(EntryHost host, TokenLedger ledger) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenLedger.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenLedger.java
@@ -10,12 +10,21 @@
  * @param spentTotal spending that is taken into account
  * @param unmet tokens that the process asked for and did not get
  * @param reportNanos time of its last report
+ * @param servedNanos time up to which its claim to the rate is served
  * @param grants unsettled grants, oldest first
  */
-record TokenLedger(long spentTotal, long unmet, long reportNanos, List<OutstandingGrant> grants) {
+record TokenLedger(
+        long spentTotal,
+        long unmet,
+        long reportNanos,
+        long servedNanos,
+        List<OutstandingGrant> grants) {
     /** Age from which a grant no longer counts against what the host would like to hold. */
     static final long RENEW_NANOS = Duration.ofMillis(700).toNanos();
 
+    /** A host that asked for nothing for long has no greater claim than this. */
+    static final long MAX_CLAIM_NANOS = Duration.ofMillis(500).toNanos();
+
     /** Time after its expiry at which an unsettled grant is given up. */
     static final long FORFEIT_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -58,7 +67,7 @@
             open -= part;
             next.add(grant.withLeft(grant.left() - part));
         }
-        return new TokenLedger(Math.max(total, spentTotal), unmet, nowNanos, next);
+        return new TokenLedger(Math.max(total, spentTotal), unmet, nowNanos, servedNanos, next);
     }
 
     /** Returns the unspent tokens of grants that were void before the latest report was sent. */
@@ -75,6 +84,7 @@
                 spentTotal,
                 unmet,
                 reportNanos,
+                servedNanos,
                 grants.stream().filter(g -> !g.isVoid(sentAfterNanos)).toList());
     }
 
@@ -85,20 +95,25 @@
                         spentTotal,
                         unmet,
                         reportNanos,
+                        servedNanos,
                         grants.stream()
                                 .map(g -> isForfeit(g, nowNanos) ? g.withForfeit() : g)
                                 .toList())
                 : this;
     }
 
-    TokenLedger withGrant(OutstandingGrant grant, long stillUnmet) {
+    /** Returns the ledger with a grant that uses up a claim of some nanoseconds. */
+    TokenLedger withGrant(OutstandingGrant grant, long stillUnmet, long claimNanos) {
         List<OutstandingGrant> next = new ArrayList<>(grants);
         next.add(grant);
-        return new TokenLedger(spentTotal, stillUnmet, reportNanos, next);
+        long oldest = reportNanos - MAX_CLAIM_NANOS;
+        long served = Math.max(servedNanos, oldest) + claimNanos;
+        return new TokenLedger(
+                spentTotal, stillUnmet, reportNanos, Math.min(reportNanos, served), next);
     }
 
     TokenLedger withUnmet(long value) {
-        return new TokenLedger(spentTotal, value, reportNanos, grants);
+        return new TokenLedger(spentTotal, value, reportNanos, servedNanos, grants);
     }
 
     private static boolean isForfeit(OutstandingGrant grant, long nowNanos) {
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/endpoints/FailoverDecisionsTest.java
@@ -0,0 +1,160 @@
+package org.crocusturn.core.endpoints;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.Role;
+import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.operators.GroupRecord;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a promotion that is unsafe, needless or missing. */
+class FailoverDecisionsTest {
+    private static final GroupId GROUP = GroupId.of("s", "a");
+    private static final long LATER = 10_000_000_000L;
+
+    /** Describes a copy as role, term, index, and flags: f failed, d drained, u unseen. */
+    private static CopyView copy(int number, String text) {
+        String[] parts = text.split(" ");
+        boolean unseen = text.contains("u");
+        long term = Long.parseLong(parts[1]);
+        Role role = parts[0].equals("P") ? Role.PRIMARY : Role.REPLICA;
+        LogPosition position = LogPosition.of(term, Long.parseLong(parts[2]));
+        return new CopyView(
+                new EndpointRecord(
+                        EndpointId.of("e" + number),
+                        "s",
+                        DataCentreId.of("n"),
+                        "127.0.0.1:1",
+                        "status-" + number,
+                        List.of(),
+                        false),
+                unseen
+                        ? Optional.empty()
+                        : Optional.of(new CopyStatus("a", role, term, position, 0)),
+                LATER,
+                text.contains("f") ? Optional.of("it is silent") : Optional.empty(),
+                !text.contains("d"));
+    }
+
+    private static GroupRecord group(long term, String primary) {
+        GroupRecord record = GroupRecord.of(GROUP);
+        GroupRecord begun = term == 0 ? record : record.withFailover(term);
+        return primary.isEmpty() ? begun : begun.withPrimary(EndpointId.of(primary), 0);
+    }
+
+    private static FailoverView view(GroupRecord group, boolean silenced, List<String> copies) {
+        return new FailoverView(
+                group,
+                copies.size(),
+                IntStream.range(0, copies.size()).mapToObj(i -> copy(i, copies.get(i))).toList(),
+                silenced,
+                false);
+    }
+
+    private static String text(FailoverAction action) {
+        if (action instanceof FailoverAction.Propose propose) {
+            return propose.command().getClass().getSimpleName();
+        }
+        EndpointCommand command = ((FailoverAction.Order) action).command();
+        return command.getClass().getSimpleName() + " " + command.endpoint();
+    }
+
+    private static List<String> texts(Decision<GroupFailover, FailoverAction> decision) {
+        return decision.actions().stream()
+                .filter(a -> !(a instanceof FailoverAction.Note))
+                .map(FailoverDecisionsTest::text)
+                .toList();
+    }
+
+    static Stream<Arguments> firstSteps() {
+        GroupRecord old = group(3, "e0");
+        return Stream.of(
+                Arguments.of(group(0, ""), List.of("R 0 0", "R 0 0", "R 0 0"), "BeginFailover"),
+                Arguments.of(group(0, ""), List.of("R 0 0", "R 0 0", "R 0 0 u"), "BeginFailover"),
+                Arguments.of(group(0, ""), List.of("R 0 0", "R 0 0 u", "R 0 0 u"), ""),
+                Arguments.of(old, List.of("P 3 9 f", "R 3 9", "R 3 9"), "BeginFailover"),
+                Arguments.of(old, List.of("P 3 9 f", "R 3 9 f", "R 3 9"), ""),
+                Arguments.of(old, List.of("P 4 9", "R 3 9", "R 3 9"), "BeginFailover"),
+                Arguments.of(old, List.of("P 3 9", "R 3 9", "P 2 9"), "Follow e1,Follow e2"),
+                Arguments.of(old, List.of("P 3 9", "R 3 9 f", "R 3 9"), "Follow e2"),
+                Arguments.of(old, List.of("R 3 9", "R 3 9 f", "R 3 9 f"), "Promote e0"),
+                Arguments.of(group(3, ""), List.of("P 3 9", "R 3 9", "R 3 9"), "BeginFailover"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("firstSteps")
+    void decidesTheFirstStep(GroupRecord group, List<String> copies, String expected) {
+        GroupFailover state = GroupFailover.of(GROUP, 0);
+        var decision = FailoverDecisions.step(state, view(group, false, copies), LATER);
+        assertEquals(expected, String.join(",", texts(decision)));
+    }
+
+    /** Guards against a fence before the old holder is silent and a promotion of a stale copy. */
+    @ParameterizedTest
+    @CsvSource({
+        "R 4 7 f, R 4 8, R 4 9, e2",
+        "R 4 7 f, R 4 9, R 4 8, e1",
+        "R 4 9 d, R 4 9, R 4 8 f, e1",
+        "R 4 9 d, R 4 8, R 4 8 f, e0"
+    })
+    void promotesTheHighestPosition(String first, String second, String third, String expected) {
+        List<String> before = List.of("P 3 9 f", "R 3 9", "R 3 9");
+        GroupFailover begun =
+                FailoverDecisions.step(
+                                GroupFailover.of(GROUP, 0),
+                                view(group(3, "e0"), false, before),
+                                LATER)
+                        .state();
+        GroupRecord open = group(4, "");
+        var waiting = FailoverDecisions.step(begun, view(open, false, before), LATER);
+        assertEquals(List.of(), texts(waiting));
+        var fencing = FailoverDecisions.step(waiting.state(), view(open, true, before), LATER);
+        assertEquals(List.of("Fence e0", "Fence e1", "Fence e2"), texts(fencing));
+        FailoverView fenced = view(open, true, List.of(first, second, third));
+        var promoting = FailoverDecisions.step(fencing.state(), fenced, LATER);
+        assertEquals(List.of("Promote " + expected), texts(promoting));
+        var silent = FailoverDecisions.step(promoting.state(), fenced, 3 * LATER);
+        assertEquals(List.of("BeginFailover"), texts(silent));
+    }
+
+    /** Guards against a switchover without a replica in service. */
+    @ParameterizedTest
+    @CsvSource({
+        "R 3 9, R 3 9, HOLDING",
+        "R 3 9 d, R 3 9 d, HEALTHY",
+        "R 3 9 f, R 3 9 d, HEALTHY",
+        "R 2 9, R 2 9, HEALTHY"
+    })
+    void switchesOnlyToAReplicaInService(String second, String third, FailoverPhase expected) {
+        FailoverView view = view(group(3, "e0"), false, List.of("P 3 9 d", second, third));
+        GroupFailover state = GroupFailover.of(GROUP, 0);
+        List<FailoverPhase> phases = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            state = FailoverDecisions.step(state, view, LATER + i).state();
+            phases.add(state.phase());
+        }
+        assertEquals(expected, phases.get(2));
+    }
+
+    /** Guards against a quorum that can miss both copies of a durable write. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 2", "3, 2", "4, 3", "5, 4", "7, 6"})
+    void fencesOneOfAnyTwoCopies(int instances, int expected) {
+        FailoverView view =
+                new FailoverView(GroupRecord.of(GROUP), instances, List.of(), true, false);
+        assertEquals(expected, view.quorum());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
@@ -0,0 +1,125 @@
+package org.crocusturn.core.entryhosts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.Map;
+import java.util.Set;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.controlhosts.TokenGrant;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Workspace;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against tokens that are granted, credited or lost twice. */
+class RateAuthorityTest {
+    private static final long MS = 1_000_000;
+    private static final WorkspaceId W = WorkspaceId.of("w");
+    private EntryRegistry mRegistry = EntryRegistry.of(0);
+    // The rate is so low that only the burst of 10 matters, which is filled at time 0.
+    private RateAuthority mRates =
+            RateAuthority.startingAt(configuration(0.001, 10), -10_000_000 * MS);
+    private final Map<HostId, Long> mSequences = new HashMap<>();
+
+    private List<TokenGrant> report(
+            String name, long atMillis, long wanted, long spent, long answered) {
+        HostId id = HostId.of(name);
+        long sequence = mSequences.merge(id, 1L, Long::sum);
+        EntryReport report =
+                new EntryReport(
+                        id,
+                        1,
+                        DataCentreId.of("n"),
+                        "127.0.0.1:1",
+                        sequence,
+                        0,
+                        List.of(),
+                        List.of(new TokenDemand(W, wanted, spent)),
+                        Set.of(),
+                        false,
+                        answered);
+        mRegistry = mRegistry.with(report, atMillis * MS);
+        EntryHost host = mRegistry.host(id).orElseThrow();
+        mRates = mRates.with(host, report.demands(), atMillis * MS);
+        return mRates.grantsFor(host);
+    }
+
+    private static long sum(List<TokenGrant> grants) {
+        return grants.stream().mapToLong(TokenGrant::tokens).sum();
+    }
+
+    /** Guards against a credit for tokens that may still be spent, and against one left out. */
+    @ParameterizedTest
+    @CsvSource({
+        // spent, time and answered sequence of the last report, tokens that it gets
+        "0, 1201, 2, 4",
+        "0, 1300, 2, 4",
+        "0, 1300, 3, 10",
+        "3, 1300, 3, 7",
+        "6, 1300, 3, 4",
+        "0, 1700, 3, 4"
+    })
+    void creditsOnlyWhatIsProvedVoid(long spent, long atMillis, long answered, long expected) {
+        report("a", 0, 0, 0, 0);
+        assertEquals(6, sum(report("a", 10, 6, 0, 1)));
+        report("a", 1200, 0, 0, 2);
+        assertEquals(expected, sum(report("a", atMillis, 20, spent, answered)));
+    }
+
+    /** Guards against a lost update that costs tokens and a repeated one that doubles them. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 0"})
+    void repeatsAGrantUntilItIsConfirmed(long answered, int repeats) {
+        report("a", 0, 0, 0, 0);
+        List<TokenGrant> first = report("a", 10, 5, 0, 1);
+        List<TokenGrant> second = report("a", 210, 5, 0, answered);
+        assertEquals(1, first.size());
+        assertEquals(repeats, second.size());
+        second.forEach(
+                g ->
+                        assertEquals(
+                                new TokenGrant(
+                                        W,
+                                        first.get(0).id(),
+                                        5,
+                                        first.get(0).durationMillis() - 200),
+                                g));
+    }
+
+    /** Guards against one host that takes all tokens, and against shares that nobody gets. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5})
+    void sharesAmongDemandingHosts(int hosts) {
+        mRates = RateAuthority.startingAt(configuration(100, 50), 0);
+        long[] got = new long[hosts];
+        for (int round = 0; round < 50; round++) {
+            for (int i = 0; i < hosts; i++) {
+                got[i] += sum(report("h" + i, round * 200 + i * 20, 40, got[i], round));
+            }
+        }
+        LongSummaryStatistics all = Arrays.stream(got).summaryStatistics();
+        assertTrue(all.getSum() >= 900 && all.getSum() <= 1_050, all.toString());
+        assertTrue(all.getMax() <= 1.2 * all.getMin(), all.toString());
+    }
+
+    private static Configuration configuration(double rate, long burst) {
+        RateLimit limit = new RateLimit(rate, burst);
+        return new Configuration(
+                1,
+                List.of(),
+                List.of(new Workspace(W, limit, Set.of(), Map.of())),
+                List.of(),
+                List.of());
+    }
+}
