Check verdicts of retried writes in the random schedules

Cause: a write whose first attempt may have run must not be reported as not run when a later attempt is refused; no check covered it. Change: check the verdict of every attempt of a write with a request id.

--- a/core/src/test/java/org/crocusturn/core/endpoints/GroupCoordinatorTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupCoordinatorTest.java
@@ -179,7 +179,7 @@
             } else if (choice < 40) {
                 String write = "once" + mNextWrite++;
                 mOnce.add(write);
-                once(number, write, 0);
+                once(number, write, 0, true);
             } else if (choice < 80) {
                 send(number, new GroupOperation.Execute(Statement.read("read")), "");
             } else if (choice < 88) {
@@ -220,7 +220,7 @@
         }
 
         /** Sends a write with a request id until its outcome is known. */
-        private void once(int number, String write, int attempts) {
+        private void once(int number, String write, int attempts, boolean neverRan) {
             Statement statement = Statement.write(write).withRequestId(write);
             request(
                     number,
@@ -230,14 +230,25 @@
                         if (outcome instanceof Outcome.Answered answered) {
                             acknowledged(number, Set.of(write), answered.answer());
                             go(number);
-                        } else if (attempts < 10 && mSchedule.mNow < GroupSchedule.END) {
-                            mSchedule.after(30, () -> once(number, write, attempts + 1));
+                            return;
+                        }
+                        boolean notRun = neverRan && isNotRun(outcome);
+                        mSchedule.check(
+                                !notRun || !mSchedule.mRuns.containsKey(write),
+                                write + " ran although it was reported as not run");
+                        if (attempts < 10 && mSchedule.mNow < GroupSchedule.END) {
+                            mSchedule.after(30, () -> once(number, write, attempts + 1, notRun));
                         } else {
                             go(number);
                         }
                     });
         }
 
+        private static boolean isNotRun(Outcome outcome) {
+            return outcome instanceof Outcome.Failed failed
+                    && failed.failure().verdict() == Verdict.NOT_RUN;
+        }
+
         private void send(int number, GroupOperation operation, String write) {
             Session session = mSessions.get(number);
             request(
