--- a/standin/src/test/java/org/crocusturn/standin/database/StandInDatabaseTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/database/StandInDatabaseTest.java
@@ -225,8 +225,8 @@
     void runningStatementOfOlderEpochDoesNotCommit() throws Exception {
         try (Fleet fleet = Fleet.withPrimary(1, Behaviour.PROMPT.withStatementMillis(200));
                 DatabaseClient older = fleet.open(0, 1)) {
-            var running = older.run(write(1, INSERT, integer(1), integer(0)), Fleet.TIMEOUT);
-            await(() -> fleet.standIn(0).counters().fieldNames().contains("parameters"));
+            var running = older.run(once(1, "r", "INSERT INTO t VALUES (1, 0)"), Fleet.TIMEOUT);
+            await(() -> fleet.standIn(0).counters().fieldNames().contains("requestId"));
             try (DatabaseClient newer = fleet.open(0, 2)) {
                 assertInstanceOf(DatabaseResult.Lost.class, running.get(10, TimeUnit.SECONDS));
                 await(() -> fleet.standIn(0).sessions(DATABASE) == 1);
