--- a/core/src/test/java/org/crocusturn/core/controlhosts/ConsensusRulesTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ConsensusRulesTest.java
@@ -88,6 +88,32 @@
         assertEquals(List.of(granted), grants(decision));
     }
 
+    /** A restarted member may have acknowledged a leader just before it stopped. */
+    @ParameterizedTest
+    @CsvSource({"299, false", "300, true"})
+    void refusesVotesAfterItsStart(long afterMillis, boolean granted) {
+        ConsensusMessage request =
+                new ConsensusMessage.VoteRequest(2, OTHER, LogPosition.ZERO, false, false);
+        Decision<ConsensusState, ConsensusAction> decision =
+                step(
+                        restarted(List.of()),
+                        new ConsensusInput.Received(OTHER, request),
+                        afterMillis * MILLI);
+        assertEquals(List.of(granted), grants(decision));
+    }
+
+    /** The target's vote requests pass the pause, so the lease must not outlast the transfer. */
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, false"})
+    void voidsTheLeaseAtATransfer(boolean transfer, boolean valid) {
+        long now = 1_000 * MILLI;
+        ConsensusState leader = elect(restarted(List.of()), now);
+        ConsensusState established = receive(leader, append(leader, now, false), now);
+        ConsensusInput input =
+                transfer ? new ConsensusInput.TransferRequested() : new ConsensusInput.Tick();
+        assertEquals(valid, Consensus.leaderLeaseValid(step(established, input, now).state(), now));
+    }
+
     /** A barrier of an earlier start or term, or one not committed, proves nothing. */
     @ParameterizedTest
     @CsvSource({
