Encode the recovery messages in the codec test and rename the leader's copy view

Cause: the codec test listed no sample of the two recovery messages, so it failed when they got an encoding; two packages used the name CopyView.

--- a/core/src/test/java/org/crocusturn/core/endpoints/FailoverDecisionsTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/FailoverDecisionsTest.java
@@ -26,13 +26,13 @@
     private static final long LATER = 10_000_000_000L;
 
     /** Describes a copy as role, term, index, and flags: f failed, d drained, u unseen. */
-    private static CopyView copy(int number, String text) {
+    private static CopyHealth copy(int number, String text) {
         String[] parts = text.split(" ");
         boolean unseen = text.contains("u");
         long term = Long.parseLong(parts[1]);
         Role role = parts[0].equals("P") ? Role.PRIMARY : Role.REPLICA;
         LogPosition position = LogPosition.of(term, Long.parseLong(parts[2]));
-        return new CopyView(
+        return new CopyHealth(
                 new EndpointRecord(
                         EndpointId.of("e" + number),
                         "s",
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -161,6 +161,8 @@
                 new ConsensusMessage.AppendReply(4, true, 41, 1_234, true),
                 new ConsensusMessage.InstallSnapshot(4, HOST, snapshot(), 1_235),
                 new ConsensusMessage.SnapshotReply(4, 41, 1_235),
+                new ConsensusMessage.RecoveryRequest(4, HOST, -77L),
+                new ConsensusMessage.RecoveryReply(5, 78L, LogPosition.of(5, 43)),
                 new ConsensusMessage.TransferLeadership(4));
     }
 
