--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -1,7 +1,6 @@
 package org.crocusturn.core.entryhosts;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -32,10 +31,11 @@
  * <p>Cost of a step, besides the O(log n) of the persistent maps: a report O(its leases and demands
  * + the update); an observation O(copies on the endpoint x copies of a group); a committed lease or
  * failover command O(copies) plus, at most every 20 ms, a push of O(live hosts x size of an
- * update); another committed command O(groups x copies + endpoints) plus the push; a tick O(hosts +
- * endpoints + groups x copies) plus a bounded number of placement scores. A group that needs
- * another leaseholder costs O(hosts). No step costs O(hosts x groups), unless all groups need a
- * holder.
+ * update); another committed command O(groups x copies + endpoints) plus the push; a tick O(hosts)
+ * plus O(copies) for each group in a failover, each group of a dead host and 256 or 1/32 of the
+ * others. Failures that the monitor or a closed link tells are handled at once, not at a tick. A
+ * group that needs another leaseholder costs O(hosts). No step costs O(hosts x groups), unless all
+ * groups need a holder.
  */
 public final class ControlLeader {
     /** State changes that come faster than this are pushed together. */
@@ -44,6 +44,9 @@
     /** A leaving endpoint whose announcements stopped is removed after this time. */
     static final long REMOVE_NANOS = Duration.ofSeconds(10).toNanos();
 
+    /** Groups looked after at a tick without cause: all of a small system, 1/32 of a large one. */
+    static final int GROUPS_PER_TICK = 256;
+
     private static final long REMOVE_REPEAT_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final PlacementPolicy mPlacement;
@@ -272,12 +275,24 @@
     private static void tick(LeaderTurn turn) {
         turn.mState = turn.mState.withRegistry(turn.mState.registry().withoutForgotten(turn.mNow));
         LeaseDecisions leases = new LeaseDecisions(turn);
-        for (GroupId id : groups(turn)) {
+        List<GroupId> groups = turn.mState.failovers().order();
+        int count = Math.min(groups.size(), Math.max(GROUPS_PER_TICK, groups.size() / 32));
+        int start = groups.isEmpty() ? 0 : turn.mState.cursor() % groups.size();
+        for (int i = 0; i < count; i++) {
+            GroupId id = groups.get((start + i) % groups.size());
             turn.failover(id, Optional.empty());
             leases.check(id);
         }
+        turn.mState.failovers().active().forEach(g -> turn.failover(g, Optional.empty()));
+        turn.mState
+                .registry()
+                .dead(turn.mNow)
+                .forEach(h -> turn.mState.leases().groupsOf(h.id()).forEach(leases::check));
+        turn.mState = turn.mState.withCursors(start + count, turn.mState.placementCursor());
         leases.rebalance();
-        removeLeft(turn);
+        if (start + count >= groups.size()) {
+            removeLeft(turn);
+        }
     }
 
     private static void removeLeft(LeaderTurn turn) {
@@ -305,6 +320,6 @@
     }
 
     private static List<GroupId> groups(LeaderTurn turn) {
-        return new ArrayList<>(turn.mState.failovers().groups().keySet());
+        return turn.mState.failovers().order();
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/EntryRegistry.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/EntryRegistry.java
@@ -1,6 +1,5 @@
 package org.crocusturn.core.entryhosts;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -53,12 +52,14 @@
         return host != null && host.incarnation() == incarnation && isLive(host, nowNanos);
     }
 
-    /** Returns the live hosts in the order of their names. */
+    /** Returns the live hosts in no particular order. */
     public List<EntryHost> live(long nowNanos) {
-        return hosts.values().stream()
-                .filter(h -> isLive(h, nowNanos))
-                .sorted(Comparator.comparing(EntryHost::id))
-                .toList();
+        return hosts.values().stream().filter(h -> isLive(h, nowNanos)).toList();
+    }
+
+    /** Returns the hosts that are not alive. */
+    public List<EntryHost> dead(long nowNanos) {
+        return hosts.values().stream().filter(h -> !isLive(h, nowNanos)).toList();
     }
 
     /** Returns the registry after a report; a repeated report changes nothing. */
--- a/core/src/main/java/org/crocusturn/core/entryhosts/FailoverTable.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/FailoverTable.java
@@ -14,6 +14,7 @@
 import org.crocusturn.core.endpoints.CopyView;
 import org.crocusturn.core.endpoints.EndpointHealth;
 import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.endpoints.FailoverPhase;
 import org.crocusturn.core.endpoints.FailureDetector;
 import org.crocusturn.core.endpoints.GroupFailover;
 import org.crocusturn.core.operators.ControlState;
@@ -21,7 +22,9 @@
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.Service;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /**
  * Keeps the progress of all groups and the health of all endpoints. Immutable.
@@ -32,6 +35,8 @@
  * @param health health by endpoint
  * @param announced time of the last announcement by endpoint
  * @param copies endpoints that hold a copy of a group, in the order of their names
+ * @param order all groups in a fixed order
+ * @param active groups whose phase is not healthy
  * @param instances declared number of instances by service
  */
 public record FailoverTable(
@@ -39,6 +44,8 @@
         PMap<EndpointId, EndpointHealth> health,
         PMap<EndpointId, Long> announced,
         Map<GroupId, List<EndpointId>> copies,
+        List<GroupId> order,
+        PSet<GroupId> active,
         Map<String, Integer> instances) {
     /** Copies the plain maps. */
     public FailoverTable {
@@ -46,6 +53,8 @@
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(announced, "announced");
         copies = Map.copyOf(copies);
+        order = List.copyOf(order);
+        Objects.requireNonNull(active, "active");
         instances = Map.copyOf(instances);
     }
 
@@ -56,6 +65,8 @@
                         HashTreePMap.empty(),
                         HashTreePMap.empty(),
                         Map.of(),
+                        List.of(),
+                        HashTreePSet.empty(),
                         Map.of())
                 .withState(state, nowNanos);
     }
@@ -110,6 +121,8 @@
                 nextHealth.minusAll(missing(nextHealth.keySet(), state.endpoints().keySet())),
                 nextAnnounced.minusAll(missing(nextAnnounced.keySet(), state.endpoints().keySet())),
                 copiesOf(state),
+                state.groups().keySet().stream().sorted().toList(),
+                active.minusAll(missing(active, state.groups().keySet())),
                 instancesOf(state));
     }
 
@@ -127,19 +140,41 @@
 
     /** Returns the table with another progress of a group. */
     public FailoverTable with(GroupFailover failover) {
+        PSet<GroupId> next =
+                failover.phase() == FailoverPhase.HEALTHY
+                        ? active.minus(failover.group())
+                        : active.plus(failover.group());
         return new FailoverTable(
-                groups.plus(failover.group(), failover), health, announced, copies, instances);
+                groups.plus(failover.group(), failover),
+                health,
+                announced,
+                copies,
+                order,
+                next,
+                instances);
     }
 
     /** Returns the table after an announcement. */
     public FailoverTable withAnnounced(EndpointId endpoint, long nowNanos) {
         return new FailoverTable(
-                groups, health, announced.plus(endpoint, nowNanos), copies, instances);
+                groups,
+                health,
+                announced.plus(endpoint, nowNanos),
+                copies,
+                order,
+                active,
+                instances);
     }
 
     private FailoverTable withHealth(EndpointHealth next) {
         return new FailoverTable(
-                groups, health.plus(next.endpoint(), next), announced, copies, instances);
+                groups,
+                health.plus(next.endpoint(), next),
+                announced,
+                copies,
+                order,
+                active,
+                instances);
     }
 
     private static <K> List<K> missing(Collection<K> known, Collection<K> wanted) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
@@ -17,7 +17,8 @@
  * @param failovers groups and endpoints
  * @param pushDue whether live hosts have to be told of a state change
  * @param pushedNanos time of the last push to all hosts
- * @param cursor number of the next group to check for rebalancing
+ * @param cursor number of the next group to look after at a tick
+ * @param placementCursor number of the next group to check for rebalancing
  */
 public record LeaderState(
         long term,
@@ -31,7 +32,8 @@
         FailoverTable failovers,
         boolean pushDue,
         long pushedNanos,
-        int cursor) {
+        int cursor,
+        int placementCursor) {
     /** Checks that no part is null. */
     public LeaderState {
         Objects.requireNonNull(control, "control");
@@ -61,6 +63,7 @@
                 FailoverTable.of(control, nowNanos),
                 false,
                 nowNanos,
+                0,
                 0);
     }
 
@@ -92,7 +95,8 @@
                 failovers,
                 true,
                 pushedNanos,
-                cursor);
+                cursor,
+                placementCursor);
     }
 
     LeaderState withRegistry(EntryRegistry next) {
@@ -128,10 +132,11 @@
                 failovers,
                 false,
                 nowNanos,
-                cursor);
+                cursor,
+                placementCursor);
     }
 
-    LeaderState withCursor(int next) {
+    LeaderState withCursors(int next, int nextPlacement) {
         return new LeaderState(
                 term,
                 gainedNanos,
@@ -144,7 +149,8 @@
                 failovers,
                 pushDue,
                 pushedNanos,
-                next);
+                next,
+                nextPlacement);
     }
 
     private LeaderState copy(
@@ -165,6 +171,7 @@
                 nextFailovers,
                 pushDue,
                 pushedNanos,
-                cursor);
+                cursor,
+                placementCursor);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -22,8 +22,8 @@
 
     static final long PROPOSAL_REPEAT_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Bounds the scores computed for rebalancing at a tick to about 2 ms. */
-    static final int SCORES_PER_TICK = 50_000;
+    /** Bounds the scores that are computed for rebalancing at a tick. */
+    static final int SCORES_PER_TICK = 5_000;
 
     private final LeaderTurn mTurn;
 
@@ -104,21 +104,22 @@
         }
     }
 
-    /** Moves leases to the hosts that placement prefers; costs at most O(SCORES_PER_TICK). */
+    /** Moves leases to the hosts that placement prefers; costs O(hosts). */
     void rebalance() {
         List<EntryHost> hosts = mTurn.eligible();
-        List<GroupId> groups = List.copyOf(mTurn.mState.failovers().groups().keySet());
+        List<GroupId> groups = mTurn.mState.failovers().order();
         if (hosts.isEmpty()
                 || groups.isEmpty()
                 || mTurn.mNow - mTurn.mState.gainedNanos() < STABLE_NANOS) {
             return;
         }
         int count = Math.min(groups.size(), Math.max(1, SCORES_PER_TICK / hosts.size()));
-        int start = mTurn.mState.cursor() % groups.size();
+        int start = mTurn.mState.placementCursor() % groups.size();
         for (int i = 0; i < count; i++) {
             improve(groups.get((start + i) % groups.size()));
         }
-        mTurn.mState = mTurn.mState.withCursor((start + count) % groups.size());
+        mTurn.mState =
+                mTurn.mState.withCursors(mTurn.mState.cursor(), (start + count) % groups.size());
     }
 
     private void improve(GroupId id) {
