--- a/core/src/test/java/org/crocusturn/core/entryhosts/SimulatedWorld.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/SimulatedWorld.java
@@ -316,7 +316,7 @@
     private void work() {
         for (FakeEntryHost host : mHosts.values()) {
             boolean fresh = mNow >= host.mFrozenUntil;
-            for (GroupId group : fresh ? Set.copyOf(host.mHeld.keySet()) : Set.<GroupId>of()) {
+            for (GroupId group : fresh ? List.copyOf(host.mHeld.keySet()) : List.<GroupId>of()) {
                 release(host, host.mHeld.get(group));
                 write(host, group);
             }
