Spread primaries over the endpoints and bring them back

Cause: the first promotion took whichever two copies announced first, so all groups of a service could have their primary and their leaseholder in one data centre, and a restored data centre never got a primary back. Change: the first term waits up to 2 s for all copies; equal positions are decided by rendezvous hashing; a group that has been healthy for 30 s moves its primary to the preferred copy by a planned switchover.

--- a/core/src/main/java/org/crocusturn/core/endpoints/FailoverDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/FailoverDecisions.java
@@ -37,8 +37,16 @@
     /** A switchover that led back to the old primary is tried again after this time. */
     static final long SWITCHOVER_PAUSE_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** A replica at most this many entries behind catches up within a short hold. */
-    static final long NEAR_ENTRIES = 100;
+    /**
+     * The first term waits this long for the copies beyond the quorum, so that primaries spread.
+     */
+    static final long FIRST_TERM_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /**
+     * A group must have been healthy for this time before its primary moves to the preferred copy,
+     * so that an endpoint that fails again and again does not draw its primaries back each time.
+     */
+    static final long PREFERENCE_NANOS = Duration.ofSeconds(30).toNanos();
 
     private FailoverDecisions() {}
 
@@ -115,8 +123,9 @@
     private static Decision<GroupFailover, FailoverAction> healthy(
             GroupFailover state, FailoverView view, long now) {
         if (view.group().primary().isEmpty()) {
-            return view.hasQuorum()
-                    ? begin(state, view, now, false, "enough copies are there for the first term")
+            boolean due = view.allReachable() || now - state.sinceNanos() >= FIRST_TERM_NANOS;
+            return view.hasQuorum() && due
+                    ? begin(state, view, now, true, "enough copies are there for the first term")
                     : Decision.of(state);
         }
         Optional<String> failure = primaryFailure(view);
@@ -128,21 +137,38 @@
         if (view.dropped()) {
             return hold(state, now, "the leaseholder has dropped the term");
         }
-        boolean settled = now - state.sinceNanos() >= SWITCHOVER_PAUSE_NANOS;
-        if (settled && wantsSwitchover(view)) {
-            return Decision.of(
-                    state.withPhase(FailoverPhase.PREPARING, 0, now),
-                    note(state, "primary " + view.primary().get().id() + " is to leave service"));
+        long healthy = now - state.sinceNanos();
+        if (healthy >= SWITCHOVER_PAUSE_NANOS && mustSwitchOver(view)) {
+            return prepare(state, view, now, "is to leave service");
+        }
+        if (healthy >= PREFERENCE_NANOS && shouldSwitchOver(view)) {
+            return prepare(state, view, now, "gives way to the preferred copy");
         }
         return direct(state, view, now);
     }
 
-    private static boolean wantsSwitchover(FailoverView view) {
+    private static Decision<GroupFailover, FailoverAction> prepare(
+            GroupFailover state, FailoverView view, long now, String reason) {
+        return Decision.of(
+                state.withPhase(FailoverPhase.PREPARING, 0, now),
+                note(state, "primary " + view.primary().get().id() + " " + reason));
+    }
+
+    private static boolean mustSwitchOver(FailoverView view) {
         return view.primary().filter(p -> !p.inService()).isPresent()
                 && view.successor().isPresent()
                 && view.hasQuorum();
     }
 
+    /** Brings primaries back to their share after an endpoint returned to service. */
+    private static boolean shouldSwitchOver(FailoverView view) {
+        return view.allReachable()
+                && view.preferred()
+                        .filter(p -> !view.group().primary().equals(Optional.of(p.id())))
+                        .filter(view::isNear)
+                        .isPresent();
+    }
+
     private static Optional<String> primaryFailure(FailoverView view) {
         Optional<CopyHealth> primary = view.primary();
         if (primary.isEmpty()) {
@@ -211,12 +237,13 @@
 
     private static Decision<GroupFailover, FailoverAction> preparing(
             GroupFailover state, FailoverView view, long now) {
-        if (primaryFailure(view).isPresent() || view.dropped() || !wantsSwitchover(view)) {
+        if (primaryFailure(view).isPresent()
+                || view.dropped()
+                || !(mustSwitchOver(view) || shouldSwitchOver(view))) {
             return step(state.withPhase(FailoverPhase.HEALTHY, 0, now), view, now);
         }
         CopyHealth successor = view.successor().get();
-        long behind = view.primary().get().position().index() - successor.position().index();
-        return behind <= NEAR_ENTRIES
+        return view.isNear(successor)
                 ? hold(state, now, successor.id() + " has nearly caught up")
                 : direct(state, view, now);
     }
@@ -312,7 +339,8 @@
                         .max(
                                 Comparator.comparing(position)
                                         .thenComparing(CopyHealth::reachable)
-                                        .thenComparing(CopyHealth::inService))
+                                        .thenComparing(CopyHealth::inService)
+                                        .thenComparing(view::score))
                         .orElseThrow();
         LogPosition start = position.apply(best);
         GroupFailover next = state.withCandidate(best.id(), start.index(), now);
--- a/core/src/main/java/org/crocusturn/core/endpoints/FailoverView.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/FailoverView.java
@@ -1,10 +1,12 @@
 package org.crocusturn.core.endpoints;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.Rendezvous;
 
 /**
  * Is everything that a failover decision of one group depends on.
@@ -22,6 +24,9 @@
         List<CopyHealth> copies,
         boolean silenced,
         boolean dropped) {
+    /** A replica at most this many entries behind catches up within a short hold. */
+    static final long NEAR_ENTRIES = 100;
+
     /** Copies the list. */
     public FailoverView {
         Objects.requireNonNull(group, "group");
@@ -51,8 +56,45 @@
         return copies.stream().filter(CopyHealth::reachable).count() >= quorum();
     }
 
-    /** Returns the replica in service that has the highest position, if there is one. */
+    /** Returns whether every instance that the service declares is reachable. */
+    public boolean allReachable() {
+        return copies.stream().filter(CopyHealth::reachable).count() >= instances;
+    }
+
+    /** Returns the rendezvous score of a copy; it spreads the primaries over the endpoints. */
+    long score(CopyHealth copy) {
+        return Rendezvous.score(group.id().toString(), copy.id().value());
+    }
+
+    /** Returns the reachable copy in service that should be primary if all else is equal. */
+    public Optional<CopyHealth> preferred() {
+        return copies.stream()
+                .filter(CopyHealth::reachable)
+                .filter(CopyHealth::inService)
+                .max(Comparator.comparingLong(this::score));
+    }
+
+    /** Returns whether a copy of the term catches up with the primary within a short hold. */
+    boolean isNear(CopyHealth copy) {
+        return copy.term() == group.term()
+                && primary()
+                        .filter(p -> p.position().index() - copy.position().index() <= NEAR_ENTRIES)
+                        .isPresent();
+    }
+
+    /**
+     * Returns the replica in service that should follow the primary, if there is one: the preferred
+     * copy if it has nearly caught up, else the one with the highest position.
+     */
     public Optional<CopyHealth> successor() {
+        Optional<CopyHealth> preferred =
+                preferred()
+                        .filter(c -> !group.primary().equals(Optional.of(c.id())))
+                        .filter(this::isNear);
+        return preferred.isPresent() ? preferred : highestReplica();
+    }
+
+    private Optional<CopyHealth> highestReplica() {
         return copies.stream()
                 .filter(CopyHealth::reachable)
                 .filter(CopyHealth::inService)
--- a/core/src/test/java/org/crocusturn/core/endpoints/FailoverDecisionsTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/FailoverDecisionsTest.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.endpoints;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -102,6 +103,35 @@
         assertEquals(expected, String.join(",", texts(decision)));
     }
 
+    /** Guards against primaries that stay together after an endpoint returned to service. */
+    @ParameterizedTest
+    @CsvSource({
+        "P 3 9, R 3 9, R 3 9, 29, HEALTHY",
+        "P 3 9, R 3 9, R 3 9, 31, PREPARING",
+        "P 3 9, R 3 9, R 3 9 f, 31, HEALTHY",
+        "P 3 999, R 3 9, R 3 9, 31, HEALTHY",
+        "P 3 9, R 2 9, R 2 9, 31, HEALTHY"
+    })
+    void returnsToThePreferredCopy(
+            String first, String second, String third, long seconds, FailoverPhase expected) {
+        List<String> copies = List.of(first, second, third);
+        FailoverView any = view(group(3, "e0"), false, copies);
+        assertNotEquals("e0", any.preferred().get().id().value(), "the test needs a move");
+        GroupFailover state = GroupFailover.of(GROUP, 0);
+        var decision = FailoverDecisions.step(state, any, seconds * 1_000_000_000L);
+        assertEquals(expected, decision.state().phase());
+    }
+
+    /** Guards against a first term that puts all primaries on the endpoint that came first. */
+    @ParameterizedTest
+    @CsvSource({"R 0 0, 1, ''", "R 0 0 u, 1, none", "R 0 0 u, 2, ''"})
+    void firstTermWaitsForAllCopies(String third, long seconds, String none) {
+        FailoverView view = view(group(0, ""), false, List.of("R 0 0", "R 0 0", third));
+        var decision =
+                FailoverDecisions.step(GroupFailover.of(GROUP, 0), view, seconds * 1_000_000_000L);
+        assertEquals(none.isEmpty() ? List.of("BeginFailover") : List.of(), texts(decision));
+    }
+
     /** Guards against a fence before the old holder is silent and a promotion of a stale copy. */
     @ParameterizedTest
     @CsvSource({
