Check histories of callers under injected failures

Four callers write, read and roam on a local deployment of three control hosts, three entry hosts and three stand-ins with 50, 100 and 200 ms of lag while one failure is injected; HistoryChecker compares what they saw with the data at the end.

--- a/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
+++ b/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
@@ -5,12 +5,12 @@
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -51,15 +51,19 @@
     private final Secret mOperatorSecret = secret();
     private final Secret mAnnouncementSecret = secret();
     private final List<PeerAddress> mMembers;
+    private final List<InetSocketAddress> mControlPorts;
     private final NetThreads mThreads = NetThreads.start("stand-in", 2);
-    private final List<ControlDaemon> mControlHosts = new ArrayList<>();
-    private final List<EntryDaemon> mEntryHosts = new ArrayList<>();
-    private final List<StandInDatabase> mDatabases = new ArrayList<>();
+    private final List<ControlDaemon> mControlHosts = new CopyOnWriteArrayList<>();
+    private final List<EntryDaemon> mEntryHosts = new CopyOnWriteArrayList<>();
+    private final List<StandInDatabase> mDatabases = new CopyOnWriteArrayList<>();
     private final Map<String, String> mKeys = new TreeMap<>();
 
     private LocalDeployment(LocalPlan plan) {
         mPlan = plan;
-        List<InetSocketAddress> links = FreePorts.find(plan.controlHosts());
+        int hosts = plan.controlHosts();
+        List<InetSocketAddress> ports = FreePorts.find(3 * hosts);
+        List<InetSocketAddress> links = ports.subList(0, hosts);
+        mControlPorts = ports.subList(hosts, 3 * hosts);
         mMembers =
                 IntStream.range(0, plan.controlHosts())
                         .mapToObj(
@@ -119,6 +123,32 @@
         return List.copyOf(mDatabases);
     }
 
+    /** Ends all control hosts at once and starts them again from their data folders. */
+    public void restartControlHosts() {
+        mControlHosts.forEach(ControlDaemon::close);
+        mControlHosts.clear();
+        mMembers.forEach(m -> mControlHosts.add(ControlDaemon.start(control(m))));
+        require("a leader", () -> mControlHosts.stream().anyMatch(ControlDaemon::leads));
+    }
+
+    /** Ends an entry host at once, without a planned stop. */
+    public void end(EntryDaemon host) {
+        mEntryHosts.remove(host);
+        host.close();
+    }
+
+    /** Ends a control host at once, without a planned stop. */
+    public void end(ControlDaemon host) {
+        mControlHosts.remove(host);
+        host.close();
+    }
+
+    /** Ends a database at once; its data is lost. */
+    public void end(StandInDatabase database) {
+        mDatabases.remove(database);
+        database.close();
+    }
+
     /** Stops all processes gracefully, entry hosts first. */
     public void stop() {
         mEntryHosts.forEach(EntryDaemon::requestStop);
@@ -228,8 +258,8 @@
                 centre(0),
                 mPlan.folder().resolve(member.host().value()),
                 member.address(),
-                ANY,
-                ANY,
+                mControlPorts.get(2 * mMembers.indexOf(member)),
+                mControlPorts.get(2 * mMembers.indexOf(member) + 1),
                 platform(),
                 mMembers,
                 true,
--- /dev/null
+++ b/standin/src/test/java/org/crocusturn/standin/local/Proof.java
@@ -0,0 +1,212 @@
+package org.crocusturn.standin.local;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+import org.crocusturn.daemon.ControlDaemon;
+import org.crocusturn.daemon.EntryDaemon;
+import org.crocusturn.standin.database.Behaviour;
+import org.crocusturn.standin.database.StandInDatabase;
+import org.crocusturn.standin.history.Caller;
+import org.crocusturn.standin.history.HistoryChecker;
+import org.crocusturn.standin.history.Load;
+import org.crocusturn.standin.history.Operation;
+
+/** Is a deployment under a light load whose history is checked at the end. */
+final class Proof implements AutoCloseable {
+    static final String SERVICE = "taftish-db";
+    static final String WORKSPACE = "field-east";
+    static final GroupId GROUP = GroupId.of(SERVICE, "visits");
+    static final Duration LIMIT = Duration.ofSeconds(20);
+    static final Configuration CONFIGURATION =
+            new Configuration(
+                    1,
+                    Stream.of("abdali", "marka", "tlaa-ali").map(DataCentreId::of).toList(),
+                    List.of(
+                            new Workspace(
+                                    WorkspaceId.of(WORKSPACE),
+                                    new RateLimit(2_000, 4_000),
+                                    Set.of(SERVICE),
+                                    java.util.Map.of(SERVICE, "visits"))),
+                    List.of(
+                            new Service(
+                                    SERVICE,
+                                    List.of("visits"),
+                                    3,
+                                    4,
+                                    32,
+                                    AcknowledgeMode.DURABLE,
+                                    false)),
+                    List.of());
+    private static final int CALLERS = 4;
+    private static final long[] LAG_MILLIS = {50, 100, 200};
+
+    private final LocalDeployment mDeployment;
+    private final Load mLoad;
+
+    private Proof(LocalDeployment deployment, long seed) {
+        mDeployment = deployment;
+        assertEquals(
+                200,
+                caller(0).run("CREATE TABLE entry (number BIGINT, part INT, session INT)"),
+                "create the table");
+        mLoad = Load.start(CALLERS, this::caller, seed);
+    }
+
+    static Proof start(Path folder, long seed) {
+        LocalDeployment deployment =
+                LocalDeployment.start(
+                        new LocalPlan(CONFIGURATION, 3, 3, folder, 0, Behaviour.PROMPT));
+        IntStream.range(0, LAG_MILLIS.length)
+                .forEach(
+                        n ->
+                                deployment
+                                        .databases()
+                                        .get(n)
+                                        .change(b -> b.withLagMillis(LAG_MILLIS[n])));
+        try {
+            Proof proof = new Proof(deployment, seed);
+            proof.awaitMoreWrites(20);
+            return proof;
+        } catch (RuntimeException | Error e) {
+            deployment.close();
+            throw e;
+        }
+    }
+
+    LocalDeployment deployment() {
+        return mDeployment;
+    }
+
+    Load load() {
+        return mLoad;
+    }
+
+    Caller caller(int session) {
+        return Caller.create(
+                mDeployment.entries(), SERVICE, mDeployment.keys().get(WORKSPACE), session);
+    }
+
+    /** Waits until the callers got more acknowledgements, which shows that the system serves. */
+    void awaitMoreWrites(int count) {
+        long target = mLoad.acknowledged() + count;
+        assertTrue(
+                LocalDeployment.await(LIMIT, () -> mLoad.acknowledged() >= target),
+                () -> "no more writes; last: " + last());
+    }
+
+    GroupRecord group() {
+        return leader().state().groups().get(GROUP);
+    }
+
+    ControlDaemon leader() {
+        AtomicReference<ControlDaemon> leader = new AtomicReference<>();
+        LocalDeployment.await(
+                LIMIT,
+                () -> {
+                    mDeployment.controlHosts().stream()
+                            .filter(ControlDaemon::leads)
+                            .findFirst()
+                            .ifPresent(leader::set);
+                    return leader.get() != null;
+                });
+        return leader.get();
+    }
+
+    StandInDatabase primary() {
+        return mDeployment.databases().stream()
+                .filter(d -> group().primary().equals(java.util.Optional.of(d.record().id())))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    EntryDaemon leaseholder() {
+        return mDeployment.entryHosts().stream()
+                .filter(e -> e.view().leases().containsKey(GROUP))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Drains or restores a data centre and waits until the groups have moved out, or back. */
+    void awaitDataCentre(String centre, String action, boolean drained) {
+        mDeployment
+                .operatorClient()
+                .send(
+                        "POST",
+                        "/v1/data-centres/" + centre + "/" + action,
+                        java.util.Optional.of("proof-" + action),
+                        new byte[0]);
+        assertTrue(
+                LocalDeployment.await(
+                        LIMIT,
+                        () ->
+                                leader().state().drained().contains(DataCentreId.of(centre))
+                                                == drained
+                                        && (!drained || movedOut(centre))),
+                () -> centre + " is not left: " + group());
+    }
+
+    void awaitStopped(EntryDaemon host) {
+        try {
+            host.awaitStopped();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean movedOut(String centre) {
+        return group().primary().isPresent()
+                && !primary().record().dataCentre().value().equals(centre);
+    }
+
+    /** Stops the load and checks the history against the data. */
+    List<Operation> check() {
+        List<Operation> history = mLoad.stop();
+        AtomicReference<Operation> all = new AtomicReference<>();
+        assertTrue(
+                LocalDeployment.await(
+                        LIMIT,
+                        () -> {
+                            // Reads of a session without writes go to the primary.
+                            all.set(caller(0).readAll());
+                            return all.get().isAcknowledged();
+                        }),
+                () -> "no final read: " + all.get());
+        List<String> faults = HistoryChecker.check(history, all.get().rows());
+        assertEquals(List.of(), faults);
+        return history;
+    }
+
+    /** Returns operations that ended without an acknowledgement. */
+    static List<Operation> failed(List<Operation> history) {
+        return history.stream().filter(Predicate.not(Operation::isAcknowledged)).toList();
+    }
+
+    @Override
+    public void close() {
+        mLoad.close();
+        mDeployment.close();
+    }
+
+    private List<Operation> last() {
+        List<Operation> history = mLoad.history();
+        return history.subList(Math.max(0, history.size() - 4), history.size());
+    }
+}
