Let callers leave a stopping entry host before it refuses work

Cause: during the load balancer's delay a leaving host kept connections open and went on accepting new ones, so callers on kept-alive connections met the refusal. Answers now carry Connection: close from the start of a planned stop, and the host accepts no connection once it refuses work. Ruled out: refused requests that ran (the history was correct). A connection that stays idle through the whole delay can still meet the refusal.

--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -292,6 +292,10 @@
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
             mControl.offer(new ControlLinkEvent.Leaving());
         }
+        if (phase == Phase.DRAINING) {
+            // A refused connection tells a caller at once to go to another host.
+            mCallers.stopAccepting();
+        }
         if (phase == Phase.STOPPED) {
             mStopped.countDown();
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
@@ -175,7 +175,9 @@
                 outcome instanceof Outcome.Answered
                         ? answer.token().map(mTokens::encode)
                         : Optional.empty();
-        CallerAnswer result = new CallerAnswer(outcome, token, mPhase == Phase.DRAINING);
+        // Callers have to leave open connections before the host refuses their requests.
+        boolean close = mPhase == Phase.LEAVING || mPhase == Phase.DRAINING;
+        CallerAnswer result = new CallerAnswer(outcome, token, close);
         waiting.reply().complete(result);
         count(waiting, outcome);
     }
--- a/standin/src/test/java/org/crocusturn/standin/local/FailureProofTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/local/FailureProofTest.java
@@ -3,18 +3,27 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.crocusturn.core.Verdict;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.daemon.ControlDaemon;
 import org.crocusturn.daemon.EntryDaemon;
+import org.crocusturn.daemon.operators.ConfigurationWriter;
+import org.crocusturn.daemon.operators.OperatorClient;
+import org.crocusturn.standin.database.Behaviour;
 import org.crocusturn.standin.history.Load;
 import org.crocusturn.standin.history.Operation;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Injects one failure into a whole deployment under load and checks the history. */
 class FailureProofTest {
@@ -131,6 +140,55 @@
         }
     }
 
+    /** Guards against a restart that recovers an older configuration. */
+    @ParameterizedTest
+    @ValueSource(ints = 500)
+    void recoversNewestConfiguration(int changes, @TempDir Path folder) {
+        try (LocalDeployment deployment =
+                LocalDeployment.start(
+                        new LocalPlan(Proof.CONFIGURATION, 3, 1, folder, 0, Behaviour.PROMPT))) {
+            OperatorClient client = deployment.operatorClient();
+            IntStream.rangeClosed(2, changes + 1)
+                    .forEach(
+                            version ->
+                                    client.send(
+                                            "POST",
+                                            "/v1/configuration",
+                                            Optional.of("change-" + version),
+                                            ConfigurationWriter.write(Proof.configuration(version))
+                                                    .getBytes(StandardCharsets.UTF_8)));
+            ControlState before = newest(deployment);
+            deployment.restartControlHosts();
+            assertTrue(
+                    LocalDeployment.await(
+                            Proof.LIMIT,
+                            () ->
+                                    deployment.controlHosts().stream()
+                                            .allMatch(
+                                                    c -> c.state().version() >= before.version())),
+                    "a control host did not recover");
+            deployment
+                    .controlHosts()
+                    .forEach(
+                            c -> {
+                                assertEquals(before.configuration(), c.state().configuration());
+                                assertEquals(before.keys(), c.state().keys());
+                                assertEquals(before.placements(), c.state().placements());
+                            });
+            assertEquals(changes + 1, before.configuration().version());
+            System.out.printf(
+                    "proof: CONTROL_HOSTS_RESTARTED, version %d after %d changes%n",
+                    before.version(), changes);
+        }
+    }
+
+    private static ControlState newest(LocalDeployment deployment) {
+        return deployment.controlHosts().stream()
+                .map(ControlDaemon::state)
+                .max(Comparator.comparingLong(ControlState::version))
+                .orElseThrow();
+    }
+
     /** How a key ends. */
     enum Withdrawal {
         KEY_WITHDRAWN(Duration.ofSeconds(3));
--- a/standin/src/test/java/org/crocusturn/standin/local/Proof.java
+++ b/standin/src/test/java/org/crocusturn/standin/local/Proof.java
@@ -35,26 +35,7 @@
     static final String WORKSPACE = "field-east";
     static final GroupId GROUP = GroupId.of(SERVICE, "visits");
     static final Duration LIMIT = Duration.ofSeconds(20);
-    static final Configuration CONFIGURATION =
-            new Configuration(
-                    1,
-                    Stream.of("abdali", "marka", "tlaa-ali").map(DataCentreId::of).toList(),
-                    List.of(
-                            new Workspace(
-                                    WorkspaceId.of(WORKSPACE),
-                                    new RateLimit(2_000, 4_000),
-                                    Set.of(SERVICE),
-                                    java.util.Map.of(SERVICE, "visits"))),
-                    List.of(
-                            new Service(
-                                    SERVICE,
-                                    List.of("visits"),
-                                    3,
-                                    4,
-                                    32,
-                                    AcknowledgeMode.DURABLE,
-                                    false)),
-                    List.of());
+    static final Configuration CONFIGURATION = configuration(1);
     private static final int CALLERS = 4;
     private static final long[] LAG_MILLIS = {50, 100, 200};
 
@@ -70,6 +51,28 @@
         mLoad = Load.start(CALLERS, this::caller, seed);
     }
 
+    static Configuration configuration(long version) {
+        return new Configuration(
+                version,
+                Stream.of("abdali", "marka", "tlaa-ali").map(DataCentreId::of).toList(),
+                List.of(
+                        new Workspace(
+                                WorkspaceId.of(WORKSPACE),
+                                new RateLimit(2_000, 4_000 + version),
+                                Set.of(SERVICE),
+                                java.util.Map.of(SERVICE, "visits"))),
+                List.of(
+                        new Service(
+                                SERVICE,
+                                List.of("visits"),
+                                3,
+                                4,
+                                32,
+                                AcknowledgeMode.DURABLE,
+                                false)),
+                List.of());
+    }
+
     static Proof start(Path folder, long seed) {
         LocalDeployment deployment =
                 LocalDeployment.start(
