Finish running writes while a planned switchover holds new ones back

The holder also never reported the held term as dropped, so the switchover waited for the lease to run out. Change: the view keeps the term and the end of the last grant that allowed acknowledgements; running work of that term ends regularly within it, new work waits, and once nothing is left the holder drops the term for good. Ruled out: the lease being lost (the answers named the primary's term).

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -56,9 +56,18 @@
      * @param epoch epoch of the lease
      * @param untilNanos time from which it is no longer valid
      * @param acknowledgeTerm term for which writes may be acknowledged; 0 for none
+     * @param finishTerm latest term for which writes could be acknowledged
+     * @param finishUntilNanos time until which writes of that term that run already may still be
+     *     acknowledged; the leader counts on the same time
      * @param move whether the holder should give it back
      */
-    public record GrantedLease(long epoch, long untilNanos, long acknowledgeTerm, boolean move) {}
+    public record GrantedLease(
+            long epoch,
+            long untilNanos,
+            long acknowledgeTerm,
+            long finishTerm,
+            long finishUntilNanos,
+            boolean move) {}
 
     /** Collects the parts of the next view within one call. */
     private static final class Draft {
@@ -224,17 +233,24 @@
             }
             long until = sent + grant.durationMillis() * 1_000_000;
             boolean same = old != null && old.epoch() == grant.epoch();
-            leases.put(
-                    grant.group(),
-                    new GrantedLease(
-                            grant.epoch(),
-                            same ? Math.max(old.untilNanos(), until) : until,
-                            grant.acknowledgeTerm(),
-                            grant.move()));
+            leases.put(grant.group(), lease(grant, until, same ? old : null));
         }
         return leases;
     }
 
+    /** Returns a lease after a grant; the old one is of the same epoch, or null. */
+    private static GrantedLease lease(LeaseGrant grant, long until, GrantedLease old) {
+        long latest = old == null ? until : Math.max(old.untilNanos(), until);
+        boolean held = grant.acknowledgeTerm() == 0 && old != null;
+        return new GrantedLease(
+                grant.epoch(),
+                latest,
+                grant.acknowledgeTerm(),
+                held ? old.finishTerm() : grant.acknowledgeTerm(),
+                held ? old.finishUntilNanos() : latest,
+                grant.move());
+    }
+
     private void takeTokens(Draft draft, ControlUpdate update, long sent, long nowNanos) {
         Map<Long, Long> seen = new HashMap<>(update.leader() == mLeader ? mSeenGrants : Map.of());
         seen.values().removeIf(at -> nowNanos - at > KEPT_GRANTS_NANOS);
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupCoordinator.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupCoordinator.java
@@ -61,6 +61,7 @@
             GroupTimes.tick(step);
         }
         GroupDispatch.run(step);
+        GroupLease.dropIfHeld(step);
         GroupLease.releaseIfDone(step);
         return step.decision();
     }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
@@ -57,6 +57,7 @@
         step.mBackoff = PersistentMap.empty();
         step.mHandoverNanos = Optional.empty();
         step.mReleased = false;
+        step.mDroppedTerm = 0;
     }
 
     private static void failTransactionLane(GroupStep step) {
@@ -132,7 +133,7 @@
 
     /** Ends what still runs at a primary whose term may no longer be acknowledged. */
     private static void dropSuperseded(GroupStep step) {
-        long term = step.mView.acknowledgeTerm();
+        long term = step.mView.finishableTerm(step.mNow);
         for (Running running : step.mRunning.values().toList()) {
             if (running.role() == Role.PRIMARY && running.term() != term) {
                 GroupResults.abandon(step, running, "the primary was superseded");
@@ -149,6 +150,27 @@
         }
     }
 
+    /**
+     * Drops the term for good once the leader holds writes back and nothing of the term is left.
+     *
+     * <p>The leader counts on it, so a later grant of the same term starts no work.
+     */
+    static void dropIfHeld(GroupStep step) {
+        GroupView view = step.mView;
+        boolean held =
+                view.epoch() > 0
+                        && view.acknowledgeTerm() == 0
+                        && view.primary().isPresent()
+                        && view.finishTerm() == view.term();
+        boolean idle =
+                step.mRunning.values().noneMatch(r -> r.role() == Role.PRIMARY)
+                        && step.mCommitted.isEmpty()
+                        && step.mTransactions.size() == 0;
+        if (held && idle) {
+            step.mDroppedTerm = Math.max(step.mDroppedTerm, view.term());
+        }
+    }
+
     /** Reports the release once nothing is left. */
     static void releaseIfDone(GroupStep step) {
         boolean idle =
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
@@ -38,6 +38,7 @@
     final PersistentMap<WorkspaceId, TokenPurse> mPurses;
     final Optional<Long> mHandoverNanos;
     final boolean mReleased;
+    final long mDroppedTerm;
     final long mNextNumber;
 
     GroupState(GroupStep step) {
@@ -57,6 +58,7 @@
         mPurses = step.mPurses;
         mHandoverNanos = step.mHandoverNanos;
         mReleased = step.mReleased;
+        mDroppedTerm = step.mDroppedTerm;
         mNextNumber = step.mNextNumber;
     }
 
@@ -77,6 +79,7 @@
         mPurses = PersistentMap.empty();
         mHandoverNanos = Optional.empty();
         mReleased = false;
+        mDroppedTerm = 0;
         mNextNumber = 1;
     }
 
@@ -146,7 +149,8 @@
                                         .mapToLong(Running::term),
                                 mCommitted.values().mapToLong(Committed::term)),
                         mTransactions.all().mapToLong(TransactionTable.Open::term));
-        return Math.max(0, Math.min(mView.term(), terms.min().orElse(mView.term())) - 1);
+        long older = Math.min(mView.term(), terms.min().orElse(mView.term())) - 1;
+        return Math.max(mDroppedTerm, older);
     }
 
     /** Returns the rate tokens that each workspace needs in this group. */
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupStep.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupStep.java
@@ -46,6 +46,7 @@
     PersistentMap<WorkspaceId, TokenPurse> mPurses;
     Optional<Long> mHandoverNanos;
     boolean mReleased;
+    long mDroppedTerm;
     long mNextNumber;
 
     GroupStep(GroupPolicies policies, GroupState state, long nowNanos) {
@@ -67,6 +68,7 @@
         mPurses = state.mPurses;
         mHandoverNanos = state.mHandoverNanos;
         mReleased = state.mReleased;
+        mDroppedTerm = state.mDroppedTerm;
         mNextNumber = state.mNextNumber;
     }
 
@@ -78,6 +80,11 @@
         return mView.leaseValid(mNow);
     }
 
+    /** Returns the primary if new work may start there. */
+    Optional<EndpointId> usablePrimary() {
+        return mView.term() > mDroppedTerm ? mView.usablePrimary() : Optional.empty();
+    }
+
     /** Returns whether work outside of open transactions may start. */
     boolean takesWork() {
         return leaseValid() && mHandoverNanos.isEmpty() && !mReleased;
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
@@ -24,6 +24,9 @@
  * @param epoch epoch of the lease that this host holds; 0 if it holds none
  * @param leaseUntilNanos monotonic time from which the lease is no longer valid
  * @param acknowledgeTerm term for which writes may be acknowledged while the lease is valid
+ * @param finishTerm latest term for which writes could be acknowledged
+ * @param finishUntilNanos monotonic time until which writes of that term that run already may be
+ *     acknowledged
  * @param moving whether the lease should be given back
  * @param term current term of the group
  * @param primary primary of the term; empty while a failover goes on
@@ -38,6 +41,8 @@
         long epoch,
         long leaseUntilNanos,
         long acknowledgeTerm,
+        long finishTerm,
+        long finishUntilNanos,
         boolean moving,
         long term,
         Optional<EndpointId> primary,
@@ -79,6 +84,8 @@
                 lease.map(ControlView.GrantedLease::epoch).orElse(0L),
                 lease.map(ControlView.GrantedLease::untilNanos).orElse(0L),
                 lease.map(ControlView.GrantedLease::acknowledgeTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::finishTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::finishUntilNanos).orElse(0L),
                 lease.map(ControlView.GrantedLease::move).orElse(false),
                 record.term(),
                 record.primary(),
@@ -128,6 +135,20 @@
         return epoch > 0 && leaseUntilNanos - nowNanos > 0;
     }
 
+    /**
+     * Returns the term whose running work may go on and be acknowledged; 0 if there is none.
+     *
+     * <p>While the leader holds writes back for a planned switchover it grants no term, but the
+     * group is still in the old one: what runs there ends regularly within its last grant.
+     */
+    public long finishableTerm(long nowNanos) {
+        if (acknowledgeTerm > 0) {
+            return acknowledgeTerm;
+        }
+        boolean held = primary.isPresent() && finishTerm == term;
+        return held && finishUntilNanos - nowNanos > 0 ? finishTerm : 0;
+    }
+
     /** Returns the primary if new work may start there. */
     public Optional<EndpointId> usablePrimary() {
         return term > 0 && acknowledgeTerm == term ? primary : Optional.empty();
--- a/core/src/test/java/org/crocusturn/core/endpoints/GroupSchedule.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupSchedule.java
@@ -59,6 +59,8 @@
     private long mStart;
     private long mEpoch = 1;
     private boolean mMoving;
+    private boolean mHold;
+    private long mFinishUntil;
     private long mLeaseUntil;
     private long mReported;
     private long mDropped;
@@ -321,13 +323,16 @@
         for (int i = 0; i < 3; i++) {
             rates.put(WorkspaceId.of("w" + i), new RateLimit(1_000, 100));
         }
+        mFinishUntil = mHold ? mFinishUntil : mReported + 1_000 * MILLI;
         deliver(
                 new GroupInput.ViewChanged(
                         new GroupView(
                                 GROUP,
                                 mEpoch,
                                 mReported + 1_000 * MILLI,
+                                mPrimary.isPresent() && !mHold ? mTerm : 0,
                                 mPrimary.isPresent() ? mTerm : 0,
+                                mFinishUntil,
                                 mMoving,
                                 mTerm,
                                 mPrimary.map(p -> p.mEndpoint),
@@ -345,7 +350,7 @@
         }
         FakeCopy copy = mCopies.get(mRandom.nextInt(3));
         copy.mLagNanos = (1 + mRandom.nextInt(60)) * MILLI;
-        switch (mRandom.nextInt(7)) {
+        switch (mRandom.nextInt(8)) {
             case 0 -> failover();
             case 1 -> {
                 primaryOrAny(copy).mFrozenUntil = mNow + 800 * MILLI;
@@ -362,6 +367,7 @@
             }
             case 4 -> loseLease();
             case 5 -> mMoving = mEpoch > 0;
+            case 6 -> switchOver();
             default -> copy.mFrozenUntil = mNow + 400 * MILLI;
         }
         push();
@@ -389,8 +395,26 @@
         }
     }
 
+    /** Holds writes back and promotes once the host dropped the term, as a planned move does. */
+    private void switchOver() {
+        if (mPrimary.isPresent() && !mHold && mNow < END) {
+            mHold = true;
+            push();
+            after(20, this::endHold);
+        }
+    }
+
+    private void endHold() {
+        if (mHold && mDropped < mTerm && mNow <= mFinishUntil + 20 * MILLI) {
+            after(20, this::endHold);
+        } else if (mHold) {
+            failover();
+        }
+    }
+
     private void failover() {
         if (mPrimary.isPresent() && mNow < END) {
+            mHold = false;
             mTerm++;
             mPrimary = Optional.empty();
             push();
