Acknowledge running writes while a switchover holds new ones back

Cause: a planned switchover makes the leader answer reports with acknowledge term 0; the leaseholder took that for a superseded term and answered every committed write that still waited for a replica, and every running one, with "the primary or the lease was superseded", may_have_run. Ruled out: a lost lease (the release came 51 ms after the hold) and a failed primary (it was reachable). The holder now uses the last lease that allowed the term to its end for what runs already; the leader counts on that lease until it ends, so nothing it relied on changes. New writes stay held back, and a committed new term ends it at once.

--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
@@ -94,7 +94,7 @@
         EndpointId endpoint = mStep.mConnections.get(open.get().connection());
         boolean startable =
                 hasToken(work)
-                        && open.get().term() == mStep.mView.acknowledgeTerm()
+                        && open.get().term() == mStep.mView.acknowledgeTerm(mStep.mNow)
                         && mStep.pool(endpoint).freeSlots() > 0;
         return startable ? new Plan.Start(endpoint, Role.PRIMARY, "transaction", null) : null;
     }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
@@ -22,7 +22,7 @@
         if (view.epoch() != step.mView.epoch()) {
             endEpoch(step);
         }
-        step.mView = view;
+        step.mView = view.after(step.mView);
         if (view.primary().isPresent()) {
             step.mHistory = step.mHistory.withTerm(view.term(), view.startIndex());
         }
@@ -132,7 +132,7 @@
 
     /** Ends what still runs at a primary whose term may no longer be acknowledged. */
     private static void dropSuperseded(GroupStep step) {
-        long term = step.mView.acknowledgeTerm();
+        long term = step.mView.acknowledgeTerm(step.mNow);
         for (Running running : step.mRunning.values().toList()) {
             if (running.role() == Role.PRIMARY && running.term() != term) {
                 GroupResults.abandon(step, running, "the primary was superseded");
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupResults.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupResults.java
@@ -171,7 +171,7 @@
                                         write.position(),
                                         write.term(),
                                         step.leaseValid(),
-                                        step.mView.acknowledgeTerm(),
+                                        step.mView.acknowledgeTerm(step.mNow),
                                         step.replicas(),
                                         step.mHistory));
         boolean late = step.mNow - write.untilNanos() >= 0;
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
@@ -32,6 +32,10 @@
  * @param replicaReadsWithoutToken whether a read without a session token may go to a replica
  * @param copies announced copies of the group
  * @param rates rate limits of the workspaces
+ * @param drainTerm term whose running writes may still be acknowledged although no new one may
+ *     start; 0 for none
+ * @param drainUntilNanos monotonic time from which they may not; the end of the last lease that
+ *     allowed the term
  */
 public record GroupView(
         GroupId group,
@@ -45,7 +49,9 @@
         AcknowledgeMode acknowledge,
         boolean replicaReadsWithoutToken,
         Map<EndpointId, Copy> copies,
-        Map<WorkspaceId, RateLimit> rates) {
+        Map<WorkspaceId, RateLimit> rates,
+        long drainTerm,
+        long drainUntilNanos) {
     /** Copies the maps. */
     public GroupView {
         Objects.requireNonNull(group, "group");
@@ -55,6 +61,37 @@
         rates = Map.copyOf(rates);
     }
 
+    /** Creates a view in which no earlier term drains. */
+    public GroupView(
+            GroupId group,
+            long epoch,
+            long leaseUntilNanos,
+            long acknowledgeTerm,
+            boolean moving,
+            long term,
+            Optional<EndpointId> primary,
+            long startIndex,
+            AcknowledgeMode acknowledge,
+            boolean replicaReadsWithoutToken,
+            Map<EndpointId, Copy> copies,
+            Map<WorkspaceId, RateLimit> rates) {
+        this(
+                group,
+                epoch,
+                leaseUntilNanos,
+                acknowledgeTerm,
+                moving,
+                term,
+                primary,
+                startIndex,
+                acknowledge,
+                replicaReadsWithoutToken,
+                copies,
+                rates,
+                0,
+                0);
+    }
+
     /**
      * Is an announced copy.
      *
@@ -128,6 +165,46 @@
         return epoch > 0 && leaseUntilNanos - nowNanos > 0;
     }
 
+    /**
+     * Returns the term in which a write that runs already may be acknowledged; 0 for none.
+     *
+     * <p>The leader counts on the last lease that allowed a term until that lease ends, so that the
+     * host may use it to its end when the leader allows no new writes.
+     */
+    public long acknowledgeTerm(long nowNanos) {
+        boolean drains =
+                acknowledgeTerm == 0 && drainTerm == term && drainUntilNanos - nowNanos > 0;
+        return drains ? drainTerm : acknowledgeTerm;
+    }
+
+    /** Returns this view as the next one after another view of the same group. */
+    GroupView after(GroupView before) {
+        if (acknowledgeTerm > 0 || before.epoch != epoch || before.term != term) {
+            return this;
+        }
+        return before.acknowledgeTerm == term
+                ? withDrain(term, before.leaseUntilNanos)
+                : withDrain(before.drainTerm, before.drainUntilNanos);
+    }
+
+    private GroupView withDrain(long drained, long untilNanos) {
+        return new GroupView(
+                group,
+                epoch,
+                leaseUntilNanos,
+                acknowledgeTerm,
+                moving,
+                term,
+                primary,
+                startIndex,
+                acknowledge,
+                replicaReadsWithoutToken,
+                copies,
+                rates,
+                drained,
+                untilNanos);
+    }
+
     /** Returns the primary if new work may start there. */
     public Optional<EndpointId> usablePrimary() {
         return term > 0 && acknowledgeTerm == term ? primary : Optional.empty();
