Ask the other control hosts before a first start

A control host with bootstrap: true and an empty folder voted at once, also after its disk was lost, when it had forgotten its votes and entries. It now draws a number for its folder, syncs it, and starts a group only after every other member has synced that number; a host that knows another number of it, or holds a log, answers that it started before, and the host recovers. A recovering member also answers its leader over the leader's own link, because it has no membership and so no link of its own.

--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/FirstStart.java
@@ -0,0 +1,128 @@
+package org.crocusturn.core.controlhosts;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.FirstStartAnswer.Finding;
+
+/**
+ * Decides whether a control host with an empty data folder may start a group.
+ *
+ * <p>It may only after every other member has put the number of its folder on disk. A host that
+ * lost its disk has a new number, which each of them refuses. Hosts that started already go on to
+ * answer. docs/consensus.md explains why this is safe.
+ *
+ * @param self own host
+ * @param members members that the settings name
+ * @param ids numbers on disk
+ * @param answers latest answer of each other member
+ * @param undecided whether this host still has to find out if it may start a group
+ */
+public record FirstStart(
+        HostId self,
+        Membership members,
+        FirstStartIds ids,
+        Map<HostId, Finding> answers,
+        boolean undecided) {
+    /** Copies the map. */
+    public FirstStart {
+        Objects.requireNonNull(self, "self");
+        Objects.requireNonNull(members, "members");
+        Objects.requireNonNull(ids, "ids");
+        answers = Map.copyOf(answers);
+    }
+
+    /** Creates the state of a host that asks the others; its own number is on disk. */
+    public static FirstStart asking(HostId self, Membership members, FirstStartIds ids) {
+        return new FirstStart(self, members, ids, Map.of(), true);
+    }
+
+    /** Creates the state of a host that only answers, because its member has started. */
+    public static FirstStart answering(HostId self, Membership members, FirstStartIds ids) {
+        return new FirstStart(self, members, ids, Map.of(), false);
+    }
+
+    /** Returns the members that have not allowed the start yet. */
+    public List<HostId> missing() {
+        return members.members().stream()
+                .map(Member::host)
+                .filter(host -> !host.equals(self) && answers.get(host) != Finding.NEW)
+                .toList();
+    }
+
+    /** Asks again who has not allowed the start yet; starts at once if there are no others. */
+    public Decision<FirstStart, FirstStartAction> tick() {
+        if (!undecided) {
+            return Decision.of(this);
+        }
+        List<FirstStartAction> questions = new ArrayList<>();
+        FirstStartQuestion question = new FirstStartQuestion(ids.own(), members);
+        missing().forEach(host -> questions.add(new FirstStartAction.Ask(host, question)));
+        return new Decision<FirstStart, FirstStartAction>(this, questions).then(concluded());
+    }
+
+    /**
+     * Answers the question of another host.
+     *
+     * @param from host that asks
+     * @param question its question
+     * @param holdsLog whether this host has a term, an entry or a snapshot
+     */
+    public Decision<FirstStart, FirstStartAction> asked(
+            HostId from, FirstStartQuestion question, boolean holdsLog) {
+        Long known = ids.others().get(from);
+        if (holdsLog || known != null && known != question.startId()) {
+            return Decision.of(this, answer(from, question, Finding.STARTED_BEFORE));
+        }
+        if (!sameMembers(question.members()) || members.member(from).isEmpty()) {
+            return Decision.of(this, answer(from, question, Finding.OTHER_MEMBERS));
+        }
+        FirstStartAction reply = answer(from, question, Finding.NEW);
+        if (known != null) {
+            return Decision.of(this, reply);
+        }
+        FirstStartIds more = ids.with(from, question.startId());
+        return new Decision<>(
+                new FirstStart(self, members, more, answers, undecided),
+                List.of(new FirstStartAction.Save(more), reply));
+    }
+
+    /** Takes the answer of another host; one to another folder's question says nothing. */
+    public Decision<FirstStart, FirstStartAction> answered(HostId from, FirstStartAnswer answer) {
+        boolean counts =
+                undecided
+                        && answer.startId() == ids.own()
+                        && members.member(from).isPresent()
+                        && !from.equals(self);
+        if (!counts) {
+            return Decision.of(this);
+        }
+        Map<HostId, Finding> all = new HashMap<>(answers);
+        all.put(from, answer.finding());
+        return new FirstStart(self, members, ids, all, true).concluded();
+    }
+
+    private Decision<FirstStart, FirstStartAction> concluded() {
+        boolean recover = answers.containsValue(Finding.STARTED_BEFORE);
+        if (!recover && !missing().isEmpty()) {
+            return Decision.of(this);
+        }
+        return Decision.of(
+                new FirstStart(self, members, ids, answers, false),
+                new FirstStartAction.Start(!recover));
+    }
+
+    private boolean sameMembers(Membership others) {
+        return Set.copyOf(members.members()).equals(Set.copyOf(others.members()));
+    }
+
+    private static FirstStartAction answer(
+            HostId to, FirstStartQuestion question, Finding finding) {
+        return new FirstStartAction.Answer(to, new FirstStartAnswer(question.startId(), finding));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/FirstStartTest.java
@@ -0,0 +1,332 @@
+package org.crocusturn.core.controlhosts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a host that votes with an empty log although it voted before with another disk,
+ * and against hosts that wait for ever.
+ */
+class FirstStartTest {
+    private static final String SAME = "a b c";
+    private static final int STEPS = 400;
+
+    static Stream<Arguments> scripts() {
+        return Stream.of(
+                Arguments.of("all start", "start a b c, settle", "a=first b=first c=first"),
+                Arguments.of("one is missing", "start a b, settle", "a=none b=none c=none"),
+                Arguments.of(
+                        "the last one comes late",
+                        "start a b, settle, start c, settle",
+                        "a=first b=first c=first"),
+                Arguments.of(
+                        "the others serve already when the last one has its answers",
+                        "start a b c, deafen c, settle, log a b, heal c, settle",
+                        "a=first b=first c=recover"),
+                Arguments.of(
+                        "a crash in the middle",
+                        "start a b, settle, crash a, start a c, settle",
+                        "a=first b=first c=first"),
+                Arguments.of(
+                        "a crash after the decision and before anything is stored",
+                        "start a b c, settle, crash a, start a, settle",
+                        "a=first b=first c=first"),
+                Arguments.of(
+                        "a disk is lost in the middle",
+                        "start a b, settle, lose a, start a c, settle",
+                        "a=recover b=first c=first"),
+                Arguments.of(
+                        "a disk is lost right after",
+                        "start a b c, settle, lose a, start a, settle",
+                        "a=recover b=first c=first"),
+                Arguments.of(
+                        "two disks are lost right after",
+                        "start a b c, settle, lose a b, start a b, settle",
+                        "a=recover b=recover c=first"),
+                Arguments.of(
+                        "two disks are lost and the intact host is away",
+                        "start a b c, settle, lose a b, crash c, start a b, settle",
+                        "a=none b=none c=none"),
+                Arguments.of(
+                        "a disk is lost long after",
+                        "start a b c, settle, log a b c, lose b, start b, settle",
+                        "a=first b=recover c=first"),
+                Arguments.of(
+                        "late answers of a lost disk",
+                        "start a b, keep, settle, lose a, start a c, replay, settle",
+                        "a=recover b=first c=first"),
+                Arguments.of(
+                        "settings that name other members",
+                        "start a b, differ c, start c, settle",
+                        "a=none b=none c=none"),
+                Arguments.of(
+                        "a host that only answers",
+                        "start a b, answer c, settle",
+                        "a=first b=first c=none"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("scripts")
+    void decides(String name, String script, String expected) {
+        World world = new World(0);
+        for (String step : script.split(", ")) {
+            world.run(step);
+        }
+        assertEquals(expected, world.outcomes());
+    }
+
+    /** A single host has nobody to ask and must not wait. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, -1})
+    void startsAloneAtOnce(long id) {
+        HostId host = HostId.of("a");
+        FirstStart alone = FirstStart.asking(host, members("a"), FirstStartIds.of(id));
+        assertEquals(List.of(new FirstStartAction.Start(true)), alone.tick().actions());
+        assertEquals(List.of(), alone.tick().state().tick().actions());
+    }
+
+    /** Any order, loss, repetition, crash and lost disk; {@code World.decided} checks the rule. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1_000, 2_000, 3_000})
+    void neverVotesOnASecondDisk(int firstSeed) {
+        int firsts = 0;
+        int recoveries = 0;
+        for (int seed = firstSeed; seed < firstSeed + 1_000; seed++) {
+            World world = new World(seed);
+            for (int n = 0; n < STEPS; n++) {
+                world.randomStep();
+            }
+            firsts += world.mFirsts;
+            recoveries += world.mRecoveries;
+        }
+        assertTrue(firsts > 500 && recoveries > 500, firsts + " firsts, " + recoveries);
+    }
+
+    private static Membership members(String names) {
+        return new Membership(
+                Stream.of(names.split(" "))
+                        .map(n -> new Member(HostId.of(n), "127.0.0.1:1", true))
+                        .toList());
+    }
+
+    /** Is one host with its disk, which outlives its process. */
+    private static final class Host {
+        private FirstStartIds mIds = FirstStartIds.of(0);
+        private FirstStart mRunning;
+        private String mOutcome = "none";
+        private String mSettings = SAME;
+        private boolean mLog;
+        private boolean mDeaf;
+        private int mDisk;
+        private final Map<HostId, Integer> mAnswered = new HashMap<>();
+        private Map<HostId, Integer> mDisksAtFirst = Map.of();
+        private int mFirstDisk = -1;
+    }
+
+    /** Is a message; the disk is the one that the sender had. */
+    private record Sent(HostId from, HostId to, Object message, int disk) {}
+
+    /** Runs the decisions of three hosts. */
+    private static final class World {
+        private final Map<HostId, Host> mHosts = new HashMap<>();
+        private final List<Sent> mUnderWay = new ArrayList<>();
+        private final List<Sent> mKept = new ArrayList<>();
+        private final Random mRandom;
+        private final long mSeed;
+        private long mNextId = 1;
+        private boolean mKeep;
+        private int mFirsts;
+        private int mRecoveries;
+
+        private World(long seed) {
+            mSeed = seed;
+            mRandom = new Random(seed);
+            Stream.of(SAME.split(" ")).forEach(n -> mHosts.put(HostId.of(n), newHost()));
+        }
+
+        private Host newHost() {
+            Host host = new Host();
+            host.mIds = FirstStartIds.of(mNextId++);
+            return host;
+        }
+
+        private void run(String step) {
+            String[] words = step.split(" ");
+            if (words.length == 1) {
+                runAll(words[0]);
+            }
+            for (int n = 1; n < words.length; n++) {
+                runOne(words[0], HostId.of(words[n]));
+            }
+        }
+
+        private void runAll(String verb) {
+            if (verb.equals("settle")) {
+                settle();
+            } else if (verb.equals("keep")) {
+                mKeep = true;
+            } else {
+                mUnderWay.addAll(mKept);
+            }
+        }
+
+        private void runOne(String verb, HostId id) {
+            Host host = mHosts.get(id);
+            switch (verb) {
+                case "start", "answer" -> start(host, id, verb.equals("start"));
+                case "crash" -> stop(host);
+                case "lose" -> lose(host);
+                case "log" -> host.mLog = true;
+                case "deafen" -> host.mDeaf = true;
+                case "heal" -> host.mDeaf = false;
+                case "differ" -> host.mSettings = "a b c d";
+                default -> throw new IllegalArgumentException(verb);
+            }
+        }
+
+        private void start(Host host, HostId id, boolean asks) {
+            Membership settings = members(host.mSettings);
+            host.mRunning =
+                    asks && !host.mLog
+                            ? FirstStart.asking(id, settings, host.mIds)
+                            : FirstStart.answering(id, settings, host.mIds);
+        }
+
+        private static void stop(Host host) {
+            host.mRunning = null;
+            host.mOutcome = "none";
+        }
+
+        private void lose(Host host) {
+            stop(host);
+            host.mIds = FirstStartIds.of(mNextId++);
+            host.mLog = false;
+            host.mDisk++;
+        }
+
+        /** Delivers everything in order, each message twice, until nobody has a question. */
+        private void settle() {
+            for (int round = 0; round < 5; round++) {
+                mHosts.keySet().stream().sorted().forEach(this::tick);
+                while (!mUnderWay.isEmpty()) {
+                    Sent sent = mUnderWay.remove(0);
+                    deliver(sent);
+                    deliver(sent);
+                }
+            }
+        }
+
+        private void randomStep() {
+            HostId id = HostId.of(List.of("a", "b", "c").get(mRandom.nextInt(3)));
+            Host host = mHosts.get(id);
+            int dice = mRandom.nextInt(100);
+            if (dice < 60 && !mUnderWay.isEmpty()) {
+                int index = mRandom.nextInt(mUnderWay.size());
+                Sent sent = mUnderWay.get(index);
+                if (mRandom.nextInt(10) < 7) {
+                    mUnderWay.remove(index);
+                }
+                if (mRandom.nextInt(10) < 9) {
+                    deliver(sent);
+                }
+            } else if (dice < 85 && host.mRunning != null) {
+                tick(id);
+            } else if (dice < 95 && host.mRunning == null) {
+                start(host, id, true);
+            } else if (dice < 97) {
+                stop(host);
+            } else if (dice < 98) {
+                lose(host);
+            } else if (host.mOutcome.equals("first")) {
+                host.mLog = true;
+            }
+        }
+
+        private void tick(HostId id) {
+            Host host = mHosts.get(id);
+            if (host.mRunning != null) {
+                act(id, host, host.mRunning.tick());
+            }
+        }
+
+        private void deliver(Sent sent) {
+            Host host = mHosts.get(sent.to());
+            if (host == null || host.mRunning == null) {
+                return;
+            }
+            if (sent.message() instanceof FirstStartQuestion question) {
+                act(sent.to(), host, host.mRunning.asked(sent.from(), question, host.mLog));
+            } else if (sent.message() instanceof FirstStartAnswer answer && !host.mDeaf) {
+                host.mAnswered.put(sent.from(), sent.disk());
+                act(sent.to(), host, host.mRunning.answered(sent.from(), answer));
+            }
+        }
+
+        private void act(HostId id, Host host, Decision<FirstStart, FirstStartAction> decision) {
+            host.mRunning = decision.state();
+            for (FirstStartAction action : decision.actions()) {
+                if (action instanceof FirstStartAction.Save save) {
+                    host.mIds = save.ids();
+                } else if (action instanceof FirstStartAction.Ask ask) {
+                    send(new Sent(id, ask.to(), ask.question(), host.mDisk));
+                } else if (action instanceof FirstStartAction.Answer answer) {
+                    send(new Sent(id, answer.to(), answer.answer(), host.mDisk));
+                } else if (action instanceof FirstStartAction.Start start) {
+                    decided(id, host, start.first());
+                }
+            }
+        }
+
+        private void send(Sent sent) {
+            mUnderWay.add(sent);
+            if (mKeep) {
+                mKept.add(sent);
+            }
+        }
+
+        /**
+         * A second first start needs that every other host lost the disk with which it allowed the
+         * one before.
+         */
+        private void decided(HostId id, Host host, boolean first) {
+            assertEquals("none", host.mOutcome, id + " decides once, seed " + mSeed);
+            host.mOutcome = first ? "first" : "recover";
+            mFirsts += first ? 1 : 0;
+            mRecoveries += first ? 0 : 1;
+            if (!first) {
+                return;
+            }
+            if (host.mFirstDisk >= 0 && host.mFirstDisk != host.mDisk) {
+                mHosts.forEach(
+                        (other, state) ->
+                                assertTrue(
+                                        other.equals(id)
+                                                || state.mDisk > host.mDisksAtFirst.get(other),
+                                        id + " votes again, " + other + " knew, seed " + mSeed));
+            }
+            host.mDisksAtFirst = Map.copyOf(host.mAnswered);
+            host.mFirstDisk = host.mDisk;
+        }
+
+        private String outcomes() {
+            return mHosts.keySet().stream()
+                    .sorted()
+                    .map(id -> id + "=" + mHosts.get(id).mOutcome)
+                    .reduce((a, b) -> a + " " + b)
+                    .orElseThrow();
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -2,13 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.crocusturn.core.controlhosts.Member;
-import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
@@ -57,9 +53,7 @@
                                 settings.platform().balancerDelay(),
                                 settings.platform().drainLimit(),
                                 this::phaseChanged));
-        mMember =
-                ControlMember.start(
-                        settings, firstMembers(settings), mThreads, mMetrics, this::failed);
+        mMember = ControlMember.start(settings, mThreads, mMetrics, this::failed);
         mOperatorDuty =
                 start("operators", OperatorDuty.create(mMember, event -> offerToOperators(event)));
         mOperators =
@@ -135,17 +129,6 @@
         mStopped.countDown();
     }
 
-    private static Optional<Membership> firstMembers(ControlSettings settings) {
-        if (!settings.bootstrap()) {
-            return Optional.empty();
-        }
-        List<Member> members =
-                settings.members().stream()
-                        .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
-                        .toList();
-        return Optional.of(new Membership(members));
-    }
-
     private <E> Duty<E> start(String name, DutyHandler<E> handler) {
         return Duty.start(
                 mSettings.host() + "-" + name,
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
@@ -10,6 +10,8 @@
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.FirstStartAnswer;
+import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
@@ -53,6 +55,9 @@
         /** Takes a message of another member. */
         void consensus(HostId from, ConsensusMessage message);
 
+        /** Takes a question or an answer about a first start. */
+        void firstStart(FirstStartEvent event);
+
         /** Takes the report of an entry host. */
         void report(HostId from, EntryReport report);
 
@@ -134,6 +139,10 @@
         HostId from = link.peer();
         if (message instanceof ConsensusMessage consensus) {
             mListener.consensus(from, consensus);
+        } else if (message instanceof FirstStartQuestion question) {
+            mListener.firstStart(new FirstStartEvent.Asked(from, question));
+        } else if (message instanceof FirstStartAnswer answer) {
+            mListener.firstStart(new FirstStartEvent.Answered(from, answer));
         } else if (message instanceof EntryReport report) {
             mListener.report(from, report);
         } else if (message instanceof ForwardedProposal proposal) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.controlhosts;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
@@ -18,6 +19,9 @@
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.FirstStart;
+import org.crocusturn.core.controlhosts.FirstStartAction;
+import org.crocusturn.core.controlhosts.FirstStartIds;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
@@ -36,6 +40,7 @@
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
 import org.crocusturn.daemon.entryhosts.LeaderPorts;
+import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.net.SharedSecret;
 import org.crocusturn.daemon.operators.ControlAccess;
@@ -52,6 +57,8 @@
     private static final Logger LOG = LogManager.getLogger(ControlMember.class);
     private static final int LEADER_RING = 65_536;
     private static final int PROPOSAL_RING = 1_024;
+    private static final int FIRST_START_RING = 256;
+    private static final LogCodec CODEC = ProtobufLogCodec.create();
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
     private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
@@ -65,15 +72,21 @@
     private final EndpointCommander mCommander;
     private final Duty<LeaderEvent> mLeaderDuty;
     private final Duty<ProposalEvent> mProposalDuty;
-    private final ControlNode mNode;
+    private final Duty<FirstStartEvent> mFirstStartDuty;
+    private final Path mFolder;
+    private final Membership mMembers;
+
+    /** Null until the host knows whether this is a first start. */
+    private volatile ControlNode mNode;
 
     private ControlMember(
             ControlSettings settings,
-            Optional<Membership> first,
             NetThreads threads,
             Metrics metrics,
             Consumer<RuntimeException> onFailure) {
         mSelf = settings.host();
+        mFolder = settings.dataFolder();
+        mMembers = firstMembers(settings);
         mOnFailure = onFailure;
         mCommander = EndpointCommander.create(threads, ORDER_TIMEOUT);
         mMonitor =
@@ -97,34 +110,29 @@
                         mSelf,
                         SharedSecret.of(settings.linkSecret().bytes()),
                         new FromLinks());
-        mNode =
-                ControlNode.start(
-                        settings.dataFolder(),
-                        mSelf,
-                        first,
-                        ProtobufLogCodec.create(),
-                        this::sendConsensus,
-                        new FromConsensus());
+        mLinks.keep(mMembers);
+        boolean asks = settings.bootstrap() && !ControlNode.stored(mFolder, CODEC);
+        if (!asks) {
+            startNode(Optional.empty());
+        }
+        mFirstStartDuty = startFirstStart(asks);
     }
 
     /**
      * Starts the member.
      *
      * @param settings settings of the host
-     * @param first members of a deployment that starts for the first time, else empty
      * @param threads I/O threads
      * @param metrics metrics of the process
      * @param onFailure told if the member cannot go on
      */
     public static ControlMember start(
             ControlSettings settings,
-            Optional<Membership> first,
             NetThreads threads,
             Metrics metrics,
             Consumer<RuntimeException> onFailure) {
         return new ControlMember(
                 settings,
-                Objects.requireNonNull(first, "first"),
                 Objects.requireNonNull(threads, "threads"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(onFailure, "onFailure"));
@@ -132,7 +140,7 @@
 
     /** Returns whether this host leads and may answer for the system. */
     public boolean leads() {
-        return mNode != null && mNode.leaderLeaseValid();
+        return node().filter(ControlNode::leaderLeaseValid).isPresent();
     }
 
     /** Returns the replicated state that this host has applied. */
@@ -147,7 +155,7 @@
 
     /** Hands leadership over because this host stops. */
     public void handOver() {
-        mNode.transferLeadership();
+        node().ifPresent(ControlNode::transferLeadership);
     }
 
     @Override
@@ -164,7 +172,10 @@
 
     @Override
     public CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress) {
-        boolean known = mNode.state().membership().member(host).filter(Member::voter).isPresent();
+        boolean known =
+                node().flatMap(node -> node.state().membership().member(host))
+                        .filter(Member::voter)
+                        .isPresent();
         if (known) {
             return CompletableFuture.completedFuture(accepted());
         }
@@ -186,7 +197,8 @@
 
     @Override
     public void close() {
-        mNode.close();
+        mFirstStartDuty.stop(STOP_TIMEOUT);
+        node().ifPresent(ControlNode::close);
         mLinks.close();
         mMonitor.close();
         mLeaderDuty.stop(STOP_TIMEOUT);
@@ -197,14 +209,19 @@
         return new ControlStatus(
                 mSelf,
                 leads(),
-                mNode.leaderHint(),
-                mNode.state().term(),
-                mNode.state().membership(),
+                node().flatMap(ControlNode::leaderHint),
+                node().map(node -> node.state().term()).orElse(0L),
+                node().map(node -> node.state().membership()).orElse(mMembers),
                 mHolder.state(),
                 entryHosts);
     }
 
     private CompletableFuture<ChangeOutcome> change(MembershipChange change) {
+        if (node().isEmpty()) {
+            Failure failure =
+                    Failure.notRun(ErrorCode.UNAVAILABLE, "the group has not started yet");
+            return CompletableFuture.completedFuture(refusal("member", failure));
+        }
         return mNode.changeMembership(change)
                 .thenApply(
                         result -> {
@@ -231,8 +248,57 @@
         return new ChangeOutcome(changeId, 0, Optional.of(failure));
     }
 
+    /** Answers over the link of the other host if its address is unknown, as in a recovery. */
     private void sendConsensus(HostId to, ConsensusMessage message) {
-        mLinks.sendToMember(to, message);
+        if (!mLinks.sendToMember(to, message)) {
+            mLinks.sendToIncoming(to, message);
+        }
+    }
+
+    private Optional<ControlNode> node() {
+        return Optional.ofNullable(mNode);
+    }
+
+    private static Membership firstMembers(ControlSettings settings) {
+        return new Membership(
+                settings.members().stream()
+                        .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
+                        .toList());
+    }
+
+    private void startNode(Optional<Membership> first) {
+        mNode =
+                ControlNode.start(
+                        mFolder, mSelf, first, CODEC, this::sendConsensus, new FromConsensus());
+    }
+
+    private Duty<FirstStartEvent> startFirstStart(boolean asks) {
+        FirstStartFile file = FirstStartFile.in(mFolder);
+        FirstStartIds ids = file.load();
+        FirstStart state =
+                asks
+                        ? FirstStart.asking(mSelf, mMembers, ids)
+                        : FirstStart.answering(mSelf, mMembers, ids);
+        return Duty.start(
+                mSelf + "-first-start",
+                FIRST_START_RING,
+                FirstStartDuty.create(state, file, this::holdsLog, this::doFirstStart),
+                mOnFailure);
+    }
+
+    private boolean holdsLog() {
+        return node().filter(n -> n.state().term() > 0 || n.state().log().lastIndex() > 0)
+                .isPresent();
+    }
+
+    private void doFirstStart(FirstStartAction action) {
+        if (action instanceof FirstStartAction.Ask ask) {
+            mLinks.sendToMember(ask.to(), ask.question());
+        } else if (action instanceof FirstStartAction.Answer answer) {
+            mLinks.sendToIncoming(answer.to(), answer.answer());
+        } else if (action instanceof FirstStartAction.Start start) {
+            startNode(start.first() ? Optional.of(mMembers) : Optional.empty());
+        }
     }
 
     private void offerToLeader(LeaderEvent event) {
@@ -294,7 +360,8 @@
         @Override
         public void onMembership(Membership membership) {
             LOG.info("controlhosts: members are {}", membership.members());
-            mLinks.keep(membership);
+            // A recovering member knows no members yet; the settings name hosts that can answer.
+            mLinks.keep(membership.members().isEmpty() ? mMembers : membership);
         }
 
         @Override
@@ -312,6 +379,13 @@
             }
         }
 
+        @Override
+        public void firstStart(FirstStartEvent event) {
+            if (mFirstStartDuty == null || !mFirstStartDuty.offer(event)) {
+                LOG.debug("controlhosts: a message about a first start is dropped, {}", event);
+            }
+        }
+
         @Override
         public void report(HostId from, EntryReport report) {
             offerToLeader(new LeaderEvent.Reported(from, report));
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -70,7 +70,7 @@
      * @param self own host
      * @param first members of a group that starts for the first time; empty for a host that joins a
      *     group. It is used only if the folder is empty. An empty folder without it makes the
-     *     member a learner until it has recovered.
+     *     member a learner until it has recovered. {@link FirstStartDuty} finds out which it is.
      * @param codec encodes entries and snapshots
      * @param transport carries messages
      * @param listener owns the applied state
@@ -101,6 +101,20 @@
         }
     }
 
+    /**
+     * Returns whether a data folder holds the state of a member; creates the folder if missing.
+     *
+     * @throws org.crocusturn.core.CrocusturnException if the folder is damaged or in use
+     */
+    static boolean stored(Path folder, LogCodec codec) {
+        LogStorage storage = FileLogStorage.open(folder, codec);
+        try {
+            return storage.load().isPresent();
+        } finally {
+            storage.close();
+        }
+    }
+
     private static ConsensusState firstState(
             Optional<StoredLog> stored, HostId self, Optional<Membership> first) {
         long seed = new SecureRandom().nextLong();
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartDuty.java
@@ -0,0 +1,110 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.controlhosts.FirstStart;
+import org.crocusturn.core.controlhosts.FirstStartAction;
+import org.crocusturn.core.ring.DutyHandler;
+
+/** Asks the other control hosts before a first start, and answers theirs at any time. */
+final class FirstStartDuty implements DutyHandler<FirstStartEvent> {
+    private static final Logger LOG = LogManager.getLogger(FirstStartDuty.class);
+
+    /** Time between two rounds of questions, in nanoseconds. */
+    private static final long ASK_NANOS = 100_000_000;
+
+    /** Time between timer calls when there is nothing to ask, in nanoseconds. */
+    private static final long IDLE_NANOS = 60_000_000_000L;
+
+    /** Rounds of questions between two log lines, 5 s. */
+    private static final int ROUNDS_PER_LINE = 50;
+
+    private final FirstStartFile mFile;
+    private final BooleanSupplier mHoldsLog;
+    private final Consumer<FirstStartAction> mOutput;
+    private FirstStart mState;
+    private long mNextNanos = System.nanoTime();
+    private int mRounds;
+
+    private FirstStartDuty(
+            FirstStart state,
+            FirstStartFile file,
+            BooleanSupplier holdsLog,
+            Consumer<FirstStartAction> output) {
+        mState = state;
+        mFile = file;
+        mHoldsLog = holdsLog;
+        mOutput = output;
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param state first state
+     * @param file keeps the numbers
+     * @param holdsLog whether this host has a term, an entry or a snapshot
+     * @param output sends messages and starts the member
+     */
+    static FirstStartDuty create(
+            FirstStart state,
+            FirstStartFile file,
+            BooleanSupplier holdsLog,
+            Consumer<FirstStartAction> output) {
+        return new FirstStartDuty(
+                Objects.requireNonNull(state, "state"),
+                Objects.requireNonNull(file, "file"),
+                Objects.requireNonNull(holdsLog, "holdsLog"),
+                Objects.requireNonNull(output, "output"));
+    }
+
+    @Override
+    public void onEvent(FirstStartEvent event) {
+        if (event instanceof FirstStartEvent.Asked asked) {
+            take(mState.asked(asked.from(), asked.question(), mHoldsLog.getAsBoolean()));
+        } else if (event instanceof FirstStartEvent.Answered answered) {
+            LOG.debug("controlhosts: {} answers {}", answered.from(), answered.answer());
+            take(mState.answered(answered.from(), answered.answer()));
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (!mState.undecided()) {
+            return nowNanos + IDLE_NANOS;
+        }
+        if (nowNanos - mNextNanos >= 0) {
+            mNextNanos = nowNanos + ASK_NANOS;
+            if (mRounds++ % ROUNDS_PER_LINE == ROUNDS_PER_LINE - 1) {
+                LOG.warn(
+                        "controlhosts: the first start waits for {}, answers so far {}",
+                        mState.missing(),
+                        mState.answers());
+            }
+            take(mState.tick());
+        }
+        return mNextNanos;
+    }
+
+    /** Takes the new state only after its actions, so that what could not be saved is not known. */
+    private void take(Decision<FirstStart, FirstStartAction> decision) {
+        for (FirstStartAction action : decision.actions()) {
+            if (action instanceof FirstStartAction.Save save) {
+                mFile.save(save.ids());
+            } else if (action instanceof FirstStartAction.Start start) {
+                LOG.info(
+                        "controlhosts: the answers are {}, this is {}",
+                        decision.state().answers(),
+                        start.first() ? "a first start" : "a recovery");
+                mState = decision.state();
+                mOutput.accept(action);
+            } else {
+                mOutput.accept(action);
+            }
+        }
+        mState = decision.state();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartFile.java
@@ -0,0 +1,62 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import org.crocusturn.core.CrocusturnException;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.controlhosts.FirstStartIds;
+import org.crocusturn.daemon.wire.FirstStartMapper;
+
+/** Keeps the numbers of a first start in the file {@code first-start}; used by one thread. */
+final class FirstStartFile {
+    private final Path mFile;
+
+    private FirstStartFile(Path folder) {
+        mFile = folder.toAbsolutePath().resolve("first-start");
+    }
+
+    static FirstStartFile in(Path folder) {
+        return new FirstStartFile(folder);
+    }
+
+    /** Reads the numbers; draws and syncs an own one if there are none. */
+    FirstStartIds load() {
+        if (!Files.exists(mFile)) {
+            FirstStartIds ids = FirstStartIds.of(new SecureRandom().nextLong());
+            save(ids);
+            return ids;
+        }
+        try {
+            RecordFile.Content content = RecordFile.read(mFile);
+            List<byte[]> payloads = content.payloads();
+            if (content.torn() || payloads.size() != 1) {
+                throw new IOException("the file is damaged");
+            }
+            return FirstStartMapper.decodeIds(payloads.get(0));
+        } catch (IOException e) {
+            throw failure("cannot be read", e);
+        }
+    }
+
+    /** Replaces the numbers and syncs them. */
+    void save(FirstStartIds ids) {
+        try {
+            Files.createDirectories(mFile.getParent());
+            RecordFile.replace(mFile, FirstStartMapper.encodeIds(ids));
+        } catch (IOException e) {
+            throw failure("cannot be written", e);
+        }
+    }
+
+    private CrocusturnException failure(String what, IOException cause) {
+        return CrocusturnException.causedBy(
+                Failure.notRun(
+                        ErrorCode.INTERNAL,
+                        "file " + mFile + " " + what + ": " + cause.getMessage()),
+                cause);
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
@@ -17,9 +17,12 @@
  * @param operators IP address and port of the operators' interface
  * @param endpoints IP address and port where endpoints announce themselves
  * @param platform health, metrics and planned stop
- * @param members control hosts at the first start of the deployment, this one included
- * @param bootstrap whether an empty data folder means a new deployment; if not, it means a lost
- *     disk
+ * @param members control hosts at the first start of the deployment, this one included; the same
+ *     list on each of them
+ * @param bootstrap whether an empty data folder may mean a new deployment; it does once every other
+ *     member has stated that it knows no earlier folder of this host and holds no log, else the
+ *     host recovers. May stay true for ever. If false, an empty folder means a lost disk or a host
+ *     that joins.
  * @param linkSecret secret that all processes of the system share
  * @param operatorSecret secret that operators present
  * @param announcementSecret secret that endpoints present
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
@@ -63,7 +63,7 @@
         };
     }
 
-    private static ControlHostsProto.Membership encode(Membership value) {
+    static ControlHostsProto.Membership encode(Membership value) {
         ControlHostsProto.Membership.Builder builder = ControlHostsProto.Membership.newBuilder();
         value.members()
                 .forEach(
@@ -76,7 +76,7 @@
         return builder.build();
     }
 
-    private static Membership decode(ControlHostsProto.Membership value) {
+    static Membership decode(ControlHostsProto.Membership value) {
         return new Membership(
                 value.getMembersList().stream()
                         .map(
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
@@ -12,6 +12,8 @@
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.FirstStartAnswer;
+import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.ProposalReply;
@@ -83,6 +85,16 @@
                             MessageCase.RECOVERY_REPLY,
                             (e, m) -> e.setRecoveryReply(ConsensusMapper.encode(m)),
                             e -> ConsensusMapper.decode(e.getRecoveryReply())),
+                    new MessageKind<>(
+                            FirstStartQuestion.class,
+                            MessageCase.FIRST_START_QUESTION,
+                            (e, m) -> e.setFirstStartQuestion(FirstStartMapper.encode(m)),
+                            e -> FirstStartMapper.decode(e.getFirstStartQuestion())),
+                    new MessageKind<>(
+                            FirstStartAnswer.class,
+                            MessageCase.FIRST_START_ANSWER,
+                            (e, m) -> e.setFirstStartAnswer(FirstStartMapper.encode(m)),
+                            e -> FirstStartMapper.decode(e.getFirstStartAnswer())),
                     new MessageKind<>(
                             ForwardedProposal.class,
                             MessageCase.FORWARDED_PROPOSAL,
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -32,6 +32,8 @@
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.FirstStartAnswer;
+import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
 import org.crocusturn.core.controlhosts.HeldLease;
 import org.crocusturn.core.controlhosts.LeaseGrant;
@@ -89,6 +91,9 @@
                         Stream.of(new NotLeader(Optional.empty())),
                         updates(),
                         consensus(),
+                        Stream.of(new FirstStartQuestion(-3L, MEMBERSHIP)),
+                        Arrays.stream(FirstStartAnswer.Finding.values())
+                                .map(f -> new FirstStartAnswer(-3L, f)),
                         commands().map(c -> new ForwardedProposal(4, c)),
                         failures().map(f -> new ProposalReply(5, outcome(Optional.of(f)))),
                         Stream.of(new ProposalReply(6, outcome(Optional.empty()))),
