Test lost disks of whole control hosts and document the first start

ControlDaemonTest starts three control hosts with bootstrap: true, deletes the folder of one and of two, and checks that the one recovers and counts again and that two lost disks elect nobody.

--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -102,6 +102,11 @@
         return mMember.leads();
     }
 
+    /** Returns whether this host has joined the group and its log is complete enough to count. */
+    public boolean recovered() {
+        return mMember.recovered();
+    }
+
     /** Returns the replicated state that this host has applied. */
     public ControlState state() {
         return mMember.state();
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -143,6 +143,11 @@
         return node().filter(ControlNode::leaderLeaseValid).isPresent();
     }
 
+    /** Returns whether this host has joined the group and its log is complete enough to count. */
+    public boolean recovered() {
+        return node().filter(node -> !node.state().hard().recovering()).isPresent();
+    }
+
     /** Returns the replicated state that this host has applied. */
     public ControlState state() {
         return mHolder.state();
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/ControlDaemonTest.java
@@ -0,0 +1,195 @@
+package org.crocusturn.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.operators.OperatorClient;
+import org.crocusturn.daemon.settings.ControlSettings;
+import org.crocusturn.daemon.settings.PeerAddress;
+import org.crocusturn.daemon.settings.PlatformSettings;
+import org.crocusturn.daemon.settings.Secret;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against control hosts that do not start, or that vote after their disk was lost. */
+class ControlDaemonTest {
+    private static final long DEADLINE_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final Secret SECRET = Secret.of("0123456789abcdef0123456789abcdef");
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+    private static final int HOSTS = 3;
+
+    private final Map<Integer, ControlDaemon> mRunning = new TreeMap<>();
+    private List<PeerAddress> mMembers;
+
+    @TempDir Path mFolder;
+
+    @BeforeEach
+    void choosePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int n = 0; n < HOSTS; n++) {
+            sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        }
+        mMembers =
+                IntStream.range(0, HOSTS)
+                        .mapToObj(
+                                n ->
+                                        new PeerAddress(
+                                                HostId.of("c" + n),
+                                                new InetSocketAddress(
+                                                        "127.0.0.1",
+                                                        sockets.get(n).getLocalPort())))
+                        .toList();
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    @AfterEach
+    void closeAll() {
+        mRunning.values().forEach(ControlDaemon::close);
+    }
+
+    /** Two hosts are a majority, but they cannot know whether the third one holds a log. */
+    @Test
+    void waitsForEveryHostBeforeAFirstStart() {
+        start(0);
+        start(1);
+        // No condition shows that nothing will happen; elections take 0.9 s at most.
+        LockSupport.parkNanos(Duration.ofSeconds(2).toNanos());
+        assertFalse(mRunning.values().stream().anyMatch(ControlDaemon::leads));
+        start(2);
+        leader();
+    }
+
+    /** The setting stays true, and the host has to take its log from the others and count again. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void recoversALostDisk(boolean leaderLost) throws IOException {
+        IntStream.range(0, HOSTS).forEach(this::start);
+        apply(1);
+        int lost = leaderLost ? leader() : (leader() + 1) % HOSTS;
+        mRunning.remove(lost).close();
+        apply(2);
+        delete(lost);
+        start(lost);
+        await("the log is back", () -> version(lost) == 2);
+        int other = IntStream.range(0, HOSTS).filter(n -> n != lost).findFirst().orElseThrow();
+        await("it counts again", () -> recovered(lost));
+        mRunning.remove(other).close();
+        apply(3);
+        assertEquals(3, version(lost));
+    }
+
+    /** One intact member must not go on with two others that forgot what they promised. */
+    @Test
+    void stopsWhenTwoDisksAreLost() throws IOException {
+        IntStream.range(0, HOSTS).forEach(this::start);
+        apply(1);
+        for (int lost : List.of(0, 1)) {
+            mRunning.remove(lost).close();
+            delete(lost);
+        }
+        start(0);
+        start(1);
+        LockSupport.parkNanos(Duration.ofSeconds(2).toNanos());
+        assertFalse(mRunning.values().stream().anyMatch(ControlDaemon::leads));
+        assertEquals(List.of(0L, 0L, 1L), List.of(version(0), version(1), version(2)));
+    }
+
+    private void start(int n) {
+        PeerAddress self = mMembers.get(n);
+        mRunning.put(
+                n,
+                ControlDaemon.start(
+                        new ControlSettings(
+                                self.host(),
+                                DataCentreId.of("delft"),
+                                mFolder.resolve("c" + n),
+                                self.address(),
+                                ANY,
+                                ANY,
+                                new PlatformSettings(ANY, Duration.ZERO, Duration.ofSeconds(1)),
+                                mMembers,
+                                true,
+                                SECRET,
+                                SECRET,
+                                SECRET)));
+    }
+
+    private long version(int n) {
+        return mRunning.get(n).state().configuration().version();
+    }
+
+    private boolean recovered(int n) {
+        return mRunning.get(n).recovered();
+    }
+
+    private int leader() {
+        await("a host leads", () -> mRunning.values().stream().anyMatch(ControlDaemon::leads));
+        return mRunning.keySet().stream()
+                .filter(n -> mRunning.get(n).leads())
+                .findFirst()
+                .orElseGet(this::leader);
+    }
+
+    private void apply(int version) {
+        leader();
+        List<URI> hosts =
+                mRunning.values().stream()
+                        .map(d -> URI.create("http://" + Addresses.format(d.operatorsAddress())))
+                        .toList();
+        String text = "version: " + version + "\ndataCentres: [delft]\n";
+        OperatorClient.create(hosts, SECRET)
+                .send(
+                        "POST",
+                        "/v1/configuration",
+                        Optional.of("change-" + version),
+                        (text + "services: []\nworkspaces: []\n").getBytes(StandardCharsets.UTF_8));
+        mRunning.keySet()
+                .forEach(n -> await(n + " has version " + version, () -> version(n) >= version));
+    }
+
+    private void delete(int n) throws IOException {
+        try (var files = Files.walk(mFolder.resolve("c" + n))) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> assertTrue(remove(file)));
+        }
+    }
+
+    private static boolean remove(Path file) {
+        return file.toFile().delete();
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - start < DEADLINE_NANOS, "timed out until " + what);
+            LockSupport.parkNanos(5_000_000);
+        }
+    }
+}
