Measure the failover gap with an open-loop load

bin/measure starts a deployment of the examples in one process with six entry hosts and three control hosts, sends writes whose arrival times are fixed by a seed, and kills or freezes the endpoint with the most primaries. It compares the gap between acknowledged writes and the records with their targets.

--- a/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
@@ -37,6 +37,7 @@
     private final StandInSettings mSettings;
     private final NetThreads mThreads;
     private final BehaviourSwitch mBehaviour;
+    private final Freeze mFreeze = new Freeze();
     private final Counters mCounters = new Counters();
     private final Map<String, ServedDatabase> mDatabases = new LinkedHashMap<>();
     private final Duty<StatusDutyEvent> mStatusDuty;
@@ -55,13 +56,17 @@
         signal.connect(status, mStatusDuty);
         mStatusServer =
                 HttpServer.start(
-                        threads, Addresses.parse(settings.statusAddress()), LIMITS, this::ask);
+                        threads,
+                        Addresses.parse(settings.statusAddress()),
+                        LIMITS,
+                        mFreeze.holding(this::ask));
         mDatabaseServer =
                 HttpServer.start(
                         threads,
                         Addresses.parse(settings.address()),
                         LIMITS,
-                        new DatabaseRoutes(threads, mDatabases, mBehaviour, mCounters),
+                        mFreeze.holding(
+                                new DatabaseRoutes(threads, mDatabases, mBehaviour, mCounters)),
                         SplitWriter::addTo);
         mAnnouncementDuty =
                 start(
@@ -117,6 +122,21 @@
         change(b -> b.withFaults(List.of(faults)));
     }
 
+    /**
+     * Leaves all requests unanswered and stops replication, as a process that is stopped or cut
+     * off. Announcements go on, so that only the missing answers can reveal it.
+     */
+    public void freeze() {
+        mFreeze.freeze();
+        change(b -> b.withReplicationPaused(true));
+    }
+
+    /** Goes on with the requests that arrived meanwhile, as a process that is resumed. */
+    public void thaw() {
+        change(b -> b.withReplicationPaused(false));
+        mFreeze.thaw();
+    }
+
     /**
      * Announces that the endpoint leaves.
      *
--- a/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
+++ b/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
@@ -55,6 +55,7 @@
     private final List<ControlDaemon> mControlHosts = new ArrayList<>();
     private final List<EntryDaemon> mEntryHosts = new ArrayList<>();
     private final List<StandInDatabase> mDatabases = new ArrayList<>();
+    private final List<StandInSettings> mDatabaseSettings = new ArrayList<>();
     private final Map<String, String> mKeys = new TreeMap<>();
 
     private LocalDeployment(LocalPlan plan) {
@@ -119,6 +120,16 @@
         return List.copyOf(mDatabases);
     }
 
+    /** Ends a stand-in database at once; its data is lost. */
+    public void kill(int database) {
+        mDatabases.get(database).close();
+    }
+
+    /** Starts an ended stand-in database again, empty and on other ports. */
+    public void restart(int database) {
+        mDatabases.set(database, StandInDatabase.start(mDatabaseSettings.get(database), mThreads));
+    }
+
     /** Stops all processes gracefully, entry hosts first. */
     public void stop() {
         mEntryHosts.forEach(EntryDaemon::requestStop);
@@ -219,7 +230,11 @@
                                         databases))
                 .map(s -> s.withBehaviour(mPlan.behaviour()))
                 .map(s -> s.withControl(control, mAnnouncementSecret.text()))
-                .forEach(s -> mDatabases.add(StandInDatabase.start(s, mThreads)));
+                .forEach(
+                        s -> {
+                            mDatabaseSettings.add(s);
+                            mDatabases.add(StandInDatabase.start(s, mThreads));
+                        });
     }
 
     private ControlSettings control(PeerAddress member) {
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Figure.java
@@ -0,0 +1,99 @@
+package org.crocusturn.standin.measure;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusturn.daemon.net.Json;
+
+/**
+ * Is one measured value with its target and its baseline of the same run.
+ *
+ * @param measure what was measured
+ * @param value the value
+ * @param unit unit of the value
+ * @param target target, if there is one
+ * @param baseline value to compare with, with what it is, if there is one
+ */
+public record Figure(
+        String measure,
+        double value,
+        String unit,
+        Optional<Target> target,
+        Optional<Baseline> baseline) {
+    /** Is the limit of a value. */
+    public record Target(double limit, boolean atMost) {
+        /** Returns whether a value meets the target; a value that is not a number does not. */
+        public boolean met(double value) {
+            return atMost ? value <= limit : value >= limit;
+        }
+
+        @Override
+        public String toString() {
+            return (atMost ? "at most " : "at least ") + number(limit);
+        }
+    }
+
+    /** Is a value of the same run to compare with. */
+    public record Baseline(String what, double value) {}
+
+    /** Checks that no part is null. */
+    public Figure {
+        Objects.requireNonNull(measure, "measure");
+        Objects.requireNonNull(unit, "unit");
+        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(baseline, "baseline");
+    }
+
+    /** Creates a figure without target and baseline. */
+    public static Figure of(String measure, double value, String unit) {
+        return new Figure(measure, value, unit, Optional.empty(), Optional.empty());
+    }
+
+    /** Returns a copy whose value must not exceed a limit. */
+    public Figure withAtMost(double limit) {
+        return new Figure(measure, value, unit, Optional.of(new Target(limit, true)), baseline);
+    }
+
+    /** Returns a copy whose value must reach a limit. */
+    public Figure withAtLeast(double limit) {
+        return new Figure(measure, value, unit, Optional.of(new Target(limit, false)), baseline);
+    }
+
+    /** Returns a copy with a baseline. */
+    public Figure withBaseline(String what, double other) {
+        return new Figure(measure, value, unit, target, Optional.of(new Baseline(what, other)));
+    }
+
+    /** Returns whether the target is met; true without a target. */
+    public boolean passed() {
+        return target.map(t -> t.met(value)).orElse(true);
+    }
+
+    /** Returns the figure as JSON. */
+    public ObjectNode toJson() {
+        ObjectNode node =
+                Json.object().put("measure", measure).put("value", value).put("unit", unit);
+        target.ifPresent(t -> node.put("target", t.toString()).put("passed", passed()));
+        baseline.ifPresent(b -> node.put("baseline", b.value()).put("baselineOf", b.what()));
+        return node;
+    }
+
+    @Override
+    public String toString() {
+        return measure
+                + ": "
+                + number(value)
+                + " "
+                + unit
+                + target.map(t -> "; target " + t + ": " + (passed() ? "pass" : "FAIL")).orElse("")
+                + baseline.map(b -> "; baseline " + number(b.value()) + " (" + b.what() + ")")
+                        .orElse("");
+    }
+
+    private static String number(double value) {
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
+                : String.format(Locale.ROOT, "%.3f", value);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Latencies.java
@@ -0,0 +1,43 @@
+package org.crocusturn.standin.measure;
+
+import java.util.function.Predicate;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+
+/** Is a distribution of latencies, which it returns in milliseconds. */
+final class Latencies {
+    private static final int DIGITS = 3;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final Histogram mHistogram = new Histogram(DIGITS);
+
+    private Latencies() {}
+
+    static Latencies of(LongStream nanos) {
+        Latencies latencies = new Latencies();
+        nanos.forEach(n -> latencies.mHistogram.recordValue(Math.max(0, n)));
+        return latencies;
+    }
+
+    /** Returns the latencies of the samples that were done and match a condition. */
+    static Latencies of(Stream<Sample> samples, Predicate<Sample> condition) {
+        return of(samples.filter(Sample::done).filter(condition).mapToLong(Sample::latencyNanos));
+    }
+
+    long count() {
+        return mHistogram.getTotalCount();
+    }
+
+    double p50() {
+        return mHistogram.getValueAtPercentile(50) / NANOS_PER_MILLI;
+    }
+
+    double p99() {
+        return mHistogram.getValueAtPercentile(99) / NANOS_PER_MILLI;
+    }
+
+    double max() {
+        return mHistogram.getMaxValue() / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Load.java
@@ -0,0 +1,81 @@
+package org.crocusturn.standin.measure;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.ring.Duty;
+
+/** Is a load that is being sent. */
+final class Load {
+    private static final Logger LOG = LogManager.getLogger(Load.class);
+    private static final int RING_CAPACITY = 1 << 16;
+    private static final Duration LAST_ANSWER = Duration.ofSeconds(60);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+
+    private final long mStartNanos;
+    private final Duty<LoadEvent> mDuty;
+    private final CompletableFuture<List<Sample>> mDone;
+    private final Duration mLength;
+
+    private Load(
+            long startNanos,
+            Duty<LoadEvent> duty,
+            CompletableFuture<List<Sample>> done,
+            Duration length) {
+        mStartNanos = startNanos;
+        mDuty = duty;
+        mDone = done;
+        mLength = length;
+    }
+
+    /** Starts to send arrivals to a deployment. */
+    static Load start(Callers callers, List<Arrival> arrivals, boolean requestIds) {
+        CompletableFuture<List<Sample>> done = new CompletableFuture<>();
+        long start = System.nanoTime();
+        LoadDuty handler = new LoadDuty(callers, arrivals, requestIds, start, done);
+        Duty<LoadEvent> duty =
+                Duty.start("measure-load", RING_CAPACITY, handler, e -> LOG.error("measure:", e));
+        handler.setEvents(duty::offer);
+        Duration length =
+                Duration.ofNanos(
+                        arrivals.isEmpty() ? 0 : arrivals.get(arrivals.size() - 1).atNanos());
+        return new Load(start, duty, done, length);
+    }
+
+    /** Returns the time since the start, in nanoseconds. */
+    long elapsedNanos() {
+        return System.nanoTime() - mStartNanos;
+    }
+
+    /** Waits until a time since the start. */
+    void awaitElapsed(Duration elapsed) {
+        try {
+            long left = elapsed.toNanos() - elapsedNanos();
+            new CountDownLatch(1).await(left, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    /** Waits for the last answer and returns all samples, in the order of the answers. */
+    List<Sample> join() {
+        try {
+            long left = mLength.plus(LAST_ANSWER).toNanos() - elapsedNanos();
+            return mDone.get(left, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the load did not end", e);
+        } finally {
+            mDuty.stop(STOP_TIMEOUT);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/MeasureMain.java
@@ -0,0 +1,132 @@
+package org.crocusturn.standin.measure;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.crocusturn.daemon.Main;
+import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.operators.ExitStatus;
+import org.crocusturn.standin.database.Behaviour;
+
+/** Measures a local deployment and compares the figures with their targets. */
+public final class MeasureMain {
+    private static final Map<String, Scenario> SCENARIOS =
+            List.<Scenario>of(new FailoverScenario()).stream()
+                    .collect(Collectors.toMap(Scenario::name, Function.identity()));
+
+    private MeasureMain() {}
+
+    /** Runs one scenario; exit status 1 tells that a target was missed. */
+    public static void main(String[] arguments) throws IOException {
+        Main.chooseLogFormat();
+        ArgumentParser parser = parser();
+        try {
+            System.exit(run(parser.parseArgs(arguments)).code());
+        } catch (HelpScreenException e) {
+            System.exit(ExitStatus.DONE.code());
+        } catch (ArgumentParserException e) {
+            parser.handleError(e, new java.io.PrintWriter(System.err, true));
+            System.exit(ExitStatus.USAGE.code());
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("measure")
+                        .build()
+                        .description("Measures a deployment in one process under load.")
+                        .epilog("Example: measure failover --deployment amman --seed 7");
+        parser.addArgument("scenario").choices(SCENARIOS.keySet()).help("what is measured");
+        parser.addArgument("--deployment")
+                .required(true)
+                .choices("amman", "zuid-holland")
+                .help("deployment of the folder examples");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the load");
+        parser.addArgument("--seconds").type(Integer.class).help("length of the load");
+        parser.addArgument("--factor")
+                .type(Double.class)
+                .help("factor on the configured rates and bursts, so that the stand-in keeps up");
+        parser.addArgument("--json")
+                .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
+                .help("print JSON");
+        return parser;
+    }
+
+    private static ExitStatus run(Namespace given) throws IOException {
+        Scenario scenario = SCENARIOS.get(given.getString("scenario"));
+        Integer seconds = given.getInt("seconds");
+        Double factor = given.getDouble("factor");
+        MeasureOptions options =
+                new MeasureOptions(
+                        given.getString("deployment"),
+                        given.getLong("seed"),
+                        Duration.ofSeconds(seconds == null ? scenario.usualSeconds() : seconds),
+                        factor == null ? scenario.usualFactor() : factor);
+        List<Figure> figures = measure(scenario, options);
+        if (given.getBoolean("json")) {
+            System.out.println(toJson(scenario, options, figures));
+        } else {
+            System.out.printf(
+                    "%s, %s, seed %d, %d s, rates x %s%n",
+                    scenario.name(),
+                    options.deployment(),
+                    options.seed(),
+                    options.length().toSeconds(),
+                    options.factor());
+            figures.forEach(System.out::println);
+        }
+        return figures.stream().allMatch(Figure::passed) ? ExitStatus.DONE : ExitStatus.REFUSED;
+    }
+
+    private static List<Figure> measure(Scenario scenario, MeasureOptions options)
+            throws IOException {
+        DeploymentTimes times = DeploymentTimes.of(options.deployment());
+        Behaviour behaviour =
+                Behaviour.PROMPT
+                        .withConnectMillis(times.connectMillis())
+                        .withLagMillis(scenario.lagMillis(times));
+        Path file =
+                Path.of(System.getProperty("crocusturn.root", "."))
+                        .resolve("examples")
+                        .resolve(options.deployment())
+                        .resolve("configuration.yaml");
+        try (Rig rig = Rig.start(file, options.factor(), behaviour)) {
+            return scenario.measure(rig, options, progress());
+        }
+    }
+
+    private static Consumer<String> progress() {
+        boolean terminal = System.console() != null;
+        return text -> {
+            if (terminal) {
+                System.err.println("measure: " + text);
+            }
+        };
+    }
+
+    private static ObjectNode toJson(
+            Scenario scenario, MeasureOptions options, List<Figure> figures) {
+        ObjectNode node =
+                Json.object()
+                        .put("scenario", scenario.name())
+                        .put("deployment", options.deployment())
+                        .put("seed", options.seed())
+                        .put("seconds", options.length().toSeconds())
+                        .put("factor", options.factor())
+                        .put("passed", figures.stream().allMatch(Figure::passed));
+        var list = node.putArray("figures");
+        figures.forEach(f -> list.add(f.toJson()));
+        return node;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Row.java
@@ -0,0 +1,9 @@
+package org.crocusturn.standin.measure;
+
+/**
+ * Identifies a row that the load writes.
+ *
+ * @param session number of the session
+ * @param n number of the write in its session, from 1
+ */
+public record Row(long session, long n) {}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Samples.java
@@ -0,0 +1,33 @@
+package org.crocusturn.standin.measure;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/** Counts samples. */
+final class Samples {
+    private Samples() {}
+
+    static long count(List<Sample> samples, Predicate<Sample> condition) {
+        return samples.stream().filter(condition).count();
+    }
+
+    /** Returns how often each failure occurred, the most frequent first. */
+    static String failures(List<Sample> samples) {
+        Map<String, Long> counts =
+                samples.stream()
+                        .filter(s -> !s.done())
+                        .collect(
+                                Collectors.groupingBy(
+                                        s -> s.status() + " " + s.code() + " " + s.verdict(),
+                                        TreeMap::new,
+                                        Collectors.counting()));
+        return counts.entrySet().stream()
+                .sorted(Map.Entry.comparingByValue(Comparator.reverseOrder()))
+                .map(e -> e.getKey().strip() + ": " + e.getValue())
+                .collect(Collectors.joining(", ", "failures {", "}"));
+    }
+}
