--- a/standin/src/main/java/org/crocusturn/standin/measure/MeasureMain.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/MeasureMain.java
@@ -22,7 +22,13 @@
 /** Measures a local deployment and compares the figures with their targets. */
 public final class MeasureMain {
     private static final Map<String, Scenario> SCENARIOS =
-            List.<Scenario>of(new FailoverScenario()).stream()
+            List.<Scenario>of(
+                            new FailoverScenario(),
+                            new FairnessScenario(),
+                            new LimitsScenario(),
+                            new ReadsScenario(),
+                            new DataCentreScenario())
+                    .stream()
                     .collect(Collectors.toMap(Scenario::name, Function.identity()));
 
     private MeasureMain() {}
@@ -102,6 +108,7 @@
                         .resolve(options.deployment())
                         .resolve("configuration.yaml");
         try (Rig rig = Rig.start(file, options.factor(), behaviour)) {
+            rig.warmUp();
             return scenario.measure(rig, options, progress());
         }
     }
--- a/standin/src/main/java/org/crocusturn/standin/measure/Rig.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Rig.java
@@ -34,6 +34,8 @@
     private static final int ENTRY_HOSTS = 6;
     private static final int IO_THREADS = 2;
     private static final Duration TABLE_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration WARM_UP = Duration.ofSeconds(6);
+    private static final double WARM_UP_SHARE = 0.8;
     private static final byte[] NO_BODY = {};
 
     private final Path mFolder;
@@ -119,6 +121,11 @@
         return new ArrivalPlan(seed, ENTRY_HOSTS, mix);
     }
 
+    /** Sends a load that is not measured, so that the JVM has compiled the code. */
+    void warmUp() {
+        load(arrivals(0, Mix.USUAL).poisson(rates(WARM_UP_SHARE), WARM_UP), false).join();
+    }
+
     /** Starts to send a load. */
     Load load(List<Arrival> arrivals, boolean requestIds) {
         return Load.start(mCallers, arrivals, requestIds);
