Add the scenario overhead and tests of the measuring tool

The overhead scenario alternates closed-loop reads through the leaseholder and over the database protocol. The stand-in reported a negative lag when a copy caught up while the status waited for its lock; the control leader then dropped the status as malformed. The lag is now at least 0. The limits scenario now prints which failures they are.

--- a/standin/src/main/java/org/crocusturn/standin/database/DatabaseCopy.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/DatabaseCopy.java
@@ -84,10 +84,15 @@
                                 mState.role() == Role.PRIMARY
                                         ? 0
                                         : mCaughtUpNanos
-                                                .map(n -> (nowNanos - n) / NANOS_PER_MILLI)
+                                                .map(n -> lagMillis(nowNanos, n))
                                                 .orElse(Long.MAX_VALUE)));
     }
 
+    /** Returns 0 if the copy caught up after the time was taken, while the caller waited here. */
+    private static long lagMillis(long nowNanos, long caughtUpNanos) {
+        return Math.max(0, nowNanos - caughtUpNanos) / NANOS_PER_MILLI;
+    }
+
     /** Opens a session and closes those of lower epochs; their transactions are rolled back. */
     DatabaseSession openSession(long epoch, Runnable disconnect) {
         List<DatabaseSession> older = locked(() -> raiseEpoch(epoch));
--- a/standin/src/main/java/org/crocusturn/standin/measure/Callers.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Callers.java
@@ -26,7 +26,7 @@
 final class Callers {
     static final int OK = 200;
     static final String INSERT = "INSERT INTO measured (session, n) VALUES (?, ?)";
-    private static final String SELECT = "SELECT MAX(n) FROM measured WHERE session = ?";
+    static final String SELECT = "SELECT MAX(n) FROM measured WHERE session = ?";
     private static final int SESSIONS_PER_WORKSPACE = 20;
     private static final long AGE_MILLIS = 5_000;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
--- a/standin/src/main/java/org/crocusturn/standin/measure/LimitsScenario.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/LimitsScenario.java
@@ -76,7 +76,8 @@
                                                                 limit.perSecond(),
                                                                 limit.burst(),
                                                                 w.toNanos())));
-        long others = samples.size() - own.size();
+        List<Sample> others =
+                samples.stream().filter(s -> !s.arrival().workspace().equals(loud)).toList();
         Stream<Figure> refusals =
                 Stream.of(
                         Figure.of(
@@ -85,11 +86,12 @@
                                         "requests/s")
                                 .withBaseline("its rate", limit.perSecond()),
                         Figure.of(
-                                        "failures of the " + others + " requests of the others",
-                                        Samples.count(samples, s -> !s.done())
-                                                - Samples.count(own, s -> !s.done()),
+                                        "failed requests of the others, "
+                                                + Samples.failures(others),
+                                        Samples.count(others, s -> !s.done()),
                                         "requests")
-                                .withAtMost(0));
+                                .withAtMost(0)
+                                .withBaseline("requests of the others", others.size()));
         return Stream.concat(windows, refusals);
     }
 
--- a/standin/src/main/java/org/crocusturn/standin/measure/MeasureMain.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/MeasureMain.java
@@ -27,7 +27,8 @@
                             new FairnessScenario(),
                             new LimitsScenario(),
                             new ReadsScenario(),
-                            new DataCentreScenario())
+                            new DataCentreScenario(),
+                            new OverheadScenario())
                     .stream()
                     .collect(Collectors.toMap(Scenario::name, Function.identity()));
 
@@ -108,7 +109,9 @@
                         .resolve(options.deployment())
                         .resolve("configuration.yaml");
         try (Rig rig = Rig.start(file, options.factor(), behaviour)) {
-            rig.warmUp();
+            if (scenario.warmsUp()) {
+                rig.warmUp();
+            }
             return scenario.measure(rig, options, progress());
         }
     }
--- a/standin/src/main/java/org/crocusturn/standin/measure/Rig.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Rig.java
@@ -13,7 +13,9 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlState;
@@ -98,6 +100,14 @@
         return state().groupOf(WorkspaceId.of(workspace), service()).orElseThrow();
     }
 
+    /** Returns the index of an entry host. */
+    int entryHost(HostId host) {
+        return IntStream.range(0, ENTRY_HOSTS)
+                .filter(n -> host.equals(HostId.of("entry-" + (n + 1))))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns a share of the rate of each workspace, in requests per second. */
     public Map<String, Double> rates(double share) {
         return mConfiguration.workspaces().stream()
--- a/standin/src/main/java/org/crocusturn/standin/measure/Scenario.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/Scenario.java
@@ -16,6 +16,11 @@
         return times.lagMillis();
     }
 
+    /** Returns whether a load that is not measured is sent first. */
+    default boolean warmsUp() {
+        return true;
+    }
+
     /** Returns the factor on the configured rates if none is given. */
     default double usualFactor() {
         return 0.5;
--- /dev/null
+++ b/standin/src/test/java/org/crocusturn/standin/measure/WindowCheckTest.java
@@ -0,0 +1,36 @@
+package org.crocusturn.standin.measure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class WindowCheckTest {
+    private static final long SECOND = 1_000_000_000;
+
+    static Stream<Arguments> admissions() {
+        long[] even = LongStream.range(0, 100).map(n -> n * SECOND / 10).toArray();
+        long[] burst = LongStream.concat(LongStream.of(even), repeat(4 * SECOND + 1, 25)).toArray();
+        long[] split = LongStream.concat(repeat(0, 16), repeat(SECOND, 15)).toArray();
+        return Stream.of(
+                Arguments.of("an even rate", even, 11, false),
+                Arguments.of("25 more at once in the middle", burst, 36, true),
+                Arguments.of("one too many at both ends of the window", split, 31, true),
+                Arguments.of("no admission", new long[0], 0, false));
+    }
+
+    /** Guards against a check that overlooks requests above the burst plus the rate. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("admissions")
+    void findsViolation(String name, long[] times, int most, boolean violated) {
+        assertEquals(most, WindowCheck.most(times, SECOND));
+        assertEquals(violated, most > WindowCheck.allowed(10, 20, SECOND));
+    }
+
+    private static LongStream repeat(long time, int count) {
+        return LongStream.generate(() -> time).limit(count);
+    }
+}
