--- a/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
+++ b/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
@@ -56,6 +56,7 @@
     private final List<ControlDaemon> mControlHosts = new CopyOnWriteArrayList<>();
     private final List<EntryDaemon> mEntryHosts = new CopyOnWriteArrayList<>();
     private final List<StandInDatabase> mDatabases = new CopyOnWriteArrayList<>();
+    private final List<StandInSettings> mDatabaseSettings = new CopyOnWriteArrayList<>();
     private final Map<String, String> mKeys = new TreeMap<>();
 
     private LocalDeployment(LocalPlan plan) {
@@ -149,6 +150,16 @@
         database.close();
     }
 
+    /** Ends a stand-in database at once; its data is lost. */
+    public void kill(int database) {
+        mDatabases.get(database).close();
+    }
+
+    /** Starts an ended stand-in database again, empty and on other ports. */
+    public void restart(int database) {
+        mDatabases.set(database, StandInDatabase.start(mDatabaseSettings.get(database), mThreads));
+    }
+
     /** Stops all processes gracefully, entry hosts first. */
     public void stop() {
         mEntryHosts.forEach(EntryDaemon::requestStop);
@@ -249,7 +260,11 @@
                                         databases))
                 .map(s -> s.withBehaviour(mPlan.behaviour()))
                 .map(s -> s.withControl(control, mAnnouncementSecret.text()))
-                .forEach(s -> mDatabases.add(StandInDatabase.start(s, mThreads)));
+                .forEach(
+                        s -> {
+                            mDatabaseSettings.add(s);
+                            mDatabases.add(StandInDatabase.start(s, mThreads));
+                        });
     }
 
     private ControlSettings control(PeerAddress member) {
