--- a/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
@@ -122,23 +122,6 @@
         change(b -> b.withFaults(List.of(faults)));
     }
 
-    /** Stops answering on both ports and pulling entries, with all connections left open. */
-    public void freeze() {
-        change(
-                b ->
-                        b.withStatusSilent(true)
-                                .withReplicationPaused(true)
-                                .withFaults(
-                                        List.of(
-                                                Fault.once(Fault.Kind.IGNORED)
-                                                        .withTimes(Integer.MAX_VALUE))));
-    }
-
-    /** Ends what {@link #freeze} began; requests that came meanwhile stay unanswered. */
-    public void thaw() {
-        change(b -> b.withStatusSilent(false).withReplicationPaused(false).withFaults(List.of()));
-    }
-
     /**
      * Leaves all requests unanswered and stops replication, as a process that is stopped or cut
      * off. Announcements go on, so that only the missing answers can reveal it.
