--- a/standin/src/main/java/org/crocusturn/standin/measure/FailoverScenario.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/FailoverScenario.java
@@ -13,12 +13,15 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.StreamSupport;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.operators.GroupRecord;
 import org.crocusturn.standin.local.LocalDeployment;
 
 /** Kills or freezes the endpoint of a primary under a load of writes. */
 final class FailoverScenario implements Scenario {
+    private static final Logger LOG = LogManager.getLogger(FailoverScenario.class);
     private static final Duration REPETITION = Duration.ofSeconds(8);
     private static final Duration CAUSE_AT = Duration.ofSeconds(3);
     private static final Duration RECOVERY = Duration.ofSeconds(40);
@@ -135,9 +138,8 @@
                 rig.rates(1).keySet().stream().collect(Collectors.toMap(w -> w, rig::group));
         List<Double> gaps =
                 groups.stream()
-                        .map(g -> times(samples, s -> group.get(s).equals(g)))
-                        .filter(t -> t.length > 0)
-                        .map(t -> seconds(Gap.longest(t, causeNanos, Long.MAX_VALUE)))
+                        .filter(group::containsValue)
+                        .map(g -> gap(g, times(samples, s -> group.get(s).equals(g)), causeNanos))
                         .toList();
         double before =
                 groups.stream()
@@ -164,6 +166,13 @@
                 falselyNotRun);
     }
 
+    /** Logs the gap too, so that it can be found among the lines of the hosts. */
+    private static double gap(GroupId group, long[] times, long causeNanos) {
+        double seconds = seconds(Gap.longest(times, causeNanos, Long.MAX_VALUE));
+        LOG.info("measure: the failover gap of {} was {} s", group, seconds);
+        return seconds;
+    }
+
     /** Sends writes of unknown outcome again with the same request id, as a caller would. */
     private static void resend(Rig rig, List<Sample> samples) {
         samples.stream()
--- a/standin/src/main/java/org/crocusturn/standin/measure/LimitsScenario.java
+++ b/standin/src/main/java/org/crocusturn/standin/measure/LimitsScenario.java
@@ -68,7 +68,11 @@
                         .map(
                                 w ->
                                         Figure.of(
-                                                        "most admitted of " + loud + " in " + w,
+                                                        "most admitted of "
+                                                                + loud
+                                                                + " in any "
+                                                                + w.toMillis()
+                                                                + " ms",
                                                         WindowCheck.most(admitted, w.toNanos()),
                                                         "requests")
                                                 .withAtMost(
