Let the operators' file set data centre states and add keys

An entry of dataCentres may be {name, state}, and keys lists {id, workspace, sha256}. Both are part of the one change that applies the file, so a fault in one refuses all of it. Stored configurations without the new fields read as before.

--- a/core/src/main/java/org/crocusturn/core/operators/Configuration.java
+++ b/core/src/main/java/org/crocusturn/core/operators/Configuration.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.operators;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.WorkspaceId;
@@ -13,23 +14,41 @@
  * @param workspaces workspaces with their rates
  * @param services database services
  * @param openRoutes paths that need no key, besides the health routes
+ * @param dataCentreStates states that the file sets; a data centre that is missing here keeps its
+ *     state
+ * @param keys keys that the file adds; those in force already stay, and those that are missing here
+ *     are not withdrawn
  */
 public record Configuration(
         long version,
         List<DataCentreId> dataCentres,
         List<Workspace> workspaces,
         List<Service> services,
-        List<String> openRoutes) {
+        List<String> openRoutes,
+        Map<DataCentreId, DataCentreState> dataCentreStates,
+        List<KeyRecord> keys) {
     /** The configuration before the first is applied. */
     public static final Configuration EMPTY =
             new Configuration(0, List.of(), List.of(), List.of(), List.of());
 
-    /** Copies the lists. */
+    /** Copies the collections. */
     public Configuration {
         dataCentres = List.copyOf(dataCentres);
         workspaces = List.copyOf(workspaces);
         services = List.copyOf(services);
         openRoutes = List.copyOf(openRoutes);
+        dataCentreStates = Map.copyOf(dataCentreStates);
+        keys = List.copyOf(keys);
+    }
+
+    /** Creates a configuration that sets no states of data centres and adds no keys. */
+    public Configuration(
+            long version,
+            List<DataCentreId> dataCentres,
+            List<Workspace> workspaces,
+            List<Service> services,
+            List<String> openRoutes) {
+        this(version, dataCentres, workspaces, services, openRoutes, Map.of(), List.of());
     }
 
     /** Returns the workspace of an id, if it is declared. */
--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
@@ -49,10 +49,30 @@
                         .flatMap(Optional::stream)
                         .toList();
         return moves.isEmpty()
-                ? Optional.empty()
+                ? refusedKey(state, next)
                 : refuse(ErrorCode.CONFLICT, String.join("; ", moves));
     }
 
+    private static Optional<Failure> refusedKey(ControlState state, Configuration next) {
+        Set<String> used =
+                state.keys().values().stream().map(KeyRecord::id).collect(Collectors.toSet());
+        return next.keys().stream()
+                .filter(key -> !key.equals(state.keys().get(key.hash())))
+                .filter(
+                        key ->
+                                state.keys().containsKey(key.hash())
+                                        || state.withdrawn().containsKey(key.id())
+                                        || used.contains(key.id()))
+                .findFirst()
+                .flatMap(
+                        key ->
+                                refuse(
+                                        ErrorCode.CONFLICT,
+                                        "key id \""
+                                                + key.id()
+                                                + "\" or its hash is in use or withdrawn"));
+    }
+
     static ControlState accept(ControlState state, Configuration next, String changeId) {
         Map<GroupId, GroupRecord> groups =
                 next.services().stream()
@@ -69,10 +89,22 @@
                         .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
         Set<DataCentreId> drained = new HashSet<>(state.drained());
         drained.retainAll(Set.copyOf(next.dataCentres()));
+        next.dataCentreStates()
+                .forEach(
+                        (centre, set) -> {
+                            if (set == DataCentreState.DRAINED) {
+                                drained.add(centre);
+                            } else {
+                                drained.remove(centre);
+                            }
+                        });
+        Map<String, KeyRecord> keys = new HashMap<>(state.keys());
+        next.keys().forEach(key -> keys.put(key.hash(), key));
         return state.withConfiguration(next, changeId)
                 .withGroups(groups)
                 .withEndpoints(endpoints)
                 .withDrained(drained)
+                .withKeys(keys, state.withdrawn())
                 .withPlacements(place(state, next, groups.keySet()));
     }
 
--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
@@ -61,6 +61,26 @@
                 ".name",
                 mConfiguration.services().stream().map(Service::name).toList());
         checkUnique("openRoutes", "", mConfiguration.openRoutes());
+        checkUnique("keys", ".id", mConfiguration.keys().stream().map(KeyRecord::id).toList());
+        checkUnique(
+                "keys", ".sha256", mConfiguration.keys().stream().map(KeyRecord::hash).toList());
+        for (int i = 0; i < mConfiguration.keys().size(); i++) {
+            KeyRecord key = mConfiguration.keys().get(i);
+            check(
+                    mConfiguration.workspace(key.workspace()).isPresent(),
+                    "keys[" + i + "].workspace",
+                    key.workspace(),
+                    "a declared workspace");
+        }
+        mConfiguration
+                .dataCentreStates()
+                .forEach(
+                        (centre, state) ->
+                                check(
+                                        mConfiguration.dataCentres().contains(centre),
+                                        "dataCentres",
+                                        centre,
+                                        "a declared data centre"));
         for (int i = 0; i < mConfiguration.openRoutes().size(); i++) {
             String route = mConfiguration.openRoutes().get(i);
             check(
--- a/core/src/test/java/org/crocusturn/core/operators/ControlStateMachineTest.java
+++ b/core/src/test/java/org/crocusturn/core/operators/ControlStateMachineTest.java
@@ -1,5 +1,6 @@
 package org.crocusturn.core.operators;
 
+import static java.util.stream.Collectors.toSet;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -119,6 +120,90 @@
                         "x"));
     }
 
+    private static ApplyConfiguration withFile(
+            Map<DataCentreId, DataCentreState> states, KeyRecord... keys) {
+        Configuration plain = configuration(2, Map.of(), "a", "b");
+        return new ApplyConfiguration(
+                "file",
+                new Configuration(
+                        2,
+                        plain.dataCentres(),
+                        plain.workspaces(),
+                        plain.services(),
+                        plain.openRoutes(),
+                        states,
+                        List.of(keys)));
+    }
+
+    static Stream<Arguments> files() {
+        DataCentreId n = DataCentreId.of("n");
+        KeyRecord known = issue("", "key", '1', "w").key();
+        KeyRecord more = issue("", "more", '2', "w").key();
+        ControlCommand drain = new SetDataCentreDrained("d", n, true);
+        ControlCommand withdraw = new WithdrawKey("x", "key");
+        Map<DataCentreId, DataCentreState> none = Map.of();
+        return Stream.of(
+                Arguments.of(drain, withFile(none), true, Set.of("key"), true),
+                Arguments.of(
+                        drain,
+                        withFile(Map.of(n, DataCentreState.IN_SERVICE)),
+                        false,
+                        Set.of("key"),
+                        true),
+                Arguments.of(
+                        register(),
+                        withFile(Map.of(n, DataCentreState.DRAINED), known, more),
+                        true,
+                        Set.of("key", "more"),
+                        true),
+                Arguments.of(
+                        withdraw,
+                        withFile(Map.of(n, DataCentreState.DRAINED), more, known),
+                        false,
+                        Set.of(),
+                        false),
+                Arguments.of(
+                        register(),
+                        withFile(none, issue("", "key", '2', "w").key()),
+                        false,
+                        Set.of("key"),
+                        false),
+                Arguments.of(
+                        register(),
+                        withFile(none, issue("", "other", '1', "w").key()),
+                        false,
+                        Set.of("key"),
+                        false),
+                Arguments.of(
+                        register(),
+                        withFile(none, issue("", "other", '2', "v").key()),
+                        false,
+                        Set.of("key"),
+                        false),
+                Arguments.of(
+                        register(),
+                        withFile(Map.of(DataCentreId.of("x"), DataCentreState.DRAINED), more),
+                        false,
+                        Set.of("key"),
+                        false));
+    }
+
+    /** Guards against a file that is applied in part, or that brings a withdrawn key back. */
+    @ParameterizedTest
+    @MethodSource("files")
+    void appliesStatesAndKeysOfAFile(
+            ControlCommand first,
+            ApplyConfiguration file,
+            boolean drained,
+            Set<String> keys,
+            boolean accepted) {
+        ControlState after = run(base(), first, file);
+        assertEquals(accepted, after.changes().get("file").accepted());
+        assertEquals(accepted ? 2 : 1, after.configuration().version());
+        assertEquals(drained, after.drained().contains(DataCentreId.of("n")));
+        assertEquals(keys, after.keys().values().stream().map(KeyRecord::id).collect(toSet()));
+    }
+
     @ParameterizedTest
     @MethodSource("operatorCases")
     void decidesOperatorsChanges(
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationReader.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationReader.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.operators;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,8 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.DataCentreState;
+import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.core.operators.RateLimit;
 import org.crocusturn.core.operators.Service;
 import org.crocusturn.core.operators.Workspace;
@@ -27,6 +30,7 @@
     private static final int MAX_SLOTS = 10_000;
     private static final int MAX_CONNECTIONS = 100_000;
     private static final long MAX_BURST = 1_000_000_000L;
+    private static final String NO_HASH = "0".repeat(64);
     private static final String NAME_RULE =
             "1 to 100 letters, digits, dots, hyphens or underscores, first a letter or digit";
 
@@ -47,12 +51,22 @@
     private Configuration readFile(String text) {
         YamlValue file =
                 YamlValue.parse(text, mFaults)
-                        .knows("version", "dataCentres", "openRoutes", "services", "workspaces");
+                        .knows(
+                                "version",
+                                "dataCentres",
+                                "openRoutes",
+                                "services",
+                                "workspaces",
+                                "keys");
         long version = file.required("version").number(1, 1, Long.MAX_VALUE);
         List<YamlValue> centres = file.required("dataCentres").list();
         List<DataCentreId> dataCentres =
-                centres.stream().flatMap(v -> name(v, DataCentreId::of).stream()).toList();
-        unique(centres, v -> v.text(""));
+                centres.stream()
+                        .flatMap(v -> name(centreName(v), DataCentreId::of).stream())
+                        .toList();
+        unique(centres, v -> centreName(v).text(""));
+        Map<DataCentreId, DataCentreState> states = new HashMap<>();
+        centres.stream().filter(YamlValue::mapping).forEach(v -> state(v, states));
         List<YamlValue> serviceValues = file.required("services").list();
         List<Service> services = serviceValues.stream().flatMap(v -> service(v).stream()).toList();
         unique(serviceValues, v -> v.optional("name").text(""));
@@ -64,10 +78,56 @@
                 workspaceValues.stream().flatMap(v -> workspace(v, byName).stream()).toList();
         unique(workspaceValues, v -> v.optional("name").text(""));
         List<String> openRoutes = openRoutes(file.optional("openRoutes"));
+        List<KeyRecord> keys = keys(file.optional("keys").list(), workspaces);
         if (!mFaults.isEmpty()) {
             throw FaultsException.of(mFaults);
         }
-        return new Configuration(version, dataCentres, workspaces, services, openRoutes);
+        return new Configuration(
+                version, dataCentres, workspaces, services, openRoutes, states, keys);
+    }
+
+    private static YamlValue centreName(YamlValue value) {
+        return value.mapping() ? value.optional("name") : value;
+    }
+
+    private static void state(YamlValue value, Map<DataCentreId, DataCentreState> states) {
+        value.knows("name", "state");
+        Optional<DataCentreId> centre = name(value.required("name"), DataCentreId::of);
+        YamlValue state = value.optional("state");
+        String word = oneOf(state, "in-service", Set.of("in-service", "drained"));
+        if (state.present()) {
+            centre.ifPresent(
+                    c ->
+                            states.put(
+                                    c,
+                                    word.equals("drained")
+                                            ? DataCentreState.DRAINED
+                                            : DataCentreState.IN_SERVICE));
+        }
+    }
+
+    private static List<KeyRecord> keys(List<YamlValue> values, List<Workspace> workspaces) {
+        unique(values, v -> v.optional("id").text(""));
+        unique(values, v -> v.optional("sha256").text(""));
+        return values.stream().flatMap(v -> key(v, workspaces).stream()).toList();
+    }
+
+    private static Optional<KeyRecord> key(YamlValue value, List<Workspace> workspaces) {
+        value.knows("id", "workspace", "sha256");
+        Optional<String> id = name(value.required("id"), text -> Names.check(text, "id"));
+        YamlValue user = value.required("workspace");
+        Optional<WorkspaceId> workspace = name(user, WorkspaceId::of);
+        if (workspace.isPresent()
+                && workspaces.stream().noneMatch(w -> w.id().equals(workspace.get()))) {
+            user.fault("a workspace of this file");
+        }
+        String hash =
+                value.required("sha256")
+                        .text(
+                                NO_HASH,
+                                "64 lower-case hexadecimal digits",
+                                text -> text.matches("[0-9a-f]{64}"));
+        return id.flatMap(i -> workspace.map(w -> new KeyRecord(i, hash, w)));
     }
 
     private Optional<Service> service(YamlValue value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationWriter.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationWriter.java
@@ -7,6 +7,8 @@
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.DataCentreState;
+import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.core.operators.Service;
 import org.crocusturn.core.operators.Workspace;
 import org.yaml.snakeyaml.Yaml;
@@ -21,7 +23,7 @@
         file.put("version", configuration.version());
         file.put(
                 "dataCentres",
-                configuration.dataCentres().stream().map(DataCentreId::value).toList());
+                configuration.dataCentres().stream().map(c -> centre(configuration, c)).toList());
         file.put("openRoutes", configuration.openRoutes());
         file.put(
                 "services",
@@ -29,9 +31,29 @@
         file.put(
                 "workspaces",
                 configuration.workspaces().stream().map(ConfigurationWriter::workspace).toList());
+        if (!configuration.keys().isEmpty()) {
+            file.put("keys", configuration.keys().stream().map(ConfigurationWriter::key).toList());
+        }
         return new Yaml().dump(file);
     }
 
+    private static Object centre(Configuration configuration, DataCentreId centre) {
+        DataCentreState state = configuration.dataCentreStates().get(centre);
+        if (state == null) {
+            return centre.value();
+        }
+        String word = state == DataCentreState.DRAINED ? "drained" : "in-service";
+        return new LinkedHashMap<>(Map.of("name", centre.value(), "state", word));
+    }
+
+    private static Map<String, Object> key(KeyRecord key) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("id", key.id());
+        fields.put("workspace", key.workspace().value());
+        fields.put("sha256", key.hash());
+        return fields;
+    }
+
     private static Map<String, Object> service(Service service) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("name", service.name());
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/YamlValue.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/YamlValue.java
@@ -93,6 +93,11 @@
         return mNode != null && !Tag.NULL.equals(mNode.getTag());
     }
 
+    /** Returns whether the value is a mapping. */
+    public boolean mapping() {
+        return mNode instanceof MappingNode;
+    }
+
     /** Notes each field of the mapping that is not known. */
     public YamlValue knows(String... fields) {
         Set<String> known = Set.of(fields);
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
@@ -7,6 +7,7 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.DataCentreState;
 import org.crocusturn.core.operators.RateLimit;
 import org.crocusturn.core.operators.Service;
 import org.crocusturn.core.operators.Workspace;
@@ -24,16 +25,37 @@
         value.dataCentres().forEach(d -> builder.addDataCentres(d.value()));
         value.workspaces().forEach(w -> builder.addWorkspaces(encode(w)));
         value.services().forEach(s -> builder.addServices(encode(s)));
+        value.dataCentreStates().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(
+                        e ->
+                                builder.addDataCentreSettings(
+                                        OperatorsProto.DataCentreSetting.newBuilder()
+                                                .setDataCentre(e.getKey().value())
+                                                .setDrained(
+                                                        e.getValue() == DataCentreState.DRAINED)));
+        value.keys().forEach(k -> builder.addKeys(RecordMapper.encode(k)));
         return builder.build();
     }
 
     static Configuration decode(OperatorsProto.Configuration value) {
+        Map<DataCentreId, DataCentreState> states = new HashMap<>();
+        value.getDataCentreSettingsList()
+                .forEach(
+                        s ->
+                                states.put(
+                                        DataCentreId.of(s.getDataCentre()),
+                                        s.getDrained()
+                                                ? DataCentreState.DRAINED
+                                                : DataCentreState.IN_SERVICE));
         return new Configuration(
                 value.getVersion(),
                 value.getDataCentresList().stream().map(DataCentreId::of).toList(),
                 value.getWorkspacesList().stream().map(ConfigurationMapper::decode).toList(),
                 value.getServicesList().stream().map(ConfigurationMapper::decode).toList(),
-                value.getOpenRoutesList());
+                value.getOpenRoutesList(),
+                states,
+                value.getKeysList().stream().map(RecordMapper::decode).toList());
     }
 
     private static OperatorsProto.Workspace encode(Workspace value) {
--- a/daemon/src/test/java/org/crocusturn/daemon/operators/ConfigurationReaderTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/operators/ConfigurationReaderTest.java
@@ -7,7 +7,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.DataCentreState;
+import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.daemon.settings.FaultsException;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,6 +21,7 @@
 
 /** Guards against files that are applied in part, and against faults without line and path. */
 class ConfigurationReaderTest {
+    private static final String HASH = "0f".repeat(32);
     private static final String VALID =
             """
             version: 3
@@ -62,10 +69,17 @@
                 "services: [db]|services: [other]|workspaces[0].services[0]|13",
                 "{db: one}|{db: nine}|workspaces[0].databases.db|14",
                 "{db: one}|{other: one}|workspaces[0].databases.other|14",
-                "name: team|name: {a: b}|workspaces[0].name|10"
+                "name: team|name: {a: b}|workspaces[0].name|10",
+                "[north, south]|[north, {name: north}]|dataCentres[1]|2",
+                "[north, south]|[{name: north, state: off}]|dataCentres[0].state|2",
+                "[north, south]|[{state: drained}]|dataCentres[0].name|2",
+                "version: 3|version: 3\\nkeys: [{id: k, workspace: x, sha256: HASH}]"
+                        + "|keys[0].workspace|2",
+                "version: 3|version: 3\\nkeys: [{id: k, workspace: team, sha256: ab}]"
+                        + "|keys[0].sha256|2"
             })
     void namesEachFault(String old, String replacement, String path, int line) {
-        String text = VALID.replace(old, replacement.replace("\\n", "\n"));
+        String text = VALID.replace(old, replacement.replace("\\n", "\n").replace("HASH", HASH));
         FaultsException e =
                 assertThrows(FaultsException.class, () -> ConfigurationReader.read(text));
         assertTrue(
@@ -73,6 +87,19 @@
                 () -> "expected " + path + " at line " + line + ", found " + e.faults());
     }
 
+    /** Guards against states and keys of a file that get lost on the way to the control hosts. */
+    @ParameterizedTest
+    @CsvSource({"drained,DRAINED", "in-service,IN_SERVICE"})
+    void readsStatesAndKeys(String word, DataCentreState state) {
+        String keys = "keys: [{id: k, workspace: team, sha256: " + HASH + "}]\n";
+        Configuration read =
+                ConfigurationReader.read(
+                        VALID.replace("south]", "{name: south, state: " + word + "}]") + keys);
+        assertEquals(Map.of(DataCentreId.of("south"), state), read.dataCentreStates());
+        assertEquals(List.of(new KeyRecord("k", HASH, WorkspaceId.of("team"))), read.keys());
+        assertEquals(read, ConfigurationReader.read(ConfigurationWriter.write(read)));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -54,6 +54,7 @@
 import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.DataCentreState;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.GroupRecord;
@@ -198,7 +199,13 @@
                 Arrays.stream(AcknowledgeMode.values())
                         .map(mode -> new Service(mode.name(), List.of("a1"), 3, 2, 16, mode, true))
                         .toList(),
-                List.of("/certificates"));
+                List.of("/certificates"),
+                Map.of(
+                        ABDALI,
+                        DataCentreState.DRAINED,
+                        DataCentreId.of("marka"),
+                        DataCentreState.IN_SERVICE),
+                List.of(KEY));
     }
 
     private static EndpointRecord endpoint() {
