--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -36,6 +36,7 @@
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
 import org.crocusturn.daemon.entryhosts.LeaderPorts;
+import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.net.SharedSecret;
 import org.crocusturn.daemon.operators.ControlAccess;
@@ -57,6 +58,7 @@
     private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
 
     private final HostId mSelf;
+    private final Membership mNamed;
     private final Consumer<RuntimeException> mOnFailure;
     private final StateHolder mHolder = new StateHolder();
     private final Map<Long, CompletableFuture<ChangeOutcome>> mForwards = new ConcurrentHashMap<>();
@@ -74,6 +76,11 @@
             Metrics metrics,
             Consumer<RuntimeException> onFailure) {
         mSelf = settings.host();
+        mNamed =
+                new Membership(
+                        settings.members().stream()
+                                .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
+                                .toList());
         mOnFailure = onFailure;
         mCommander = EndpointCommander.create(threads, ORDER_TIMEOUT);
         mMonitor =
@@ -294,7 +301,8 @@
         @Override
         public void onMembership(Membership membership) {
             LOG.info("controlhosts: members are {}", membership.members());
-            mLinks.keep(membership);
+            // A member that lost its disk knows no members, and has to ask the leader for its log.
+            mLinks.keep(membership.members().isEmpty() ? mNamed : membership);
         }
 
         @Override
