--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/BenchMain.java
@@ -0,0 +1,97 @@
+package org.crocusturn.standin.bench;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+import org.openjdk.jmh.util.Statistics;
+
+/** Runs benchmarks, or prints sizes of messages or the footprint of deployments. */
+public final class BenchMain {
+    private static final int WARMUPS = 3;
+    private static final int MEASUREMENTS = 5;
+    private static final String ALLOCATION = "gc.alloc.rate.norm";
+
+    private BenchMain() {}
+
+    /**
+     * Runs "footprint", "sizes", or the benchmarks whose names match one of the arguments; all
+     * benchmarks without arguments.
+     */
+    public static void main(String[] arguments) throws RunnerException {
+        if (arguments.length > 0 && arguments[0].equals("footprint")) {
+            Configurator.setRootLevel(Level.ERROR);
+            Footprint.print(System.out);
+        } else if (arguments.length > 0 && arguments[0].equals("sizes")) {
+            Sizes.print(System.out);
+        } else {
+            print(new Runner(options(arguments)).run());
+        }
+    }
+
+    private static Options options(String[] patterns) {
+        OptionsBuilder options = new OptionsBuilder();
+        String bench = BenchMain.class.getPackageName() + ".*";
+        Arrays.stream(patterns.length == 0 ? new String[] {bench} : patterns)
+                .forEach(options::include);
+        return options.mode(Mode.AverageTime)
+                .timeUnit(TimeUnit.NANOSECONDS)
+                .warmupIterations(WARMUPS)
+                .warmupTime(TimeValue.seconds(1))
+                .measurementIterations(MEASUREMENTS)
+                .measurementTime(TimeValue.seconds(1))
+                .forks(1)
+                .jvmArgs("-Xmx2g")
+                .addProfiler(GCProfiler.class)
+                .verbosity(VerboseMode.SILENT)
+                .build();
+    }
+
+    private static void print(Collection<RunResult> results) {
+        System.out.printf(
+                "%-36s %-14s %14s %14s %14s %12s%n",
+                "benchmark", "parameters", "median ns", "least ns", "most ns", "bytes");
+        results.forEach(BenchMain::print);
+    }
+
+    private static void print(RunResult result) {
+        Statistics times = result.getPrimaryResult().getStatistics();
+        String[] name = result.getParams().getBenchmark().split("\\.");
+        String parameters =
+                result.getParams().getParamsKeys().stream()
+                        .map(
+                                k ->
+                                        k.substring(1).toLowerCase(Locale.ROOT)
+                                                + "="
+                                                + result.getParams().getParam(k))
+                        .toList()
+                        .toString();
+        double bytes =
+                result.getSecondaryResults().entrySet().stream()
+                        .filter(e -> e.getKey().endsWith(ALLOCATION))
+                        .map(e -> (Result<?>) e.getValue())
+                        .mapToDouble(Result::getScore)
+                        .findFirst()
+                        .orElse(Double.NaN);
+        System.out.printf(
+                "%-36s %-14s %,14.0f %,14.0f %,14.0f %,12.0f%n",
+                name[name.length - 2].replace("Benchmark", "") + "." + name[name.length - 1],
+                parameters,
+                times.getPercentile(50),
+                times.getMin(),
+                times.getMax(),
+                bytes);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/ControlStateBenchmark.java
@@ -0,0 +1,99 @@
+package org.crocusturn.standin.bench;
+
+import java.util.List;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.endpoints.GroupView;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.ControlStateMachine;
+import org.crocusturn.core.operators.Leaseholder;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Measures changes of the replicated state by the number of groups. */
+@State(Scope.Benchmark)
+public class ControlStateBenchmark {
+    /** Number of groups. */
+    @Param({"16", "160", "1600", "16000"})
+    public int mGroups;
+
+    private ControlState mState;
+    private ControlView mView;
+    private ControlCommand mLease;
+    private ControlCommand mConfiguration;
+
+    /** Builds the state and the changes. */
+    @Setup
+    public void prepare() {
+        mState = Fleets.state(mGroups, 4);
+        mLease =
+                new ControlCommand.AssignLease(
+                        Fleets.group(0),
+                        new Leaseholder(Fleets.host(1), "10.0.0.1:7000", Fleets.INCARNATION, 13));
+        mConfiguration =
+                new ControlCommand.ApplyConfiguration(
+                        "change-2", next(Fleets.configuration(mGroups)));
+        mView =
+                ControlView.empty(
+                                (s, c) ->
+                                        ControlStateMachine.apply(s, c.version(), c.command())
+                                                .state())
+                        .withReportSent(1, 0)
+                        .withUpdate(update(1, new StateUpdate.Replacement(mState)), 1)
+                        .withReportSent(2, 2);
+    }
+
+    private static org.crocusturn.core.operators.Configuration next(
+            org.crocusturn.core.operators.Configuration old) {
+        return new org.crocusturn.core.operators.Configuration(
+                old.version() + 1,
+                old.dataCentres(),
+                old.workspaces(),
+                old.services(),
+                old.openRoutes());
+    }
+
+    private static ControlUpdate update(long sequence, StateUpdate state) {
+        return new ControlUpdate(1, sequence, 1_001, state, 1_500, List.of(), List.of());
+    }
+
+    /** Applies a lease. */
+    @Benchmark
+    public Object applyLease() {
+        return ControlStateMachine.apply(mState, 1_001, mLease);
+    }
+
+    /** Applies a whole configuration. */
+    @Benchmark
+    public Object applyConfiguration() {
+        return ControlStateMachine.apply(mState, 1_001, mConfiguration);
+    }
+
+    /** Follows a lease on an entry host. */
+    @Benchmark
+    public Object viewWithLease() {
+        return mView.withUpdate(
+                update(
+                        2,
+                        new StateUpdate.Changes(
+                                List.of(new StateUpdate.VersionedCommand(1_001, mLease)))),
+                3);
+    }
+
+    /** Follows an update without a change on an entry host. */
+    @Benchmark
+    public Object viewUnchanged() {
+        return mView.withUpdate(update(2, new StateUpdate.Unchanged()), 3);
+    }
+
+    /** Derives what a leaseholder knows of one group; done for each group held. */
+    @Benchmark
+    public Object groupView() {
+        return GroupView.of(mView, Fleets.group(0));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/EntryPathBenchmark.java
@@ -0,0 +1,202 @@
+package org.crocusturn.standin.bench;
+
+import java.util.List;
+import java.util.Optional;
+import org.crocusturn.core.Decision;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.GroupOperation;
+import org.crocusturn.core.callers.Role;
+import org.crocusturn.core.callers.SessionToken;
+import org.crocusturn.core.callers.SqlValue;
+import org.crocusturn.core.callers.Statement;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.GrantedTokens;
+import org.crocusturn.core.controlhosts.LeaseGrant;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.endpoints.GroupAction;
+import org.crocusturn.core.endpoints.GroupCoordinator;
+import org.crocusturn.core.endpoints.GroupInput;
+import org.crocusturn.core.endpoints.GroupState;
+import org.crocusturn.core.endpoints.GroupView;
+import org.crocusturn.core.entryhosts.CallerRequest;
+import org.crocusturn.core.entryhosts.Ingress;
+import org.crocusturn.core.entryhosts.IngressAction;
+import org.crocusturn.core.entryhosts.IngressInput;
+import org.crocusturn.core.entryhosts.IngressState;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Measures the decisions for one read from its arrival at an entry host to its answer. */
+@State(Scope.Benchmark)
+public class EntryPathBenchmark {
+    private static final String SECRET = "0".repeat(32);
+    private static final long FOREVER_MILLIS = 1_000_000_000;
+    private static final DatabaseResult DONE =
+            new DatabaseResult.Done(
+                    List.of("id"),
+                    List.of(List.of(new SqlValue.IntegerValue(1))),
+                    0,
+                    LogPosition.of(3, 50),
+                    false);
+
+    /** Number of groups; the request is for the last one. */
+    @Param({"16", "160", "1600", "16000"})
+    public int mGroups;
+
+    private final Ingress mIngress = Ingress.standard();
+    private final GroupCoordinator mCoordinator = GroupCoordinator.standard();
+    private IngressState mEntry;
+    private GroupState mGroup;
+    private CallerRequest mTemplate;
+    private long mNow = 1_000_000;
+    private long mId;
+
+    /** Brings the leaseholder of the last group to the point at which it serves. */
+    @Setup
+    public void prepare() {
+        int last = mGroups - 1;
+        ControlView view = view(last);
+        mEntry = IngressState.of(Fleets.host(0), view);
+        mEntry =
+                mIngress.step(
+                                mEntry,
+                                new IngressInput.PhaseChanged(
+                                        org.crocusturn.core.platform.Phase.SERVING),
+                                mNow)
+                        .state();
+        mGroup = GroupState.of(Fleets.group(last));
+        feed(new GroupInput.ViewChanged(GroupView.of(view, Fleets.group(last))));
+        feed(
+                new GroupInput.Observed(
+                        new EndpointObservation.Seen(
+                                Fleets.endpoint(last / 4, 0),
+                                List.of(
+                                        new CopyStatus(
+                                                Fleets.group(last).database(),
+                                                Role.PRIMARY,
+                                                3,
+                                                LogPosition.of(3, 50),
+                                                0)))));
+        feed(
+                new GroupInput.TokensGranted(
+                        new GrantedTokens(
+                                Fleets.workspace(last), Long.MAX_VALUE / 4, Long.MAX_VALUE / 4)));
+        mTemplate =
+                new CallerRequest(
+                        0,
+                        Fleets.key(last),
+                        Optional.of(SessionToken.of(Fleets.workspace(last))),
+                        Fleets.group(last).service(),
+                        new GroupOperation.Execute(Statement.read("SELECT id FROM visit")),
+                        0);
+        warmConnection();
+    }
+
+    private ControlView view(int last) {
+        ControlUpdate update =
+                new ControlUpdate(
+                        1,
+                        1,
+                        1_000,
+                        new StateUpdate.Replacement(Fleets.state(mGroups, 1)),
+                        FOREVER_MILLIS,
+                        List.of(new LeaseGrant(Fleets.group(last), 12, FOREVER_MILLIS, 3, false)),
+                        List.of());
+        return ControlView.empty((s, c) -> s).withReportSent(1, 0).withUpdate(update, 1);
+    }
+
+    private void warmConnection() {
+        GroupAction.OpenConnection open =
+                feed(arrival()).stream()
+                        .filter(GroupAction.OpenConnection.class::isInstance)
+                        .map(GroupAction.OpenConnection.class::cast)
+                        .findFirst()
+                        .orElseThrow();
+        List<GroupAction> actions = feed(new GroupInput.ConnectionOpened(open.connection()));
+        finish(actions);
+    }
+
+    private List<GroupAction> feed(GroupInput input) {
+        Decision<GroupState, GroupAction> decision = mCoordinator.step(mGroup, input, mNow);
+        mGroup = decision.state();
+        return decision.actions();
+    }
+
+    private GroupInput arrival() {
+        CallerRequest request =
+                new CallerRequest(
+                        ++mId,
+                        mTemplate.keyHash(),
+                        mTemplate.token(),
+                        mTemplate.service(),
+                        mTemplate.operation(),
+                        mNow + 5_000_000_000L);
+        Decision<IngressState, IngressAction> taken =
+                mIngress.step(mEntry, new IngressInput.Requested(request), mNow);
+        mEntry = taken.state();
+        for (IngressAction action : taken.actions()) {
+            if (action instanceof IngressAction.HandLocal local) {
+                return new GroupInput.RequestArrived(
+                        Fleets.host(0), local.epoch(), local.request(), SECRET);
+            }
+        }
+        throw new IllegalStateException("the request was not accepted: " + taken.actions());
+    }
+
+    private List<IngressAction> finish(List<GroupAction> actions) {
+        for (GroupAction action : actions) {
+            if (action instanceof GroupAction.SendCommand send) {
+                return reply(
+                        feed(
+                                new GroupInput.ResultReceived(
+                                        send.connection(), send.command(), DONE)));
+            }
+        }
+        throw new IllegalStateException("no command was sent: " + actions);
+    }
+
+    private List<IngressAction> reply(List<GroupAction> actions) {
+        for (GroupAction action : actions) {
+            if (action instanceof GroupAction.Reply reply) {
+                Decision<IngressState, IngressAction> answered =
+                        mIngress.step(
+                                mEntry,
+                                new IngressInput.Replied(reply.request(), reply.outcome()),
+                                mNow);
+                mEntry = answered.state();
+                return answered.actions();
+            }
+        }
+        throw new IllegalStateException("no reply was given: " + actions);
+    }
+
+    /** Routes and admits one request: key, workspace, placement and leaseholder. */
+    @Benchmark
+    public Decision<IngressState, IngressAction> routeAndAdmit() {
+        return mIngress.step(
+                mEntry,
+                new IngressInput.Requested(
+                        new CallerRequest(
+                                1L << 40,
+                                mTemplate.keyHash(),
+                                mTemplate.token(),
+                                mTemplate.service(),
+                                mTemplate.operation(),
+                                mNow + 5_000_000_000L)),
+                mNow);
+    }
+
+    /** Takes one read from its arrival to its answer. */
+    @Benchmark
+    public List<IngressAction> wholeRequest() {
+        mNow += 1_000;
+        return finish(feed(arrival()));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/MessageCodecBenchmark.java
@@ -0,0 +1,57 @@
+package org.crocusturn.standin.bench;
+
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.daemon.wire.PeerMessageCodec;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Measures the encoding of reports and updates by the number of leases of a host. */
+@State(Scope.Benchmark)
+public class MessageCodecBenchmark {
+    /** Number of leases of the host. */
+    @Param({"1", "3", "12"})
+    public int mLeases;
+
+    private EntryReport mReport;
+    private ControlUpdate mUnchanged;
+    private byte[] mReportBytes;
+    private byte[] mUnchangedBytes;
+
+    /** Builds the messages. */
+    @Setup
+    public void prepare() {
+        mReport = Fleets.report(0, 1, mLeases, 100);
+        mUnchanged = ControlMessages.update(mLeases, new StateUpdate.Unchanged());
+        mReportBytes = PeerMessageCodec.encode(mReport);
+        mUnchangedBytes = PeerMessageCodec.encode(mUnchanged);
+    }
+
+    /** Encodes a report. */
+    @Benchmark
+    public byte[] encodeReport() {
+        return PeerMessageCodec.encode(mReport);
+    }
+
+    /** Decodes a report. */
+    @Benchmark
+    public Object decodeReport() {
+        return PeerMessageCodec.decode(mReportBytes);
+    }
+
+    /** Encodes an update without a change. */
+    @Benchmark
+    public byte[] encodeUpdate() {
+        return PeerMessageCodec.encode(mUnchanged);
+    }
+
+    /** Decodes an update without a change. */
+    @Benchmark
+    public Object decodeUpdate() {
+        return PeerMessageCodec.decode(mUnchangedBytes);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/SessionBenchmark.java
@@ -0,0 +1,60 @@
+package org.crocusturn.standin.bench;
+
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.callers.KeyCheck;
+import org.crocusturn.core.callers.SessionMark;
+import org.crocusturn.core.callers.SessionToken;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.daemon.callers.SessionTokenCodec;
+import org.crocusturn.daemon.net.SharedSecret;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Measures the check of a key and the encoding of a session token. */
+@State(Scope.Benchmark)
+public class SessionBenchmark {
+    /** Number of groups, workspaces and keys. */
+    @Param({"16", "16000"})
+    public int mGroups;
+
+    private ControlState mState;
+    private String mKey;
+    private SessionTokenCodec mCodec;
+    private SessionToken mToken;
+    private String mText;
+
+    /** Builds the state and a token. */
+    @Setup
+    public void prepare() {
+        mState = Fleets.state(mGroups, 1);
+        mKey = Fleets.key(mGroups - 1);
+        mCodec = SessionTokenCodec.of(SharedSecret.of("benchmark ".repeat(8)));
+        mToken =
+                SessionToken.of(Fleets.workspace(0))
+                        .withMark(
+                                Fleets.group(0),
+                                SessionMark.NONE.withWrite(LogPosition.of(3, 1_000)));
+        mText = mCodec.encode(mToken);
+    }
+
+    /** Checks a key. */
+    @Benchmark
+    public Object keyCheck() {
+        return KeyCheck.of(mState, mKey);
+    }
+
+    /** Signs a token with one mark. */
+    @Benchmark
+    public String encodeToken() {
+        return mCodec.encode(mToken);
+    }
+
+    /** Verifies and reads a token with one mark. */
+    @Benchmark
+    public Object decodeToken() {
+        return mCodec.decode(mText, Fleets.workspace(0));
+    }
+}
