--- a/standin/src/main/java/org/crocusturn/standin/bench/Footprint.java
+++ b/standin/src/main/java/org/crocusturn/standin/bench/Footprint.java
@@ -1,10 +1,284 @@
 package org.crocusturn.standin.bench;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.LeaseGrant;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.controlhosts.TokenGrant;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.daemon.EntryDaemon;
+import org.crocusturn.daemon.operators.ConfigurationReader;
+import org.crocusturn.daemon.wire.PeerMessageCodec;
+import org.crocusturn.standin.LocalMain;
+import org.crocusturn.standin.database.Behaviour;
+import org.crocusturn.standin.local.LocalDeployment;
+import org.crocusturn.standin.local.LocalPlan;
 
-/** x. */
+/**
+ * Prints what control costs in whole deployments of several sizes, idle and under a light load.
+ *
+ * <p>Bytes are derived: the rate of reports comes from their sequence numbers, and the sizes from
+ * encoding a report and an update with the leases that each host holds.
+ */
 final class Footprint {
+    private static final int CONTROL_HOSTS = 3;
+    private static final List<Integer> ENTRY_HOSTS = List.of(3, 6, 12);
+    private static final long SECONDS = 6;
+    private static final long SETTLE_MILLIS = 2_000;
+    private static final int REQUESTS_EACH_SECOND = 50;
+
+    /** Length prefix and seal of a frame. */
+    private static final int FRAME_BYTES = 28;
+
     private Footprint() {}
 
-    static void print(PrintStream out) {}
+    /** Runs each size and prints one line for idleness and one for load. */
+    static void print(PrintStream out) {
+        out.printf(
+                "%5s %5s %10s %10s %9s %9s %9s %9s %9s %9s %9s%n",
+                "hosts",
+                "load",
+                "reports/s",
+                "bytes/s",
+                "link %",
+                "groups %",
+                "monitor %",
+                "entry io %",
+                "leader %",
+                "consens. %",
+                "heap MB");
+        ENTRY_HOSTS.forEach(n -> run(out, n));
+    }
+
+    private static void run(PrintStream out, int hosts) {
+        try {
+            Path folder = Files.createTempDirectory("crocusturn-footprint");
+            try (LocalDeployment deployment = LocalDeployment.start(plan(hosts, folder))) {
+                pause(SETTLE_MILLIS);
+                measure(out, deployment, false);
+                measure(out, deployment, true);
+            } finally {
+                delete(folder);
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static LocalPlan plan(int hosts, Path folder) throws IOException {
+        try (var stream = LocalMain.class.getResourceAsStream("local.yaml")) {
+            String text = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+            return new LocalPlan(
+                    ConfigurationReader.read(text),
+                    CONTROL_HOSTS,
+                    hosts,
+                    folder,
+                    0,
+                    Behaviour.PROMPT);
+        }
+    }
+
+    private static void measure(PrintStream out, LocalDeployment deployment, boolean load) {
+        Map<String, Long> before = threadNanos();
+        long reports = reports(deployment);
+        long start = System.nanoTime();
+        int answered = load ? load(deployment) : idle();
+        double seconds = (System.nanoTime() - start) / 1e9;
+        Map<String, Long> after = threadNanos();
+        int hosts = deployment.entryHosts().size();
+        double rate = (reports(deployment) - reports) / seconds / hosts;
+        out.printf(
+                "%5d %5.0f %10.2f %10.0f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.1f%n",
+                hosts,
+                answered / seconds,
+                rate,
+                rate * bytes(deployment),
+                share(before, after, "control", seconds) / hosts,
+                share(before, after, "groups", seconds) / hosts,
+                share(before, after, "status-monitor", seconds) / (hosts + CONTROL_HOSTS),
+                share(before, after, "entry-io", seconds) / hosts,
+                share(before, after, "leader", seconds),
+                share(before, after, "control-consensus", seconds),
+                Sizes.used() / 1e6);
+    }
+
+    private static long reports(LocalDeployment deployment) {
+        return deployment.entryHosts().stream().mapToLong(e -> e.view().nextSequence()).sum();
+    }
+
+    /** Returns the mean size of a report with its update, in bytes. */
+    private static double bytes(LocalDeployment deployment) {
+        return deployment.entryHosts().stream()
+                .map(EntryDaemon::view)
+                .mapToInt(view -> size(report(view)) + size(update(view)))
+                .average()
+                .orElse(0);
+    }
+
+    private static int size(org.crocusturn.core.PeerMessage message) {
+        return PeerMessageCodec.encode(message).length + FRAME_BYTES;
+    }
+
+    private static EntryReport report(ControlView view) {
+        return new EntryReport(
+                Fleets.host(1),
+                Fleets.INCARNATION,
+                Fleets.centre(1),
+                "127.0.0.1:40000",
+                view.nextSequence(),
+                view.state().version(),
+                view.leases().entrySet().stream()
+                        .map(e -> new HeldLease(e.getKey(), e.getValue().epoch(), 0, false, 0))
+                        .toList(),
+                placed(view).map(w -> new TokenDemand(w, 20, 1_000)).toList(),
+                Set.of(),
+                false,
+                view.answeredSequence());
+    }
+
+    private static ControlUpdate update(ControlView view) {
+        return new ControlUpdate(
+                view.leaderTerm(),
+                view.answeredSequence(),
+                view.state().version(),
+                new StateUpdate.Unchanged(),
+                1_500,
+                view.leases().entrySet().stream()
+                        .map(
+                                e ->
+                                        new LeaseGrant(
+                                                e.getKey(),
+                                                e.getValue().epoch(),
+                                                1_000,
+                                                e.getValue().acknowledgeTerm(),
+                                                false))
+                        .toList(),
+                placed(view).map(w -> new TokenGrant(w, 1_000, 20, 1_000)).toList());
+    }
+
+    private static Stream<org.crocusturn.core.WorkspaceId> placed(ControlView view) {
+        ControlState state = view.state();
+        return state.placements().keySet().stream()
+                .filter(
+                        p ->
+                                state.groupOf(p.workspace(), p.service())
+                                        .filter(view.leases()::containsKey)
+                                        .isPresent())
+                .map(p -> p.workspace());
+    }
+
+    private static int idle() {
+        pause(SECONDS * 1_000);
+        return 0;
+    }
+
+    /** Sends requests at a steady rate and returns how many were answered with 200. */
+    private static int load(LocalDeployment deployment) {
+        HttpClient client = HttpClient.newHttpClient();
+        String key = deployment.keys().get("field-east");
+        int answered = 0;
+        long start = System.nanoTime();
+        for (int n = 0; n < SECONDS * REQUESTS_EACH_SECOND; n++) {
+            List<URI> entries = deployment.entries();
+            answered += send(client, entries.get(n % entries.size()), key) ? 1 : 0;
+            long due = start + (n + 1) * 1_000_000_000L / REQUESTS_EACH_SECOND;
+            pause(Math.max(0, (due - System.nanoTime()) / 1_000_000));
+        }
+        return answered;
+    }
+
+    private static boolean send(HttpClient client, URI entry, String key) {
+        HttpRequest request =
+                HttpRequest.newBuilder(entry.resolve("/v1/services/taftish-db/statements"))
+                        .timeout(Duration.ofSeconds(5))
+                        .header("authorization", "Bearer " + key)
+                        .header("content-type", "application/json")
+                        .POST(
+                                HttpRequest.BodyPublishers.ofString(
+                                        "{\"sql\":\"SELECT 1\",\"access\":\"read\"}"))
+                        .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Returns the processor time of threads by the kind of their duty, in nanoseconds. */
+    private static Map<String, Long> threadNanos() {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        Map<String, Long> nanos = new TreeMap<>();
+        Arrays.stream(threads.getAllThreadIds())
+                .mapToObj(threads::getThreadInfo)
+                .filter(java.util.Objects::nonNull)
+                .forEach(
+                        t ->
+                                nanos.merge(
+                                        kind(t),
+                                        Math.max(0, threads.getThreadCpuTime(t.getThreadId())),
+                                        Long::sum));
+        return nanos;
+    }
+
+    private static String kind(ThreadInfo thread) {
+        String name = thread.getThreadName();
+        if (name.equals("control-consensus") || name.equals("control-storage")) {
+            return name;
+        }
+        if (name.contains("-io")) {
+            return name.startsWith("entry-") ? "entry-io" : "other-io";
+        }
+        return name.replaceFirst("^(entry|control)-[0-9]+-", "");
+    }
+
+    /** Returns the processor time of a kind of thread in percent of a core. */
+    private static double share(
+            Map<String, Long> before, Map<String, Long> after, String kind, double seconds) {
+        long nanos = after.getOrDefault(kind, 0L) - before.getOrDefault(kind, 0L);
+        return 100 * nanos / 1e9 / seconds;
+    }
+
+    private static void pause(long millis) {
+        try {
+            new CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
 }
