Make the request path independent of the number of workspaces

Configuration.workspace and .service looked through lists on every request, and each update of the control state made a leaseholder look through all endpoints and workspaces for each group it holds, and through all groups for links. Configuration is now an immutable class with indexes and the same methods, and derived views are kept while the replicated state is the same.

--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
@@ -123,6 +123,27 @@
         return rates;
     }
 
+    /**
+     * Returns this view with the lease of a later update that left the replicated state as it was;
+     * unlike {@link #of} it does not look through all endpoints and workspaces.
+     */
+    public GroupView withLease(ControlView view) {
+        Optional<ControlView.GrantedLease> lease = view.lease(group);
+        return new GroupView(
+                group,
+                lease.map(ControlView.GrantedLease::epoch).orElse(0L),
+                lease.map(ControlView.GrantedLease::untilNanos).orElse(0L),
+                lease.map(ControlView.GrantedLease::acknowledgeTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::move).orElse(false),
+                term,
+                primary,
+                startIndex,
+                acknowledge,
+                replicaReadsWithoutToken,
+                copies,
+                rates);
+    }
+
     /** Returns whether the lease is valid at a time. */
     public boolean leaseValid(long nowNanos) {
         return epoch > 0 && leaseUntilNanos - nowNanos > 0;
--- a/core/src/main/java/org/crocusturn/core/operators/Configuration.java
+++ b/core/src/main/java/org/crocusturn/core/operators/Configuration.java
@@ -1,44 +1,125 @@
 package org.crocusturn.core.operators;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.WorkspaceId;
 
 /**
  * Is the whole content of an operators' file; it is applied as a whole.
  *
- * @param version version of this configuration; the one it follows is {@code version - 1}
- * @param dataCentres data centres of the deployment
- * @param workspaces workspaces with their rates
- * @param services database services
- * @param openRoutes paths that need no key, besides the health routes
+ * <p>Immutable. Creating one costs O(workspaces + services); a look-up costs O(1), because each
+ * request of a caller makes several.
  */
-public record Configuration(
-        long version,
-        List<DataCentreId> dataCentres,
-        List<Workspace> workspaces,
-        List<Service> services,
-        List<String> openRoutes) {
+public final class Configuration {
     /** The configuration before the first is applied. */
     public static final Configuration EMPTY =
             new Configuration(0, List.of(), List.of(), List.of(), List.of());
 
-    /** Copies the lists. */
-    public Configuration {
-        dataCentres = List.copyOf(dataCentres);
-        workspaces = List.copyOf(workspaces);
-        services = List.copyOf(services);
-        openRoutes = List.copyOf(openRoutes);
+    private final long mVersion;
+    private final List<DataCentreId> mDataCentres;
+    private final List<Workspace> mWorkspaces;
+    private final List<Service> mServices;
+    private final List<String> mOpenRoutes;
+    private final Map<WorkspaceId, Workspace> mWorkspaceById;
+    private final Map<String, Service> mServiceByName;
+
+    /**
+     * Creates a configuration and copies the lists. Where an id or a name is declared twice, which
+     * the validator refuses, look-ups return the first.
+     *
+     * @param version version of this configuration; the one it follows is {@code version - 1}
+     * @param dataCentres data centres of the deployment
+     * @param workspaces workspaces with their rates
+     * @param services database services
+     * @param openRoutes paths that need no key, besides the health routes
+     */
+    public Configuration(
+            long version,
+            List<DataCentreId> dataCentres,
+            List<Workspace> workspaces,
+            List<Service> services,
+            List<String> openRoutes) {
+        mVersion = version;
+        mDataCentres = List.copyOf(dataCentres);
+        mWorkspaces = List.copyOf(workspaces);
+        mServices = List.copyOf(services);
+        mOpenRoutes = List.copyOf(openRoutes);
+        mWorkspaceById = index(mWorkspaces, Workspace::id);
+        mServiceByName = index(mServices, Service::name);
+    }
+
+    private static <K, V> Map<K, V> index(List<V> values, Function<V, K> key) {
+        return values.stream()
+                .collect(Collectors.toUnmodifiableMap(key, Function.identity(), (a, b) -> a));
+    }
+
+    /** Returns the version of this configuration. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the data centres of the deployment. */
+    public List<DataCentreId> dataCentres() {
+        return mDataCentres;
+    }
+
+    /** Returns the workspaces with their rates. */
+    public List<Workspace> workspaces() {
+        return mWorkspaces;
+    }
+
+    /** Returns the database services. */
+    public List<Service> services() {
+        return mServices;
+    }
+
+    /** Returns the paths that need no key, besides the health routes. */
+    public List<String> openRoutes() {
+        return mOpenRoutes;
     }
 
     /** Returns the workspace of an id, if it is declared. */
     public Optional<Workspace> workspace(WorkspaceId id) {
-        return workspaces.stream().filter(w -> w.id().equals(id)).findFirst();
+        return Optional.ofNullable(mWorkspaceById.get(id));
     }
 
     /** Returns the service of a name, if it is declared. */
     public Optional<Service> service(String name) {
-        return services.stream().filter(s -> s.name().equals(name)).findFirst();
+        return Optional.ofNullable(mServiceByName.get(name));
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Configuration that
+                && mVersion == that.mVersion
+                && mDataCentres.equals(that.mDataCentres)
+                && mWorkspaces.equals(that.mWorkspaces)
+                && mServices.equals(that.mServices)
+                && mOpenRoutes.equals(that.mOpenRoutes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(mVersion, mDataCentres, mWorkspaces, mServices, mOpenRoutes);
+    }
+
+    @Override
+    public String toString() {
+        return "Configuration[version="
+                + mVersion
+                + ", dataCentres="
+                + mDataCentres
+                + ", workspaces="
+                + mWorkspaces
+                + ", services="
+                + mServices
+                + ", openRoutes="
+                + mOpenRoutes
+                + "]";
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -270,23 +270,27 @@
     }
 
     private void viewChanged(ControlView view) {
-        mView.set(view);
+        ControlView before = mView.getAndSet(view);
         mIngress.offer(new IngressEvent.ViewChanged(view));
         mGroups.offer(new GroupsEvent.ViewChanged(view));
-        Set<String> addresses =
-                view.state().groups().values().stream()
-                        .map(GroupRecord::leaseholder)
-                        .flatMap(holder -> holder.stream())
-                        .filter(holder -> !holder.host().equals(mSettings.host()))
-                        .map(holder -> holder.linkAddress())
-                        .collect(Collectors.toSet());
-        mLinks.keep(addresses);
+        if (before.state() != view.state()) {
+            mLinks.keep(leaseholders(view));
+        }
         mLifecycle.offer(new LifecycleEvent.BusyChanged("leases", view.leases().size()));
         if (mStateKnown.compareAndSet(false, true)) {
             mLifecycle.offer(new LifecycleEvent.StateKnown());
         }
     }
 
+    private Set<String> leaseholders(ControlView view) {
+        return view.state().groups().values().stream()
+                .map(GroupRecord::leaseholder)
+                .flatMap(holder -> holder.stream())
+                .filter(holder -> !holder.host().equals(mSettings.host()))
+                .map(holder -> holder.linkAddress())
+                .collect(Collectors.toSet());
+    }
+
     private void phaseChanged(Phase phase) {
         mIngress.offer(new IngressEvent.PhaseChanged(phase));
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
@@ -51,6 +51,10 @@
     private final DecisionLog mLog =
             DecisionLog.create(LogManager.getLogger(GroupsDuty.class), "endpoints");
     private final Map<GroupId, GroupState> mGroups = new TreeMap<>();
+
+    /** Views that were derived from the state of {@link #mView}. */
+    private final Map<GroupId, GroupView> mViews = new HashMap<>();
+
     private final Map<String, EndpointId> mWatched = new HashMap<>();
     private final GroupConnections mConnections;
     private final GroupsListener mListener;
@@ -166,10 +170,14 @@
     }
 
     private void changeView(ControlView view) {
+        boolean stateChanged = mView.state() != view.state();
         mView = view;
+        if (stateChanged) {
+            mViews.clear();
+        }
         Set<GroupId> groups = new HashSet<>(mGroups.keySet());
         groups.addAll(view.leases().keySet());
-        groups.forEach(group -> step(group, new GroupInput.ViewChanged(GroupView.of(view, group))));
+        groups.forEach(group -> step(group, new GroupInput.ViewChanged(viewOf(group))));
         view.newTokens().forEach(this::grant);
         watchEndpoints();
         mMetrics.leases(held().size());
@@ -179,6 +187,14 @@
         }
     }
 
+    /** Returns the view of a group; its parts of an unchanged state are not derived again. */
+    private GroupView viewOf(GroupId group) {
+        GroupView known = mViews.get(group);
+        GroupView view = known == null ? GroupView.of(mView, group) : known.withLease(mView);
+        mViews.put(group, view);
+        return view;
+    }
+
     /** Gives tokens to the group of the workspace that wants most; each token goes to one group. */
     private void grant(GrantedTokens tokens) {
         long now = System.nanoTime();
