--- /dev/null
+++ b/standin/src/main/java/org/crocusturn/standin/bench/ProcessorTime.java
@@ -0,0 +1,53 @@
+package org.crocusturn.standin.bench;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import org.openjdk.jmh.infra.BenchmarkParams;
+import org.openjdk.jmh.infra.IterationParams;
+import org.openjdk.jmh.profile.InternalProfiler;
+import org.openjdk.jmh.results.AggregationPolicy;
+import org.openjdk.jmh.results.IterationResult;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.ScalarResult;
+
+/**
+ * Measures the processor time of the benchmark's thread for each operation.
+ *
+ * <p>On a machine that other processes use, elapsed time includes the wait for a core.
+ */
+public final class ProcessorTime implements InternalProfiler {
+    /** Name of the result, in nanoseconds. */
+    static final String NAME = "cpu.nanos";
+
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private long mBefore;
+
+    @Override
+    public String getDescription() {
+        return "processor time of the benchmark's thread";
+    }
+
+    @Override
+    public void beforeIteration(BenchmarkParams benchmark, IterationParams iteration) {
+        mBefore = nanos();
+    }
+
+    @Override
+    public Collection<? extends Result<?>> afterIteration(
+            BenchmarkParams benchmark, IterationParams iteration, IterationResult result) {
+        double nanos = nanos() - mBefore;
+        long operations = Math.max(1, result.getMetadata().getAllOps());
+        return List.of(new ScalarResult(NAME, nanos / operations, "ns/op", AggregationPolicy.AVG));
+    }
+
+    private static long nanos() {
+        return Arrays.stream(THREADS.getThreadInfo(THREADS.getAllThreadIds()))
+                .filter(t -> t != null && t.getThreadName().contains("jmh-worker"))
+                .mapToLong(t -> Math.max(0, THREADS.getThreadCpuTime(t.getThreadId())))
+                .sum();
+    }
+}
