--- a/standin/src/main/java/org/crocusturn/standin/bench/Footprint.java
+++ b/standin/src/main/java/org/crocusturn/standin/bench/Footprint.java
@@ -60,9 +60,10 @@
     /** Runs each size and prints one line for idleness and one for load. */
     static void print(PrintStream out) {
         out.printf(
-                "%5s %5s %10s %10s %9s %9s %9s %9s %9s %9s %9s%n",
+                "%5s %5s %6s %10s %10s %9s %9s %9s %9s %9s %9s %9s%n",
                 "hosts",
                 "load",
+                "failed",
                 "reports/s",
                 "bytes/s",
                 "link %",
@@ -113,9 +114,10 @@
         int hosts = deployment.entryHosts().size();
         double rate = (reports(deployment) - reports) / seconds / hosts;
         out.printf(
-                "%5d %5.0f %10.2f %10.0f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.1f%n",
+                "%5d %5.0f %6d %10.2f %10.0f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.1f%n",
                 hosts,
                 answered / seconds,
+                load ? SECONDS * REQUESTS_EACH_SECOND - answered : 0,
                 rate,
                 rate * bytes(deployment),
                 share(before, after, "control-link", seconds) / hosts,
