--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupView.java
@@ -78,22 +78,22 @@
         ControlState state = view.state();
         GroupRecord record = state.groups().getOrDefault(group, GroupRecord.of(group));
         Optional<Service> service = state.configuration().service(group.service());
-        Optional<ControlView.GrantedLease> lease = view.lease(group);
         return new GroupView(
-                group,
-                lease.map(ControlView.GrantedLease::epoch).orElse(0L),
-                lease.map(ControlView.GrantedLease::untilNanos).orElse(0L),
-                lease.map(ControlView.GrantedLease::acknowledgeTerm).orElse(0L),
-                lease.map(ControlView.GrantedLease::finishTerm).orElse(0L),
-                lease.map(ControlView.GrantedLease::finishUntilNanos).orElse(0L),
-                lease.map(ControlView.GrantedLease::move).orElse(false),
-                record.term(),
-                record.primary(),
-                record.startIndex(),
-                service.map(Service::acknowledge).orElse(AcknowledgeMode.DURABLE),
-                service.map(Service::replicaReadsWithoutToken).orElse(false),
-                copies(state, group, service),
-                rates(state));
+                        group,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        false,
+                        record.term(),
+                        record.primary(),
+                        record.startIndex(),
+                        service.map(Service::acknowledge).orElse(AcknowledgeMode.DURABLE),
+                        service.map(Service::replicaReadsWithoutToken).orElse(false),
+                        copies(state, group, service),
+                        rates(state))
+                .withLease(view);
     }
 
     private static Map<EndpointId, Copy> copies(
@@ -130,6 +130,29 @@
         return rates;
     }
 
+    /**
+     * Returns this view with the lease of a later update that left the replicated state as it was;
+     * unlike {@link #of} it does not look through all endpoints and workspaces.
+     */
+    public GroupView withLease(ControlView view) {
+        Optional<ControlView.GrantedLease> lease = view.lease(group);
+        return new GroupView(
+                group,
+                lease.map(ControlView.GrantedLease::epoch).orElse(0L),
+                lease.map(ControlView.GrantedLease::untilNanos).orElse(0L),
+                lease.map(ControlView.GrantedLease::acknowledgeTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::finishTerm).orElse(0L),
+                lease.map(ControlView.GrantedLease::finishUntilNanos).orElse(0L),
+                lease.map(ControlView.GrantedLease::move).orElse(false),
+                term,
+                primary,
+                startIndex,
+                acknowledge,
+                replicaReadsWithoutToken,
+                copies,
+                rates);
+    }
+
     /** Returns whether the lease is valid at a time. */
     public boolean leaseValid(long nowNanos) {
         return epoch > 0 && leaseUntilNanos - nowNanos > 0;
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinks.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinks.java
@@ -1,7 +1,7 @@
 package org.crocusturn.daemon.entryhosts;
 
 import java.net.InetSocketAddress;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -31,11 +31,15 @@
 public final class EntryLinks implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(EntryLinks.class);
 
+    /** Longer than any request or open transaction lives, in nanoseconds. */
+    private static final long UNUSED_NANOS = 60_000_000_000L;
+
     private final NetThreads mThreads;
     private final HostId mSelf;
     private final SharedSecret mSecret;
     private final EntryLinksListener mListener;
     private final Map<String, LinkClient> mClients = new ConcurrentHashMap<>();
+    private final Map<String, Long> mLastWanted = new HashMap<>();
     private final Map<HostId, PeerLink> mOrigins = new ConcurrentHashMap<>();
     private final Map<PeerLink, HostId> mOriginOfLink = new ConcurrentHashMap<>();
     private final AtomicLong mNextLink = new AtomicLong(1);
@@ -78,18 +82,31 @@
         return mServer.address();
     }
 
-    /** Opens links to the given addresses ahead of need and closes those to all others. */
+    /**
+     * Opens links to the given addresses ahead of need and closes those that have not been asked
+     * for during {@link #UNUSED_NANOS}; called from one thread.
+     *
+     * <p>A link outlives the lease of its host by that time, because replies to requests that were
+     * forwarded before the lease moved still come over it.
+     */
     public void keep(Set<String> addresses) {
+        long now = System.nanoTime();
         addresses.forEach(this::client);
-        Set<String> unused = new HashSet<>(mClients.keySet());
-        unused.removeAll(addresses);
-        unused.forEach(
-                address -> {
-                    LinkClient client = mClients.remove(address);
-                    if (client != null) {
-                        client.close();
-                    }
-                });
+        addresses.forEach(address -> mLastWanted.put(address, now));
+        mClients.keySet().forEach(address -> mLastWanted.putIfAbsent(address, now));
+        mLastWanted.entrySet().stream()
+                .filter(entry -> now - entry.getValue() >= UNUSED_NANOS)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::closeUnused);
+    }
+
+    private void closeUnused(String address) {
+        mLastWanted.remove(address);
+        LinkClient client = mClients.remove(address);
+        if (client != null) {
+            client.close();
+        }
     }
 
     /** Forwards a request; false if it was not sent. */
--- a/standin/src/main/java/org/crocusturn/standin/history/Caller.java
+++ b/standin/src/main/java/org/crocusturn/standin/history/Caller.java
@@ -9,7 +9,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +29,10 @@
 public final class Caller {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(12);
+
+    /** A host that gave no answer gets no request for this time, as a load balancer does it. */
+    private static final long AVOIDED_NANOS = Duration.ofSeconds(10).toNanos();
+
     private static final long RETRY_PAUSE_MILLIS = 20;
     private static final String INSERT =
             "INSERT INTO entry (number, part, session) VALUES (?, ?, ?)";
@@ -35,6 +41,8 @@
     private final String mService;
     private final String mKey;
     private final int mSession;
+    private final Duration mAnswerTimeout;
+    private final Map<URI, Long> mAvoidedUntil = new HashMap<>();
     private final HttpClient mClient =
             HttpClient.newBuilder()
                     .version(HttpClient.Version.HTTP_1_1)
@@ -43,17 +51,25 @@
     private int mAt;
     private Optional<String> mToken = Optional.empty();
 
-    private Caller(List<URI> entries, String service, String key, int session) {
+    private Caller(
+            List<URI> entries, String service, String key, int session, Duration answerTimeout) {
         mEntries = List.copyOf(entries);
         mService = service;
         mKey = key;
         mSession = session;
         mAt = session;
+        mAnswerTimeout = answerTimeout;
     }
 
     /** Creates a caller that begins a session. */
     public static Caller create(List<URI> entries, String service, String key, int session) {
-        return new Caller(entries, service, key, session);
+        return new Caller(entries, service, key, session, ANSWER_TIMEOUT);
+    }
+
+    /** Creates a caller that gives a host up after a time of its own. */
+    public static Caller create(
+            List<URI> entries, String service, String key, int session, Duration answerTimeout) {
+        return new Caller(entries, service, key, session, answerTimeout);
     }
 
     /** Goes to the next entry host; the session stays. */
@@ -208,9 +224,14 @@
 
     private Optional<Reply> sendOnce(String path, JsonNode body) {
         URI host = mEntries.get(Math.floorMod(mAt, mEntries.size()));
+        Long avoided = mAvoidedUntil.get(host);
+        if (avoided != null && avoided - System.nanoTime() > 0) {
+            roam();
+            return Optional.empty();
+        }
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(host.resolve(path))
-                        .timeout(ANSWER_TIMEOUT)
+                        .timeout(mAnswerTimeout)
                         .header("Authorization", "Bearer " + mKey)
                         .header("Content-Type", "application/json")
                         .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(body)));
@@ -224,6 +245,9 @@
             roam();
             return Optional.empty();
         } catch (IOException e) {
+            if (e instanceof java.net.http.HttpTimeoutException) {
+                mAvoidedUntil.put(host, System.nanoTime() + AVOIDED_NANOS);
+            }
             roam();
             return Optional.of(new Reply(0, Verdict.MAY_HAVE_RUN, Json.object(), host + ": " + e));
         } catch (InterruptedException e) {
--- a/standin/src/test/java/org/crocusturn/standin/local/Processes.java
+++ b/standin/src/test/java/org/crocusturn/standin/local/Processes.java
@@ -31,6 +31,9 @@
 
 /** Are the processes of a deployment on loopback, started by the test and ended with it. */
 final class Processes implements AutoCloseable {
+    /** Callers stand behind a load balancer that leaves a host which answers no more. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_500);
+
     private static final String SECRET = "a-secret-of-this-test-only";
     private static final List<String> CENTRES = List.of("abdali", "marka", "tlaa-ali");
     private static final Duration START_LIMIT = Duration.ofSeconds(60);
@@ -68,7 +71,7 @@
                 IntStream.range(0, HOSTS)
                         .mapToObj(n -> URI.create("http://" + port(n, 4)))
                         .toList();
-        return Caller.create(entries, Proof.SERVICE, mKey.key(), session);
+        return Caller.create(entries, Proof.SERVICE, mKey.key(), session, ANSWER_TIMEOUT);
     }
 
     Process process(String name) {
