Split the control member and refuse files that control hosts refuse

Change: the connections of the leader duty and the forwarded changes are classes of their own, with a timeout; the reader of the operators' file applies the control hosts' validator and finds the line of each fault.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -2,17 +2,14 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.HostId;
@@ -28,18 +25,14 @@
 import org.crocusturn.core.controlhosts.MembershipChange;
 import org.crocusturn.core.controlhosts.ProposalReply;
 import org.crocusturn.core.controlhosts.Snapshot;
-import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.ring.Duty;
-import org.crocusturn.daemon.endpoints.EndpointCommander;
-import org.crocusturn.daemon.endpoints.StatusMonitor;
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
-import org.crocusturn.daemon.entryhosts.LeaderPorts;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.net.SharedSecret;
@@ -60,16 +53,14 @@
     private static final int FIRST_START_RING = 256;
     private static final LogCodec CODEC = ProtobufLogCodec.create();
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
     private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
 
     private final HostId mSelf;
     private final Consumer<RuntimeException> mOnFailure;
     private final StateHolder mHolder = new StateHolder();
-    private final Map<Long, CompletableFuture<ChangeOutcome>> mForwards = new ConcurrentHashMap<>();
+    private final ForwardedChanges mForwards = ForwardedChanges.create(this::sendToMember);
     private final ControlLinks mLinks;
-    private final StatusMonitor mMonitor;
-    private final EndpointCommander mCommander;
+    private final LeaderConnections mConnections;
     private final Duty<LeaderEvent> mLeaderDuty;
     private final Duty<ProposalEvent> mProposalDuty;
     private final Duty<FirstStartEvent> mFirstStartDuty;
@@ -88,14 +79,14 @@
         mFolder = settings.dataFolder();
         mMembers = firstMembers(settings);
         mOnFailure = onFailure;
-        mCommander = EndpointCommander.create(threads, ORDER_TIMEOUT);
-        mMonitor =
-                StatusMonitor.start(threads, seen -> offerToLeader(new LeaderEvent.Observed(seen)));
+        mConnections =
+                LeaderConnections.create(
+                        threads, this::node, this::sendToEntryHost, this::offerToLeader);
         mLeaderDuty =
                 Duty.start(
                         mSelf + "-leader",
                         LEADER_RING,
-                        LeaderDuty.create(new Ports(), metrics),
+                        LeaderDuty.create(mConnections, metrics),
                         e -> LOG.error("entryhosts: the leader duty failed", e));
         mProposalDuty =
                 Duty.start(
@@ -205,7 +196,7 @@
         mFirstStartDuty.stop(STOP_TIMEOUT);
         node().ifPresent(ControlNode::close);
         mLinks.close();
-        mMonitor.close();
+        mConnections.close();
         mLeaderDuty.stop(STOP_TIMEOUT);
         mProposalDuty.stop(STOP_TIMEOUT);
     }
@@ -260,6 +251,14 @@
         }
     }
 
+    private void sendToEntryHost(HostId host, PeerMessage message) {
+        mLinks.sendToIncoming(host, message);
+    }
+
+    private boolean sendToMember(HostId host, PeerMessage message) {
+        return mLinks.sendToMember(host, message);
+    }
+
     private Optional<ControlNode> node() {
         return Optional.ofNullable(mNode);
     }
@@ -411,10 +410,7 @@
 
         @Override
         public void proposalReply(ProposalReply reply) {
-            CompletableFuture<ChangeOutcome> waiting = mForwards.remove(reply.id());
-            if (waiting != null) {
-                waiting.complete(reply.outcome());
-            }
+            mForwards.replied(reply);
         }
 
         @Override
@@ -445,7 +441,7 @@
 
         @Override
         public Optional<HostId> leaderHint() {
-            return mNode == null ? Optional.empty() : mNode.leaderHint();
+            return node().flatMap(ControlNode::leaderHint);
         }
 
         @Override
@@ -455,71 +451,10 @@
 
         @Override
         public boolean forward(HostId leader, long attempt, OperatorCommand command) {
-            CompletableFuture<ChangeOutcome> reply = new CompletableFuture<>();
-            mForwards.put(attempt, reply);
-            reply.thenAccept(outcome -> mProposalDuty.offer(ended(attempt, outcome)));
-            boolean sent = mLinks.sendToMember(leader, new ForwardedProposal(attempt, command));
-            if (!sent) {
-                mForwards.remove(attempt);
-            }
-            return sent;
-        }
-
-        private ProposalEvent.Ended ended(long attempt, ChangeOutcome outcome) {
-            ErrorCode code = outcome.refusal().map(Failure::code).orElse(ErrorCode.INTERNAL);
-            boolean retry = code == ErrorCode.UNAVAILABLE || code == ErrorCode.OUTCOME_UNKNOWN;
-            return new ProposalEvent.Ended(
-                    attempt,
-                    retry ? Optional.empty() : Optional.of(outcome),
-                    code == ErrorCode.OUTCOME_UNKNOWN);
-        }
-    }
-
-    /** Connects the leader duty with this member. */
-    private final class Ports implements LeaderPorts {
-        @Override
-        public boolean leads() {
-            return ControlMember.this.leads();
-        }
-
-        @Override
-        public Optional<HostId> leaderHint() {
-            return mNode == null ? Optional.empty() : mNode.leaderHint();
-        }
-
-        @Override
-        public void propose(ControlCommand command) {
-            mNode.propose(command);
-        }
-
-        @Override
-        public void send(HostId host, PeerMessage message) {
-            mLinks.sendToIncoming(host, message);
-        }
-
-        @Override
-        public void order(String statusAddress, EndpointCommand command) {
-            mCommander
-                    .send(statusAddress, command)
-                    .thenAccept(result -> offerToLeader(new LeaderEvent.Ordered(result)));
-        }
-
-        @Override
-        public void watch(EndpointId endpoint, String statusAddress) {
-            mMonitor.watch(endpoint, statusAddress);
-        }
-
-        @Override
-        public void unwatch(EndpointId endpoint) {
-            mMonitor.unwatch(endpoint);
-        }
-
-        @Override
-        public void promoteLearners() {
-            mNode.state().membership().members().stream()
-                    .filter(member -> !member.voter())
-                    .map(member -> new MembershipChange.Promote(member.host()))
-                    .forEach(mNode::changeMembership);
+            Optional<CompletableFuture<ProposalEvent.Ended>> sent =
+                    mForwards.forward(leader, attempt, command);
+            sent.ifPresent(future -> future.thenAccept(ended -> mProposalDuty.offer(ended)));
+            return sent.isPresent();
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ForwardedChanges.java
@@ -0,0 +1,65 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.ProposalReply;
+import org.crocusturn.core.operators.ChangeOutcome;
+import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
+
+/** Holds the changes that this host forwarded to the leader. Safe for any thread. */
+final class ForwardedChanges {
+    /** The proposal duty gives an attempt up earlier, so that a later reply is of no use. */
+    private static final long REPLY_MILLIS = 5_000;
+
+    private final BiPredicate<HostId, PeerMessage> mSender;
+    private final Map<Long, CompletableFuture<ChangeOutcome>> mOpen = new ConcurrentHashMap<>();
+
+    private ForwardedChanges(BiPredicate<HostId, PeerMessage> sender) {
+        mSender = sender;
+    }
+
+    /** Creates an empty table; the sender tells whether a message was sent to a member. */
+    static ForwardedChanges create(BiPredicate<HostId, PeerMessage> sender) {
+        return new ForwardedChanges(sender);
+    }
+
+    /** Forwards an attempt; empty if it was not sent. A future without a reply ends as unknown. */
+    Optional<CompletableFuture<ProposalEvent.Ended>> forward(
+            HostId leader, long attempt, OperatorCommand command) {
+        CompletableFuture<ChangeOutcome> reply = new CompletableFuture<>();
+        mOpen.put(attempt, reply);
+        if (!mSender.test(leader, new ForwardedProposal(attempt, command))) {
+            mOpen.remove(attempt);
+            return Optional.empty();
+        }
+        return Optional.of(
+                reply.orTimeout(REPLY_MILLIS, TimeUnit.MILLISECONDS)
+                        .whenComplete((outcome, error) -> mOpen.remove(attempt))
+                        .thenApply(outcome -> ended(attempt, outcome))
+                        .exceptionally(
+                                e -> new ProposalEvent.Ended(attempt, Optional.empty(), true)));
+    }
+
+    /** Takes the leader's reply. */
+    void replied(ProposalReply reply) {
+        Optional.ofNullable(mOpen.get(reply.id())).ifPresent(f -> f.complete(reply.outcome()));
+    }
+
+    private static ProposalEvent.Ended ended(long attempt, ChangeOutcome outcome) {
+        ErrorCode code = outcome.refusal().map(Failure::code).orElse(ErrorCode.INTERNAL);
+        boolean retry = code == ErrorCode.UNAVAILABLE || code == ErrorCode.OUTCOME_UNKNOWN;
+        return new ProposalEvent.Ended(
+                attempt,
+                retry ? Optional.empty() : Optional.of(outcome),
+                code == ErrorCode.OUTCOME_UNKNOWN);
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationReader.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ConfigurationReader.java
@@ -15,6 +15,7 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ConfigurationValidator;
 import org.crocusturn.core.operators.DataCentreState;
 import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.core.operators.RateLimit;
@@ -82,8 +83,28 @@
         if (!mFaults.isEmpty()) {
             throw FaultsException.of(mFaults);
         }
-        return new Configuration(
-                version, dataCentres, workspaces, services, openRoutes, states, keys);
+        Configuration configuration =
+                new Configuration(
+                        version, dataCentres, workspaces, services, openRoutes, states, keys);
+        refuseInvalid(file, configuration);
+        return configuration;
+    }
+
+    /** Applies the rules that the control hosts apply too, so that both refuse the same files. */
+    private static void refuseInvalid(YamlValue file, Configuration configuration) {
+        List<Fault> faults =
+                ConfigurationValidator.validate(configuration).stream()
+                        .map(
+                                f ->
+                                        new Fault(
+                                                file.lineOf(f.path()),
+                                                f.path(),
+                                                f.value(),
+                                                f.allowed()))
+                        .toList();
+        if (!faults.isEmpty()) {
+            throw FaultsException.of(faults);
+        }
     }
 
     private static YamlValue centreName(YamlValue value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/YamlValue.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/YamlValue.java
@@ -88,6 +88,35 @@
                 : mNode.getStartMark().getLine() + 1;
     }
 
+    /** Returns the line of a path such as {@code workspaces[2].rate}, or of its nearest parent. */
+    public int lineOf(String path) {
+        YamlValue nearest = this;
+        for (String step : path.split("[.\\[]")) {
+            YamlValue next = nearest.step(step);
+            if (!next.present()) {
+                break;
+            }
+            nearest = next;
+        }
+        return nearest.line();
+    }
+
+    private YamlValue step(String name) {
+        if (mNode instanceof SequenceNode sequence && name.matches("[0-9]{1,6}]")) {
+            int index = Integer.parseInt(name.substring(0, name.length() - 1));
+            List<Node> nodes = sequence.getValue();
+            Node node = index < nodes.size() ? nodes.get(index) : null;
+            return new YamlValue(node, child(name), mFaults);
+        }
+        Node node =
+                fieldNames()
+                        .filter(tuple -> keyOf(tuple).equals(name))
+                        .map(NodeTuple::getValueNode)
+                        .findFirst()
+                        .orElse(null);
+        return new YamlValue(node, child(name), mFaults);
+    }
+
     /** Returns whether the value is there and not null. */
     public boolean present() {
         return mNode != null && !Tag.NULL.equals(mNode.getTag());
--- a/daemon/src/test/java/org/crocusturn/daemon/operators/ConfigurationReaderTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/operators/ConfigurationReaderTest.java
@@ -59,6 +59,8 @@
                 "[north, south]|[north, north]|dataCentres[1]|2",
                 "[north, south]|[north, 'so uth']|dataCentres[1]|2",
                 "instances: 3|instances: 99|services[0].instances|5",
+                "instances: 3|instances: 15|services[0].instances|5",
+                "rate: 50/s|rate: 90000000/s|workspaces[0].rate.perSecond|11",
                 "slots: 2|slots: many|services[0].slots|7",
                 "slots: 2|slot: 2|services[0].slots|4",
                 "connections: 16|connections: 16ms|services[0].connections|8",
