Use one mapping of failures to HTTP answers

Cause: the operators' interface had its own copy of the mapping of error codes to status, and the stand-in kept a fault that no test used any more. Change: OperatorAnswers uses FailureAnswer; the fault IGNORED is removed.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/FailureAnswer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/FailureAnswer.java
@@ -16,13 +16,7 @@
 
     /** Returns the answer for a failure, with a {@code retry-after} header if a time is known. */
     public static HttpAnswer of(Failure failure) {
-        ObjectNode body =
-                Json.object()
-                        .put("code", failure.code().wireName())
-                        .put("message", failure.message())
-                        .put("verdict", failure.verdict().wireName());
-        failure.retryAfter().ifPresent(d -> body.put("retryAfterMillis", d.toMillis()));
-        HttpAnswer answer = HttpAnswer.json(status(failure), Json.write(body));
+        HttpAnswer answer = HttpAnswer.json(status(failure), Json.write(body(failure)));
         if (failure.code() == ErrorCode.KEY_REFUSED) {
             answer = answer.withHeader("www-authenticate", "Bearer");
         }
@@ -31,6 +25,17 @@
                 : answer.withHeader("retry-after", seconds(failure.retryAfter().get()));
     }
 
+    /** Returns the JSON of a failure, for answers that add fields to it. */
+    public static ObjectNode body(Failure failure) {
+        ObjectNode body =
+                Json.object()
+                        .put("code", failure.code().wireName())
+                        .put("message", failure.message())
+                        .put("verdict", failure.verdict().wireName());
+        failure.retryAfter().ifPresent(d -> body.put("retryAfterMillis", d.toMillis()));
+        return body;
+    }
+
     /** Returns the status of a failure; 503 always means that the request did not run. */
     public static int status(Failure failure) {
         int status = status(failure.code());
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorAnswers.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorAnswers.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
-import org.crocusturn.core.Verdict;
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.daemon.net.FailureAnswer;
 import org.crocusturn.daemon.net.HttpAnswer;
 import org.crocusturn.daemon.net.Json;
 import org.crocusturn.daemon.settings.Fault;
@@ -34,7 +34,7 @@
     }
 
     static HttpAnswer failure(Failure failure) {
-        return HttpAnswer.json(status(failure), Json.write(body(failure)));
+        return FailureAnswer.of(failure);
     }
 
     static HttpAnswer faults(List<Fault> faults) {
@@ -42,7 +42,7 @@
                 Failure.notRun(
                         ErrorCode.MALFORMED_REQUEST,
                         "the file has " + faults.size() + " faults; nothing was changed");
-        ObjectNode body = body(failure);
+        ObjectNode body = FailureAnswer.body(failure);
         ArrayNode list = body.putArray("faults");
         faults.forEach(
                 f ->
@@ -51,7 +51,7 @@
                                 .put("path", f.path())
                                 .put("value", f.value())
                                 .put("allowed", f.allowed()));
-        return HttpAnswer.json(status(failure), Json.write(body));
+        return HttpAnswer.json(FailureAnswer.status(failure), Json.write(body));
     }
 
     static HttpAnswer status(ControlStatus status) {
@@ -107,29 +107,4 @@
         group.leaseholder()
                 .ifPresent(h -> node.put("leaseholder", h.host().value()).put("epoch", h.epoch()));
     }
-
-    private static ObjectNode body(Failure failure) {
-        ObjectNode body =
-                Json.object()
-                        .put("code", failure.code().wireName())
-                        .put("message", failure.message())
-                        .put("verdict", failure.verdict().wireName());
-        failure.retryAfter().ifPresent(d -> body.put("retryAfterMillis", d.toMillis()));
-        return body;
-    }
-
-    private static int status(Failure failure) {
-        if (failure.verdict() == Verdict.MAY_HAVE_RUN) {
-            return 504;
-        }
-        return switch (failure.code()) {
-            case MALFORMED_REQUEST -> 400;
-            case KEY_REFUSED -> 401;
-            case FORBIDDEN -> 403;
-            case NOT_FOUND -> 404;
-            case CONFLICT -> 409;
-            case TOO_LARGE -> 413;
-            default -> 503;
-        };
-    }
 }
--- a/standin/src/main/java/org/crocusturn/standin/database/BehaviourSwitch.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/BehaviourSwitch.java
@@ -24,12 +24,6 @@
         mBehaviour.updateAndGet(change);
     }
 
-    /** Returns whether a request stays unanswered; the fault keeps its count. */
-    boolean ignores(String database, String route) {
-        return mBehaviour.get().faults().stream()
-                .anyMatch(f -> f.kind() == Fault.Kind.IGNORED && f.concerns(database, route));
-    }
-
     /** Takes the first fault that a request meets, so that it counts once less. */
     Optional<Fault> take(String database, String route) {
         while (true) {
--- a/standin/src/main/java/org/crocusturn/standin/database/DatabaseRoutes.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/DatabaseRoutes.java
@@ -67,9 +67,6 @@
         if (mSessions.containsKey(peer.id())) {
             throw RefusedException.conflict("has_session", "the connection has a session");
         }
-        if (mBehaviour.ignores(database.copy().name(), "/v1/session")) {
-            return;
-        }
         hand(
                 database.sessionDuty(),
                 () -> {
@@ -105,9 +102,6 @@
         String route = exchange.request().route();
         String name = session.copy().name();
         Optional<Fault> fault = mBehaviour.take(name, route);
-        if (fault.filter(f -> f.kind() == Fault.Kind.IGNORED).isPresent()) {
-            return;
-        }
         if (fault.filter(f -> f.kind() == Fault.Kind.DROP_BEFORE).isPresent()) {
             exchange.peer().close();
             return;
--- a/standin/src/main/java/org/crocusturn/standin/database/Fault.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/Fault.java
@@ -16,8 +16,6 @@
         Kind kind, Optional<String> database, Optional<String> route, long millis, int times) {
     /** What happens to a request that meets a fault. */
     public enum Kind {
-        /** Nothing runs and no answer is sent; sessions cannot be opened either. */
-        IGNORED,
         /** The answer comes late. */
         LATE,
         /** The answer arrives in many small TCP writes. */
