Give a caller's requests, hosts and rate tokens names of their own

Cause: two classes were called CallerRequest and two EntryHost, and the tokens that a host holds had a figurative name. Change: ParsedRequest is what the front end reads, RegisteredHost what the leader knows of an entry host, TokenAllowance the tokens that a host holds.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/TokenPurse.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/TokenAllowance.java
@@ -12,21 +12,21 @@
  * <p>Immutable. All times are monotonic nanoseconds of this host. Adding tokens and spending one
  * copy the list of grants, which holds one element for each report of the last second.
  */
-public final class TokenPurse {
+public final class TokenAllowance {
     /** Tokens are fetched ahead for this time; longer than one report interval of 200 ms. */
     private static final double AHEAD_SECONDS = 0.3;
 
     /** Time constant of the observed rate; the leader's tokens live as long. */
     private static final double RATE_SECONDS = 1.0;
 
-    private static final TokenPurse EMPTY = new TokenPurse(List.of(), 0, 0, 0);
+    private static final TokenAllowance EMPTY = new TokenAllowance(List.of(), 0, 0, 0);
 
     private final List<Share> mShares;
     private final long mSpentTotal;
     private final double mRecent;
     private final long mRecentAtNanos;
 
-    private TokenPurse(List<Share> shares, long spentTotal, double recent, long recentAtNanos) {
+    private TokenAllowance(List<Share> shares, long spentTotal, double recent, long recentAtNanos) {
         mShares = shares;
         mSpentTotal = spentTotal;
         mRecent = recent;
@@ -36,8 +36,8 @@
     /** Is the rest of one grant. */
     private record Share(long tokens, long expiresNanos) {}
 
-    /** Returns the purse of a workspace that was granted nothing yet. */
-    public static TokenPurse empty() {
+    /** Returns the allowance of a workspace that was granted nothing yet. */
+    public static TokenAllowance empty() {
         return EMPTY;
     }
 
@@ -66,23 +66,23 @@
     }
 
     /** Returns a copy with tokens that are void from a time on. */
-    public TokenPurse withGrant(long tokens, long expiresNanos) {
+    public TokenAllowance withGrant(long tokens, long expiresNanos) {
         if (tokens <= 0) {
             return this;
         }
         List<Share> shares = new ArrayList<>(mShares);
         shares.add(new Share(tokens, expiresNanos));
         shares.sort(Comparator.comparingLong(s -> s.expiresNanos() - expiresNanos));
-        return new TokenPurse(List.copyOf(shares), mSpentTotal, mRecent, mRecentAtNanos);
+        return new TokenAllowance(List.copyOf(shares), mSpentTotal, mRecent, mRecentAtNanos);
     }
 
     /** Returns a copy that counts one more request in the observed rate. */
-    public TokenPurse withArrival(long nowNanos) {
-        return new TokenPurse(mShares, mSpentTotal, decayed(nowNanos) + 1, nowNanos);
+    public TokenAllowance withArrival(long nowNanos) {
+        return new TokenAllowance(mShares, mSpentTotal, decayed(nowNanos) + 1, nowNanos);
     }
 
     /** Returns a copy after one token was spent, the one that expires first; empty without one. */
-    public Optional<TokenPurse> spend(long nowNanos) {
+    public Optional<TokenAllowance> spend(long nowNanos) {
         List<Share> live = mShares.stream().filter(s -> s.expiresNanos() - nowNanos > 0).toList();
         if (live.isEmpty()) {
             return Optional.empty();
@@ -93,7 +93,7 @@
             rest.add(0, new Share(first.tokens() - 1, first.expiresNanos()));
         }
         return Optional.of(
-                new TokenPurse(List.copyOf(rest), mSpentTotal + 1, mRecent, mRecentAtNanos));
+                new TokenAllowance(List.copyOf(rest), mSpentTotal + 1, mRecent, mRecentAtNanos));
     }
 
     private double decayed(long nowNanos) {
@@ -103,11 +103,11 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof TokenPurse purse
-                && purse.mShares.equals(mShares)
-                && purse.mSpentTotal == mSpentTotal
-                && purse.mRecent == mRecent
-                && purse.mRecentAtNanos == mRecentAtNanos;
+        return other instanceof TokenAllowance allowance
+                && allowance.mShares.equals(mShares)
+                && allowance.mSpentTotal == mSpentTotal
+                && allowance.mRecent == mRecent
+                && allowance.mRecentAtNanos == mRecentAtNanos;
     }
 
     @Override
@@ -117,6 +117,6 @@
 
     @Override
     public String toString() {
-        return "TokenPurse[" + mShares + ", spent " + mSpentTotal + "]";
+        return "TokenAllowance[" + mShares + ", spent " + mSpentTotal + "]";
     }
 }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupArrivals.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupArrivals.java
@@ -7,7 +7,7 @@
 import org.crocusturn.core.callers.AdmissionPolicy;
 import org.crocusturn.core.callers.TransactionId;
 import org.crocusturn.core.controlhosts.GrantedTokens;
-import org.crocusturn.core.controlhosts.TokenPurse;
+import org.crocusturn.core.controlhosts.TokenAllowance;
 import org.crocusturn.core.operators.RateLimit;
 
 /** Takes requests and rate tokens into a group. */
@@ -22,13 +22,13 @@
             return;
         }
         WorkspaceId workspace = work.workspace();
-        TokenPurse purse = step.purse(workspace).withArrival(step.mNow);
-        step.mPurses = step.mPurses.with(workspace, purse);
+        TokenAllowance allowance = step.allowance(workspace).withArrival(step.mNow);
+        step.mAllowances = step.mAllowances.with(workspace, allowance);
         work.transaction()
                 .flatMap(step.mTransactions::find)
                 .ifPresent(open -> step.mTransactions = step.mTransactions.with(open.withBusy()));
         step.enqueue(work, false);
-        if (work.needsToken() && purse.available(step.mNow) == 0) {
+        if (work.needsToken() && allowance.available(step.mNow) == 0) {
             step.mActions.add(new GroupAction.TokensNeeded(workspace));
         }
     }
@@ -61,16 +61,16 @@
                         + step.mReplicaLane.size(workspace);
         return new AdmissionPolicy.Load(
                 limit,
-                step.purse(workspace).available(step.mNow),
+                step.allowance(workspace).available(step.mNow),
                 queued,
                 step.mNow - work.arrivedNanos());
     }
 
     static void granted(GroupStep step, GrantedTokens grant) {
-        step.mPurses =
-                step.mPurses.with(
+        step.mAllowances =
+                step.mAllowances.with(
                         grant.workspace(),
-                        step.purse(grant.workspace())
+                        step.allowance(grant.workspace())
                                 .withGrant(grant.tokens(), grant.expiresNanos()));
     }
 }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupDispatch.java
@@ -81,7 +81,7 @@
     }
 
     private boolean hasToken(Work work) {
-        return !work.needsToken() || mStep.purse(work.workspace()).available(mStep.mNow) > 0;
+        return !work.needsToken() || mStep.allowance(work.workspace()).available(mStep.mNow) > 0;
     }
 
     private Plan planTransaction(Work work) {
@@ -182,10 +182,10 @@
 
     private Work pay(Work work) {
         if (work.needsToken()) {
-            mStep.mPurses =
-                    mStep.mPurses.with(
+            mStep.mAllowances =
+                    mStep.mAllowances.with(
                             work.workspace(),
-                            mStep.purse(work.workspace()).spend(mStep.mNow).orElseThrow());
+                            mStep.allowance(work.workspace()).spend(mStep.mNow).orElseThrow());
         }
         return work.withPaid();
     }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupState.java
@@ -12,8 +12,8 @@
 import org.crocusturn.core.callers.FairQueue;
 import org.crocusturn.core.callers.Role;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.TokenAllowance;
 import org.crocusturn.core.controlhosts.TokenDemand;
-import org.crocusturn.core.controlhosts.TokenPurse;
 
 /**
  * Is everything that an entry host knows and holds of one group.
@@ -35,7 +35,7 @@
     final PersistentMap<Long, Running> mRunning;
     final PersistentMap<Long, Committed> mCommitted;
     final TransactionTable mTransactions;
-    final PersistentMap<WorkspaceId, TokenPurse> mPurses;
+    final PersistentMap<WorkspaceId, TokenAllowance> mAllowances;
     final Optional<Long> mHandoverNanos;
     final boolean mReleased;
     final long mDroppedTerm;
@@ -55,7 +55,7 @@
         mRunning = step.mRunning;
         mCommitted = step.mCommitted;
         mTransactions = step.mTransactions;
-        mPurses = step.mPurses;
+        mAllowances = step.mAllowances;
         mHandoverNanos = step.mHandoverNanos;
         mReleased = step.mReleased;
         mDroppedTerm = step.mDroppedTerm;
@@ -76,7 +76,7 @@
         mRunning = PersistentMap.empty();
         mCommitted = PersistentMap.empty();
         mTransactions = TransactionTable.EMPTY;
-        mPurses = PersistentMap.empty();
+        mAllowances = PersistentMap.empty();
         mHandoverNanos = Optional.empty();
         mReleased = false;
         mDroppedTerm = 0;
@@ -155,7 +155,8 @@
 
     /** Returns the rate tokens that each workspace needs in this group. */
     public List<TokenDemand> demands(long nowNanos) {
-        return mPurses.entries()
+        return mAllowances
+                .entries()
                 .map(
                         e ->
                                 new TokenDemand(
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupStep.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupStep.java
@@ -15,7 +15,7 @@
 import org.crocusturn.core.callers.GroupAnswer;
 import org.crocusturn.core.callers.Outcome;
 import org.crocusturn.core.callers.TransactionId;
-import org.crocusturn.core.controlhosts.TokenPurse;
+import org.crocusturn.core.controlhosts.TokenAllowance;
 
 /**
  * Collects the next state and the actions within one step of a {@link GroupCoordinator}.
@@ -43,7 +43,7 @@
     PersistentMap<Long, Running> mRunning;
     PersistentMap<Long, Committed> mCommitted;
     TransactionTable mTransactions;
-    PersistentMap<WorkspaceId, TokenPurse> mPurses;
+    PersistentMap<WorkspaceId, TokenAllowance> mAllowances;
     Optional<Long> mHandoverNanos;
     boolean mReleased;
     long mDroppedTerm;
@@ -65,7 +65,7 @@
         mRunning = state.mRunning;
         mCommitted = state.mCommitted;
         mTransactions = state.mTransactions;
-        mPurses = state.mPurses;
+        mAllowances = state.mAllowances;
         mHandoverNanos = state.mHandoverNanos;
         mReleased = state.mReleased;
         mDroppedTerm = state.mDroppedTerm;
@@ -99,9 +99,9 @@
         return ConnectionPool.empty(copy == null ? new CopyLimits(1, 1) : copy.limits());
     }
 
-    TokenPurse purse(WorkspaceId workspace) {
-        TokenPurse purse = mPurses.get(workspace);
-        return purse == null ? TokenPurse.empty() : purse;
+    TokenAllowance allowance(WorkspaceId workspace) {
+        TokenAllowance allowance = mAllowances.get(workspace);
+        return allowance == null ? TokenAllowance.empty() : allowance;
     }
 
     /** Returns the copies other than the primary, the least busy first. */
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupTimes.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupTimes.java
@@ -92,11 +92,11 @@
 
     /** Spends the token that work found while it waits for a slot. */
     private static Work pay(GroupStep step, Work work) {
-        return step.purse(work.workspace())
+        return step.allowance(work.workspace())
                 .spend(step.mNow)
                 .map(
-                        purse -> {
-                            step.mPurses = step.mPurses.with(work.workspace(), purse);
+                        allowance -> {
+                            step.mAllowances = step.mAllowances.with(work.workspace(), allowance);
                             return work.withPaid();
                         })
                 .orElse(work);
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -217,7 +217,7 @@
                     turn.mState
                             .withRegistry(turn.mState.registry().with(report, turn.mNow))
                             .withLeases(turn.mState.leases().with(report));
-            EntryHost host = turn.mState.registry().host(report.host()).orElseThrow();
+            RegisteredHost host = turn.mState.registry().host(report.host()).orElseThrow();
             turn.mState =
                     turn.mState.withRates(
                             turn.mState.rates().with(host, report.demands(), turn.mNow));
--- a/core/src/main/java/org/crocusturn/core/entryhosts/EntryRegistry.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/EntryRegistry.java
@@ -16,7 +16,7 @@
  * @param hosts known hosts by name
  * @param watchedSinceNanos time since which the leader has watched without a pause of its own
  */
-public record EntryRegistry(PMap<HostId, EntryHost> hosts, long watchedSinceNanos) {
+public record EntryRegistry(PMap<HostId, RegisteredHost> hosts, long watchedSinceNanos) {
     /** Checks that the map is not null. */
     public EntryRegistry {
         Objects.requireNonNull(hosts, "hosts");
@@ -28,37 +28,37 @@
     }
 
     /** Returns a host, alive or not. */
-    public Optional<EntryHost> host(HostId id) {
+    public Optional<RegisteredHost> host(HostId id) {
         return Optional.ofNullable(hosts.get(id));
     }
 
     /** Returns whether a report tells something that no earlier one of its process told. */
     public boolean isNew(EntryReport report) {
-        EntryHost known = hosts.get(report.host());
+        RegisteredHost known = hosts.get(report.host());
         return known == null
                 || known.incarnation() != report.incarnation()
                 || known.sequence() < report.sequence();
     }
 
     /** Returns whether a host's link is open and its last report is less than 500 ms old. */
-    public boolean isLive(EntryHost host, long nowNanos) {
+    public boolean isLive(RegisteredHost host, long nowNanos) {
         long seen = Math.max(host.reportNanos(), watchedSinceNanos);
         return host.linked() && nowNanos - seen < LeaseTimes.DEAD_NANOS;
     }
 
     /** Returns whether the given process of a host is alive. */
     public boolean isLive(HostId id, long incarnation, long nowNanos) {
-        EntryHost host = hosts.get(id);
+        RegisteredHost host = hosts.get(id);
         return host != null && host.incarnation() == incarnation && isLive(host, nowNanos);
     }
 
     /** Returns the live hosts in no particular order. */
-    public List<EntryHost> live(long nowNanos) {
+    public List<RegisteredHost> live(long nowNanos) {
         return hosts.values().stream().filter(h -> isLive(h, nowNanos)).toList();
     }
 
     /** Returns the hosts that are not alive. */
-    public List<EntryHost> dead(long nowNanos) {
+    public List<RegisteredHost> dead(long nowNanos) {
         return hosts.values().stream().filter(h -> !isLive(h, nowNanos)).toList();
     }
 
@@ -67,17 +67,17 @@
         if (!isNew(report)) {
             return this;
         }
-        EntryHost known = hosts.get(report.host());
-        EntryHost next =
+        RegisteredHost known = hosts.get(report.host());
+        RegisteredHost next =
                 known == null || known.incarnation() != report.incarnation()
-                        ? EntryHost.of(report, nowNanos)
+                        ? RegisteredHost.of(report, nowNanos)
                         : known.with(report, nowNanos, isLive(known, nowNanos));
         return new EntryRegistry(hosts.plus(report.host(), next), watchedSinceNanos);
     }
 
     /** Returns the registry after a host's link closed. */
     public EntryRegistry withLinkClosed(HostId id) {
-        EntryHost known = hosts.get(id);
+        RegisteredHost known = hosts.get(id);
         return known == null
                 ? this
                 : new EntryRegistry(hosts.plus(id, known.withoutLink()), watchedSinceNanos);
@@ -93,7 +93,7 @@
         List<HostId> gone =
                 hosts.values().stream()
                         .filter(h -> nowNanos - h.reportNanos() >= LeaseTimes.FORGET_NANOS)
-                        .map(EntryHost::id)
+                        .map(RegisteredHost::id)
                         .toList();
         return gone.isEmpty() ? this : new EntryRegistry(hosts.minusAll(gone), watchedSinceNanos);
     }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
@@ -31,7 +31,7 @@
     LeaderState mState;
     private final List<LeaderAction> mActions = new ArrayList<>();
     private final Set<HostId> mTold = new TreeSet<>();
-    private List<EntryHost> mEligible;
+    private List<RegisteredHost> mEligible;
 
     LeaderTurn(LeaderState state, long now, PlacementPolicy placement, FailureDetector detector) {
         mState = state;
@@ -54,7 +54,7 @@
     }
 
     /** Returns the live hosts that may get leases; costs O(hosts) once for each step. */
-    List<EntryHost> eligible() {
+    List<RegisteredHost> eligible() {
         if (mEligible == null) {
             mEligible =
                     mState.registry().live(mNow).stream()
@@ -142,7 +142,7 @@
     }
 
     // Costs O(groups of the host + its unconfirmed grants + missing commands).
-    private void send(EntryHost host) {
+    private void send(RegisteredHost host) {
         List<LeaseGrant> grants = new ArrayList<>();
         mState.leases().groupsOf(host.id()).stream()
                 .sorted(Comparator.naturalOrder())
@@ -162,7 +162,7 @@
                                 mState.rates().grantsFor(host))));
     }
 
-    private LeaseGrant grant(EntryHost host, GroupLease lease) {
+    private LeaseGrant grant(RegisteredHost host, GroupLease lease) {
         long term =
                 Optional.ofNullable(mState.control().groups().get(lease.group()))
                         .map(this::acknowledgeTerm)
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -62,7 +62,7 @@
     }
 
     private void assign(GroupRecord record, GroupLease lease, String reason) {
-        Optional<EntryHost> next = choose(record);
+        Optional<RegisteredHost> next = choose(record);
         if (next.isEmpty() && lease.holder().isEmpty()) {
             return;
         }
@@ -88,7 +88,7 @@
     // A host that leaves, or whose data centre does, moves all its leases at once: it has only
     // seconds.
     private void leave(GroupRecord record, GroupLease lease, Leaseholder holder) {
-        EntryHost host = mTurn.mState.registry().host(holder.host()).orElseThrow();
+        RegisteredHost host = mTurn.mState.registry().host(holder.host()).orElseThrow();
         boolean drained = mTurn.mState.control().drained().contains(host.dataCentre());
         if (host.leaving() || drained) {
             choose(record)
@@ -106,7 +106,7 @@
 
     /** Moves leases to the hosts that placement prefers; costs O(hosts). */
     void rebalance() {
-        List<EntryHost> hosts = mTurn.eligible();
+        List<RegisteredHost> hosts = mTurn.eligible();
         List<GroupId> groups = mTurn.mState.failovers().order();
         if (hosts.isEmpty()
                 || groups.isEmpty()
@@ -153,14 +153,14 @@
                 .ifPresent(t -> move(record, lease, t, "placement prefers it"));
     }
 
-    private void move(GroupRecord record, GroupLease lease, EntryHost target, String reason) {
+    private void move(GroupRecord record, GroupLease lease, RegisteredHost target, String reason) {
         Leaseholder holder = lease.holder().orElseThrow();
         mTurn.mState = mTurn.mState.withLease(lease.withTarget(target.id()));
         mTurn.tell(holder.host());
         log(record, "it moves from " + holder.host() + " to " + target.id() + ", " + reason);
     }
 
-    private Optional<EntryHost> choose(GroupRecord record) {
+    private Optional<RegisteredHost> choose(GroupRecord record) {
         Optional<DataCentreId> primary =
                 record.primary()
                         .map(e -> mTurn.mState.control().endpoints().get(e))
--- a/core/src/main/java/org/crocusturn/core/entryhosts/PlacementPolicy.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/PlacementPolicy.java
@@ -14,6 +14,6 @@
      * @param primaryDataCentre where the group's primary is, if there is one
      * @param eligible hosts that are alive, not leaving and in a data centre in service
      */
-    Optional<EntryHost> choose(
-            GroupId group, Optional<DataCentreId> primaryDataCentre, List<EntryHost> eligible);
+    Optional<RegisteredHost> choose(
+            GroupId group, Optional<DataCentreId> primaryDataCentre, List<RegisteredHost> eligible);
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
@@ -67,7 +67,7 @@
                     - 1;
         }
 
-        private boolean isUseful(EntryHost host) {
+        private boolean isUseful(RegisteredHost host) {
             return incarnation == host.incarnation()
                     && sequence > host.answered()
                     && restMillis(host.reportNanos()) >= MIN_SENT_MILLIS;
@@ -85,7 +85,7 @@
     }
 
     /** Returns the grants to send to a host with an answer to its latest report. */
-    public List<TokenGrant> grantsFor(EntryHost host) {
+    public List<TokenGrant> grantsFor(RegisteredHost host) {
         return unconfirmed.getOrDefault(host.id(), TreePVector.empty()).stream()
                 .filter(g -> g.isUseful(host))
                 .map(
@@ -107,7 +107,7 @@
      * Returns the authority after the latest report of a host, with new grants. The report must not
      * be passed twice.
      */
-    public RateAuthority with(EntryHost host, List<TokenDemand> demands, long nowNanos) {
+    public RateAuthority with(RegisteredHost host, List<TokenDemand> demands, long nowNanos) {
         RateAuthority next = withConfirmed(host);
         for (TokenDemand demand : demands) {
             RateLimit rate = rates.get(demand.workspace());
@@ -116,7 +116,8 @@
         return next;
     }
 
-    private RateAuthority with(EntryHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
+    private RateAuthority with(
+            RegisteredHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
         if (nowNanos - startNanos < 0) {
             return this;
         }
@@ -149,7 +150,7 @@
                 id);
     }
 
-    private RateAuthority withConfirmed(EntryHost host) {
+    private RateAuthority withConfirmed(RegisteredHost host) {
         PVector<SentGrant> sent = unconfirmed.get(host.id());
         if (sent == null) {
             return this;
--- a/core/src/main/java/org/crocusturn/core/entryhosts/EntryHost.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RegisteredHost.java
@@ -24,7 +24,7 @@
  * @param sentAfterNanos a time after which the latest report was certainly sent, if {@code proved}
  * @param proved whether the process has confirmed an answer of this leader
  */
-public record EntryHost(
+public record RegisteredHost(
         HostId id,
         long incarnation,
         DataCentreId dataCentre,
@@ -41,15 +41,15 @@
         long sentAfterNanos,
         boolean proved) {
     /** Checks that no part is null. */
-    public EntryHost {
+    public RegisteredHost {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(linkAddress, "linkAddress");
     }
 
     /** Creates a host from the first report of its process. */
-    static EntryHost of(EntryReport report, long nowNanos) {
-        return new EntryHost(
+    static RegisteredHost of(EntryReport report, long nowNanos) {
+        return new RegisteredHost(
                 report.host(),
                 report.incarnation(),
                 report.dataCentre(),
@@ -68,9 +68,9 @@
     }
 
     /** Returns the host after a later report of the same process. */
-    EntryHost with(EntryReport report, long nowNanos, boolean wasLive) {
+    RegisteredHost with(EntryReport report, long nowNanos, boolean wasLive) {
         boolean confirmed = report.answered() >= markSequence;
-        return new EntryHost(
+        return new RegisteredHost(
                 id,
                 incarnation,
                 report.dataCentre(),
@@ -89,8 +89,8 @@
     }
 
     /** Returns the host after its link closed. */
-    EntryHost withoutLink() {
-        return new EntryHost(
+    RegisteredHost withoutLink() {
+        return new RegisteredHost(
                 id,
                 incarnation,
                 dataCentre,
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RendezvousPlacement.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RendezvousPlacement.java
@@ -14,15 +14,17 @@
  */
 public final class RendezvousPlacement implements PlacementPolicy {
     @Override
-    public Optional<EntryHost> choose(
-            GroupId group, Optional<DataCentreId> primaryDataCentre, List<EntryHost> eligible) {
+    public Optional<RegisteredHost> choose(
+            GroupId group,
+            Optional<DataCentreId> primaryDataCentre,
+            List<RegisteredHost> eligible) {
         long key = Rendezvous.hash(group.toString());
-        Comparator<EntryHost> order =
-                Comparator.<EntryHost, Boolean>comparing(
+        Comparator<RegisteredHost> order =
+                Comparator.<RegisteredHost, Boolean>comparing(
                                 h -> primaryDataCentre.filter(h.dataCentre()::equals).isPresent())
                         .thenComparingLong(
                                 h -> Rendezvous.score(key, Rendezvous.hash(h.id().value())))
-                        .thenComparing(EntryHost::id);
+                        .thenComparing(RegisteredHost::id);
         return eligible.stream().max(order);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
@@ -23,7 +23,7 @@
         double level, long filledNanos, long safeNanos, Map<Process, TokenLedger> ledgers) {
     /** Names one process of an entry host. */
     record Process(HostId host, long incarnation) {
-        static Process of(EntryHost host) {
+        static Process of(RegisteredHost host) {
             return new Process(host.id(), host.incarnation());
         }
     }
@@ -59,7 +59,7 @@
      * Returns the bucket after a host's report, settled but without a new grant. A process gets an
      * account once all earlier grants to it are void and their spending is known.
      */
-    TokenBucket withDemand(EntryHost host, TokenDemand demand, RateLimit rate) {
+    TokenBucket withDemand(RegisteredHost host, TokenDemand demand, RateLimit rate) {
         TokenLedger known = ledgers.get(Process.of(host));
         if (known == null) {
             return host.proved() && host.sentAfterNanos() - safeNanos >= 0
@@ -88,7 +88,7 @@
      * equal part of what the level holds beyond all claims. The claims keep demanding hosts
      * together at the full rate however seldom they report.
      */
-    long grantable(EntryHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
+    long grantable(RegisteredHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
         TokenLedger ledger = ledgers.get(Process.of(host));
         if (ledger == null || level < 1) {
             return 0;
@@ -106,7 +106,7 @@
         return Math.min(need, (long) Math.max(1, share));
     }
 
-    private List<TokenLedger> others(EntryHost host, long nowNanos) {
+    private List<TokenLedger> others(RegisteredHost host, long nowNanos) {
         return ledgers.entrySet().stream()
                 .filter(e -> !e.getKey().equals(Process.of(host)))
                 .map(Map.Entry::getValue)
@@ -120,7 +120,7 @@
     }
 
     TokenBucket withGrant(
-            EntryHost host, TokenDemand demand, RateLimit rate, long id, long tokens) {
+            RegisteredHost host, TokenDemand demand, RateLimit rate, long id, long tokens) {
         TokenLedger ledger = ledgers.get(Process.of(host));
         if (ledger == null) {
             return this;
@@ -141,7 +141,7 @@
                 .withLedger(host, ledger.withGrant(grant, unmet, (long) nanos));
     }
 
-    private TokenBucket withLedger(EntryHost host, TokenLedger ledger) {
+    private TokenBucket withLedger(RegisteredHost host, TokenLedger ledger) {
         Map<Process, TokenLedger> next = new HashMap<>(ledgers);
         next.put(Process.of(host), ledger);
         return new TokenBucket(level, filledNanos, safeNanos, next);
--- a/core/src/test/java/org/crocusturn/core/controlhosts/TokenPurseTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/TokenAllowanceTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against tokens that are spent twice or after they are void. */
-class TokenPurseTest {
+class TokenAllowanceTest {
     private static final long MILLI = 1_000_000;
 
     @ParameterizedTest
@@ -15,34 +15,34 @@
     void spendsWhatIsValid(long nowMillis, int expected) {
         // the clock starts far below zero, as a monotonic clock may
         long base = Long.MIN_VALUE / 2;
-        TokenPurse purse =
-                TokenPurse.empty()
+        TokenAllowance allowance =
+                TokenAllowance.empty()
                         .withGrant(3, base + 200 * MILLI)
                         .withGrant(2, base + 100 * MILLI);
         long now = base + nowMillis * MILLI;
-        assertEquals(expected, purse.available(now));
+        assertEquals(expected, allowance.available(now));
         int spent = 0;
-        Optional<TokenPurse> next = purse.spend(now);
+        Optional<TokenAllowance> next = allowance.spend(now);
         while (next.isPresent()) {
-            purse = next.get();
-            next = purse.spend(now);
+            allowance = next.get();
+            next = allowance.spend(now);
             spent++;
         }
         assertEquals(expected, spent);
-        assertEquals(expected, purse.spentTotal());
+        assertEquals(expected, allowance.spentTotal());
     }
 
     @ParameterizedTest
     @CsvSource({"0, 7, 7, 7", "10, 0, 25, 35", "10, 5, 30, 40", "50, 0, 4, 8"})
     void wantsTokensAheadOfDemand(long periodMillis, int waiting, long least, long most) {
-        TokenPurse purse = TokenPurse.empty();
+        TokenAllowance allowance = TokenAllowance.empty();
         long now = 0;
         for (int i = 0; periodMillis > 0 && i < 5_000 / periodMillis; i++) {
             now += periodMillis * MILLI;
-            purse = purse.withArrival(now);
+            allowance = allowance.withArrival(now);
         }
-        long wanted = purse.wanted(waiting, now);
+        long wanted = allowance.wanted(waiting, now);
         assertEquals(true, wanted >= least && wanted <= most, "wanted " + wanted);
-        assertEquals(waiting, purse.wanted(waiting, now + 60_000 * MILLI));
+        assertEquals(waiting, allowance.wanted(waiting, now + 60_000 * MILLI));
     }
 }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
@@ -50,7 +50,7 @@
                         false,
                         answered);
         mRegistry = mRegistry.with(report, atMillis * MS);
-        EntryHost host = mRegistry.host(id).orElseThrow();
+        RegisteredHost host = mRegistry.host(id).orElseThrow();
         mRates = mRates.with(host, report.demands(), atMillis * MS);
         return mRates.grantsFor(host);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerFrontEnd.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerFrontEnd.java
@@ -15,7 +15,7 @@
 import org.crocusturn.daemon.net.Json;
 
 /**
- * Turns HTTP requests of callers into {@link CallerRequest}s for a sink.
+ * Turns HTTP requests of callers into {@link ParsedRequest}s for a sink.
  *
  * <p>Safe for any thread. A key is replaced by its hash at once. Refusals that need no body come
  * before the body is parsed.
@@ -64,7 +64,7 @@
         }
     }
 
-    private CallerRequest parse(HttpRequest request) {
+    private ParsedRequest parse(HttpRequest request) {
         String keyHash = CallerHeaders.keyHash(request);
         Optional<Failure> refusal = mSink.refusal(keyHash);
         if (refusal.isPresent()) {
@@ -73,7 +73,7 @@
         CallerRoute route = CallerRoute.parse(request.method(), request.path());
         Optional<String> session = CallerHeaders.session(request);
         CallerHeaders.requireJson(request);
-        return new CallerRequest(
+        return new ParsedRequest(
                 mNextId.getAndIncrement(), keyHash, session, route.operation(request.body()));
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
@@ -17,6 +17,7 @@
 import org.crocusturn.core.callers.ServedBy;
 import org.crocusturn.core.callers.StatementAnswer;
 import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.entryhosts.CallerRequest;
 import org.crocusturn.core.entryhosts.Ingress;
 import org.crocusturn.core.entryhosts.IngressAction;
 import org.crocusturn.core.entryhosts.IngressInput;
@@ -63,10 +64,7 @@
     }
 
     /** Is a caller that waits for an answer, with the time at which the request came. */
-    private record Waiting(
-            CallerReply reply,
-            org.crocusturn.core.entryhosts.CallerRequest request,
-            long sinceNanos) {}
+    private record Waiting(CallerReply reply, CallerRequest request, long sinceNanos) {}
 
     /**
      * Creates the handler.
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressEvent.java
@@ -4,13 +4,13 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.callers.Outcome;
 import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.entryhosts.CallerRequest;
 import org.crocusturn.core.platform.Phase;
 
 /** Is what the ingress duty reacts to. */
 public sealed interface IngressEvent {
     /** A caller sent a request. */
-    record Received(org.crocusturn.core.entryhosts.CallerRequest request, CallerReply reply)
-            implements IngressEvent {
+    record Received(CallerRequest request, CallerReply reply) implements IngressEvent {
         /** Checks that no part is null. */
         public Received {
             Objects.requireNonNull(request, "request");
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressSink.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressSink.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.callers.KeyCheck;
 import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.entryhosts.CallerRequest;
 
 /**
  * Brings parsed requests to the ingress duty; refuses at once what needs no body.
@@ -58,9 +59,9 @@
     }
 
     @Override
-    public boolean offer(CallerRequest request, CallerReply reply) {
+    public boolean offer(ParsedRequest request, CallerReply reply) {
         var decided =
-                new org.crocusturn.core.entryhosts.CallerRequest(
+                new CallerRequest(
                         mNextId.getAndIncrement(),
                         request.keyHash(),
                         request.session().map(mTokens::decode),
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/ParsedRequest.java
@@ -11,10 +11,10 @@
  * @param session text of the session token; empty if the caller sent none
  * @param operation what to do
  */
-public record CallerRequest(
+public record ParsedRequest(
         long id, String keyHash, Optional<String> session, CallerOperation operation) {
     /** Checks that no part is null. */
-    public CallerRequest {
+    public ParsedRequest {
         Objects.requireNonNull(keyHash, "keyHash");
         Objects.requireNonNull(session, "session");
         Objects.requireNonNull(operation, "operation");
@@ -28,6 +28,6 @@
     /** Leaves out the session token, so that it cannot reach a log. */
     @Override
     public String toString() {
-        return "CallerRequest[id=" + id + ", service=" + service() + "]";
+        return "ParsedRequest[id=" + id + ", service=" + service() + "]";
     }
 }
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/CallerFrontEndTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/CallerFrontEndTest.java
@@ -86,7 +86,7 @@
     void parsesOperations(String path, String body, GroupOperation expected) throws Exception {
         Recorder sink = new Recorder();
         assertNull(send(sink, post(path, body, "Bearer " + KEY, "crocusturn-session", "abc_-9")));
-        CallerRequest request = sink.mRequests.get(0);
+        ParsedRequest request = sink.mRequests.get(0);
         assertEquals(new CallerOperation("taftish-db", expected), request.operation());
         assertEquals(Optional.of("abc_-9"), request.session());
         byte[] hash =
@@ -255,12 +255,12 @@
     }
 
     private static final class Recorder implements CallerSink {
-        private final List<CallerRequest> mRequests = new ArrayList<>();
+        private final List<ParsedRequest> mRequests = new ArrayList<>();
         private Optional<Failure> mRefusal = Optional.empty();
         private boolean mFull;
 
         @Override
-        public boolean offer(CallerRequest request, CallerReply reply) {
+        public boolean offer(ParsedRequest request, CallerReply reply) {
             return !mFull && mRequests.add(request);
         }
 
