Measure how long requests wait for their first endpoint

Cause: the metric crocusturn_queue_seconds was documented and never written. Change: the groups duty notes the arrival of each request and writes the time until its first statement is sent.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
@@ -45,12 +45,14 @@
     private static final long REPORT_NANOS = 100_000_000;
 
     private static final int SECRET_BYTES = 16;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final GroupCoordinator mCoordinator = GroupCoordinator.standard();
     private final SecureRandom mRandom = new SecureRandom();
     private final DecisionLog mLog =
             DecisionLog.create(LogManager.getLogger(GroupsDuty.class), "endpoints");
     private final Map<GroupId, GroupState> mGroups = new TreeMap<>();
+    private final Map<RequestKey, Long> mArrivedNanos = new HashMap<>();
 
     /** Views that were derived from the state of {@link #mView}. */
     private final Map<GroupId, GroupView> mViews = new HashMap<>();
@@ -80,6 +82,9 @@
         mMetrics = metrics;
     }
 
+    /** Names a request that waits for its first endpoint. */
+    private record RequestKey(HostId origin, long request) {}
+
     /** Starts and ends the watching of endpoints. */
     public interface EndpointWatch {
         /** Starts to watch an endpoint at its status address. */
@@ -163,6 +168,7 @@
             mRandom.nextBytes(random);
             secret = HexFormat.of().formatHex(random);
         }
+        mArrivedNanos.put(new RequestKey(origin, forwarded.request().id()), System.nanoTime());
         step(
                 forwarded.request().group(),
                 new GroupInput.RequestArrived(
@@ -261,6 +267,7 @@
         } else if (action instanceof GroupAction.SendCommand send) {
             mConnections.send(group, send);
         } else if (action instanceof GroupAction.Reply reply) {
+            mArrivedNanos.remove(new RequestKey(reply.origin(), reply.request()));
             mListener.replied(reply.origin(), reply.request(), reply.outcome());
         } else if (action instanceof GroupAction.LogRoute route) {
             log(group, route);
@@ -274,6 +281,11 @@
     }
 
     private void log(GroupId group, GroupAction.LogRoute route) {
+        long now = System.nanoTime();
+        Long arrived = mArrivedNanos.remove(new RequestKey(route.origin(), route.request()));
+        if (arrived != null) {
+            mMetrics.queued((now - arrived) / NANOS_PER_SECOND);
+        }
         mLog.write(
                 "request "
                         + route.request()
@@ -287,7 +299,7 @@
                         + route.endpoint()
                         + ": "
                         + route.reason(),
-                System.nanoTime());
+                now);
     }
 
     private void report(boolean urgent) {
