Let a local deployment take operators without a secret

Cause: the line that local prints named an operators' address that could not be used without a secret, which the agreed line does not hold. The command line sends a secret only if it has one.

--- a/daemon/src/main/java/org/crocusturn/daemon/operators/CommandLine.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/CommandLine.java
@@ -198,15 +198,11 @@
                 Arrays.stream(given.getString("operator").split(",")).map(URI::create).toList();
         String file = given.getString("secret_file");
         Secret secret =
-                file == null
-                        ? Secret.of(
-                                Optional.ofNullable(mEnvironment.get(SECRET_VARIABLE))
-                                        .orElseThrow(
-                                                () ->
-                                                        new IllegalArgumentException(
-                                                                "give --secret-file or set "
-                                                                        + SECRET_VARIABLE)))
-                        : Secret.ofFile(Path.of(file));
+                file != null
+                        ? Secret.ofFile(Path.of(file))
+                        : Optional.ofNullable(mEnvironment.get(SECRET_VARIABLE))
+                                .map(Secret::of)
+                                .orElse(Secret.NONE);
         return OperatorClient.create(hosts, secret).send(method, route, changeId, body);
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
@@ -77,8 +77,10 @@
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(host.resolve(route))
                         .timeout(REQUEST_TIMEOUT)
-                        .header("Authorization", "Bearer " + mSecret.text())
                         .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+        if (!mSecret.isNone()) {
+            request.header("Authorization", "Bearer " + mSecret.text());
+        }
         changeId.ifPresent(id -> request.header("Crocusturn-Change-Id", id));
         try {
             HttpResponse<byte[]> response =
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorRoutes.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorRoutes.java
@@ -26,15 +26,17 @@
                 Objects.requireNonNull(secret, "secret"), Objects.requireNonNull(duty, "duty"));
     }
 
+    private boolean presentsSecret(HttpExchange exchange) {
+        return exchange.request()
+                .header("authorization")
+                .filter(value -> value.startsWith(BEARER))
+                .map(value -> mSecret.matches(value.substring(BEARER.length())))
+                .orElse(false);
+    }
+
     @Override
     public void handle(HttpExchange exchange) {
-        boolean known =
-                exchange.request()
-                        .header("authorization")
-                        .filter(value -> value.startsWith(BEARER))
-                        .map(value -> mSecret.matches(value.substring(BEARER.length())))
-                        .orElse(false);
-        if (!known) {
+        if (!mSecret.isNone() && !presentsSecret(exchange)) {
             exchange.respond(
                     OperatorAnswers.failure(
                             Failure.notRun(ErrorCode.KEY_REFUSED, "the operator secret is wrong")));
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/Secret.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/Secret.java
@@ -17,6 +17,9 @@
                     PosixFilePermission.OTHERS_READ,
                     PosixFilePermission.OTHERS_WRITE);
 
+    /** Asks for no secret; only for a deployment on loopback, a file cannot hold it. */
+    public static final Secret NONE = new Secret(new byte[0]);
+
     private final byte[] mBytes;
 
     private Secret(byte[] bytes) {
@@ -51,6 +54,11 @@
         }
     }
 
+    /** Returns whether no secret is asked for. */
+    public boolean isNone() {
+        return mBytes.length == 0;
+    }
+
     /** Returns a copy of the bytes. */
     public byte[] bytes() {
         return mBytes.clone();
--- a/daemon/src/test/java/org/crocusturn/daemon/operators/CommandLineTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/operators/CommandLineTest.java
@@ -36,6 +36,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against wrong exit statuses, through a real operators' interface on loopback. */
 class CommandLineTest {
@@ -106,10 +107,10 @@
         assertTrue(mProposed.get().toString().contains(NewKey.hash(key)));
     }
 
-    @Test
-    void refusesAWrongSecret() {
-        assertEquals(
-                ExitStatus.REFUSED, run("a-wrong-secret-of-length", "status", "--operator", url()));
+    @ParameterizedTest
+    @ValueSource(strings = {"a-wrong-secret-of-length", ""})
+    void refusesAWrongOrMissingSecret(String secret) {
+        assertEquals(ExitStatus.REFUSED, run(secret, "status", "--operator", url()));
     }
 
     @ParameterizedTest
--- a/standin/src/main/java/org/crocusturn/standin/LocalMain.java
+++ b/standin/src/main/java/org/crocusturn/standin/LocalMain.java
@@ -88,7 +88,6 @@
         ArrayNode entries = line.putArray("entries");
         deployment.entries().forEach(url -> entries.add(url.toString()));
         line.put("operator", deployment.operators().get(0).toString())
-                .put("operatorSecret", deployment.operatorSecret().text())
                 .put("service", configuration.services().get(0).name());
         ObjectNode keys = line.putObject("keys");
         deployment.keys().forEach(keys::put);
--- a/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
+++ b/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
@@ -48,7 +48,6 @@
     private final LocalPlan mPlan;
     private final Secret mLinkSecret = secret();
     private final Secret mSessionSecret = secret();
-    private final Secret mOperatorSecret = secret();
     private final Secret mAnnouncementSecret = secret();
     private final List<PeerAddress> mMembers;
     private final List<InetSocketAddress> mControlPorts;
@@ -101,12 +100,7 @@
 
     /** Returns a client of the operators' interface. */
     public OperatorClient operatorClient() {
-        return OperatorClient.create(operators(), mOperatorSecret);
-    }
-
-    /** Returns the secret of the operators' interface. */
-    public Secret operatorSecret() {
-        return mOperatorSecret;
+        return OperatorClient.create(operators(), Secret.NONE);
     }
 
     /** Returns the control hosts. */
@@ -279,7 +273,7 @@
                 mMembers,
                 true,
                 mLinkSecret,
-                mOperatorSecret,
+                Secret.NONE,
                 mAnnouncementSecret);
     }
 
