--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
@@ -1,6 +1,5 @@
 package org.crocusturn.daemon.controlhosts;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -136,9 +135,4 @@
                         : Failure.notRun(ErrorCode.UNAVAILABLE, "no control host leads");
         return new ChangeOutcome(proposal.command().changeId(), 0, Optional.of(failure));
     }
-
-    /** Returns the attempts that run, for tests. */
-    List<Long> runningAttempts() {
-        return new ArrayList<>(mAttempts.keySet());
-    }
 }
