Count suspended time in every lease and deadline

Cause: System.nanoTime stands still while a machine is suspended, so a lease judged by it outlives its expiry after a suspension. Ruled out: a native call for the clock that counts both, because the standard library has none and a native library costs memory on each host. Change: SteadyClock adds what the time of day runs ahead of the monotonic clock; the daemons and duties read it in place of System.nanoTime.

--- a/core/src/main/java/org/crocusturn/core/ring/Duty.java
+++ b/core/src/main/java/org/crocusturn/core/ring/Duty.java
@@ -87,15 +87,15 @@
     }
 
     private void run() {
-        long nextNanos = System.nanoTime();
+        long nextNanos = SteadyClock.nanoTime();
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                Optional<E> event = mRing.poll(nextNanos - System.nanoTime());
+                Optional<E> event = mRing.poll(nextNanos - SteadyClock.nanoTime());
                 for (int n = 0; event.isPresent(); n++) {
                     handle(event.get());
                     event = n < BATCH ? mRing.poll(0) : Optional.empty();
                 }
-                nextNanos = timer(System.nanoTime());
+                nextNanos = timer(SteadyClock.nanoTime());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/ring/SteadyClock.java
@@ -0,0 +1,64 @@
+package org.crocusturn.core.ring;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+
+/**
+ * Measures elapsed time and includes the time for which the machine was suspended.
+ *
+ * <p>{@link System#nanoTime} stands still while a machine is suspended, so a lease judged by it
+ * alone would outlive its expiry. The time of day goes on; whenever it runs ahead of the monotonic
+ * clock by more than {@link #STEP_NANOS}, the difference counts as elapsed. A forward step of the
+ * time of day therefore only makes leases expire early, and a backward step changes nothing.
+ *
+ * <p>Thread-safe. Values never decrease.
+ */
+public final class SteadyClock {
+    /** Difference that is taken for a suspension; clock slewing stays far below it. */
+    static final long STEP_NANOS = 20_000_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private static final SteadyClock SYSTEM =
+            new SteadyClock(System::nanoTime, () -> System.currentTimeMillis() * NANOS_PER_MILLI);
+
+    private final LongSupplier mMonotonic;
+    private final LongSupplier mTimeOfDay;
+    private long mOffsetNanos;
+    private long mSuspendedNanos;
+
+    private SteadyClock(LongSupplier monotonic, LongSupplier timeOfDay) {
+        mMonotonic = monotonic;
+        mTimeOfDay = timeOfDay;
+        mOffsetNanos = timeOfDay.getAsLong() - monotonic.getAsLong();
+    }
+
+    /**
+     * Creates a clock on two sources, both in nanoseconds.
+     *
+     * @param monotonic clock that stands still during a suspension
+     * @param timeOfDay clock that goes on, but may be stepped
+     */
+    static SteadyClock of(LongSupplier monotonic, LongSupplier timeOfDay) {
+        return new SteadyClock(
+                Objects.requireNonNull(monotonic, "monotonic"),
+                Objects.requireNonNull(timeOfDay, "timeOfDay"));
+    }
+
+    /** Returns the steady time of this process in nanoseconds; only differences have a meaning. */
+    public static long nanoTime() {
+        return SYSTEM.now();
+    }
+
+    /** Returns the steady time in nanoseconds. */
+    synchronized long now() {
+        long monotonic = mMonotonic.getAsLong();
+        long offset = mTimeOfDay.getAsLong() - monotonic;
+        long ahead = offset - mOffsetNanos;
+        if (ahead > STEP_NANOS) {
+            mSuspendedNanos += ahead;
+        }
+        mOffsetNanos = offset;
+        return monotonic + mSuspendedNanos;
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
@@ -24,6 +24,7 @@
 import org.crocusturn.core.entryhosts.IngressState;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.DecisionLog;
 import org.crocusturn.daemon.platform.Metrics;
 
@@ -121,7 +122,7 @@
     }
 
     private void receive(IngressEvent.Received received) {
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         mReplies.put(
                 received.request().id(), new Waiting(received.reply(), received.request(), now));
         step(new IngressInput.Requested(received.request()));
@@ -129,11 +130,11 @@
 
     private void step(IngressInput input) {
         Decision<IngressState, IngressAction> decision =
-                mIngress.step(mState, input, System.nanoTime());
+                mIngress.step(mState, input, SteadyClock.nanoTime());
         mState = decision.state();
         decision.actions().forEach(this::perform);
         if (mState.waiting() > 0) {
-            mNextTickNanos = Math.min(mNextTickNanos, System.nanoTime() + BUSY_TICK_NANOS);
+            mNextTickNanos = Math.min(mNextTickNanos, SteadyClock.nanoTime() + BUSY_TICK_NANOS);
         }
     }
 
@@ -149,7 +150,7 @@
         } else if (action instanceof IngressAction.Answer answer) {
             answer(answer);
         } else if (action instanceof IngressAction.Log log) {
-            mLog.write("request " + log.request() + ": " + log.text(), System.nanoTime());
+            mLog.write("request " + log.request() + ": " + log.text(), SteadyClock.nanoTime());
         }
     }
 
@@ -189,7 +190,7 @@
                 outcome instanceof Outcome.Answered
                         && !(waiting.request().operation() instanceof GroupOperation.Begin)
                         && !waiting.request().operation().idempotent();
-        if (acknowledges && !mView.isFresh(System.nanoTime())) {
+        if (acknowledges && !mView.isFresh(SteadyClock.nanoTime())) {
             return new Outcome.Failed(
                     Failure.mayHaveRun("this host lost the control hosts before it answered"));
         }
@@ -197,7 +198,7 @@
     }
 
     private void count(Waiting waiting, Outcome outcome) {
-        double seconds = (System.nanoTime() - waiting.sinceNanos()) / NANOS_PER_SECOND;
+        double seconds = (SteadyClock.nanoTime() - waiting.sinceNanos()) / NANOS_PER_SECOND;
         String workspace =
                 KeyCheck.of(mView.state(), waiting.request().keyHash())
                         .workspace()
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressSink.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressSink.java
@@ -11,6 +11,7 @@
 import org.crocusturn.core.callers.KeyCheck;
 import org.crocusturn.core.controlhosts.ControlView;
 import org.crocusturn.core.entryhosts.CallerRequest;
+import org.crocusturn.core.ring.SteadyClock;
 
 /**
  * Brings parsed requests to the ingress duty; refuses at once what needs no body.
@@ -67,14 +68,14 @@
                         request.session().map(mTokens::decode),
                         request.service(),
                         request.operation().operation(),
-                        System.nanoTime() + mTimeout.toNanos());
+                        SteadyClock.nanoTime() + mTimeout.toNanos());
         return mRing.test(new IngressEvent.Received(decided, reply), MAX_WAITING);
     }
 
     @Override
     public Optional<Failure> refusal(String keyHash) {
         ControlView view = mView.get();
-        if (!view.isFresh(System.nanoTime())) {
+        if (!view.isFresh(SteadyClock.nanoTime())) {
             return Optional.of(
                     Failure.notRun(ErrorCode.UNAVAILABLE, "this host has lost the control hosts"));
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
@@ -18,6 +18,7 @@
 import org.crocusturn.core.controlhosts.LogContent;
 import org.crocusturn.core.controlhosts.Snapshot;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 
 /** Owns the consensus state of this host, runs its decisions and does their actions. */
 public final class ConsensusDuty implements DutyHandler<ConsensusEvent> {
@@ -141,7 +142,7 @@
             while (!mInputs.isEmpty() && !mFailed) {
                 ConsensusState before = mState;
                 Decision<ConsensusState, ConsensusAction> decision =
-                        Consensus.step(before, mInputs.remove(), System.nanoTime());
+                        Consensus.step(before, mInputs.remove(), SteadyClock.nanoTime());
                 mState = decision.state();
                 decision.actions().forEach(this::act);
                 notice(before, mState);
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartDuty.java
@@ -9,6 +9,7 @@
 import org.crocusturn.core.controlhosts.FirstStart;
 import org.crocusturn.core.controlhosts.FirstStartAction;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 
 /** Asks the other control hosts before a first start, and answers theirs at any time. */
 final class FirstStartDuty implements DutyHandler<FirstStartEvent> {
@@ -27,7 +28,7 @@
     private final BooleanSupplier mHoldsLog;
     private final Consumer<FirstStartAction> mOutput;
     private FirstStart mState;
-    private long mNextNanos = System.nanoTime();
+    private long mNextNanos = SteadyClock.nanoTime();
     private int mRounds;
 
     private FirstStartDuty(
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
@@ -11,6 +11,7 @@
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 
 /**
  * Brings operators' changes to the leader, whoever leads.
@@ -67,7 +68,7 @@
                     new Proposal(
                             asked.command(),
                             asked.answer(),
-                            System.nanoTime() + DEADLINE_NANOS,
+                            SteadyClock.nanoTime() + DEADLINE_NANOS,
                             0,
                             0,
                             false));
@@ -100,7 +101,7 @@
     private void attempt(long id) {
         Proposal proposal = mProposals.get(id);
         long number = mNextAttempt++;
-        long until = System.nanoTime() + ATTEMPT_NANOS;
+        long until = SteadyClock.nanoTime() + ATTEMPT_NANOS;
         if (mPorts.leads()) {
             mAttempts.put(number, id);
             mProposals.put(id, proposal.withAttempt(number, until));
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
@@ -32,6 +32,7 @@
 import org.crocusturn.core.entryhosts.ForwardedRequest;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.platform.DecisionLog;
 import org.crocusturn.daemon.platform.Metrics;
@@ -168,7 +169,7 @@
             mRandom.nextBytes(random);
             secret = HexFormat.of().formatHex(random);
         }
-        mArrivedNanos.put(new RequestKey(origin, forwarded.request().id()), System.nanoTime());
+        mArrivedNanos.put(new RequestKey(origin, forwarded.request().id()), SteadyClock.nanoTime());
         step(
                 forwarded.request().group(),
                 new GroupInput.RequestArrived(
@@ -203,7 +204,7 @@
 
     /** Gives tokens to the group of the workspace that wants most; each token goes to one group. */
     private void grant(GrantedTokens tokens) {
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         held().stream()
                 .max(Comparator.comparingLong(group -> wanted(group, tokens.workspace(), now)))
                 .ifPresent(group -> step(group, new GroupInput.TokensGranted(tokens)));
@@ -246,7 +247,7 @@
     private void step(GroupId group, GroupInput input) {
         GroupState state = mGroups.computeIfAbsent(group, GroupState::of);
         Decision<GroupState, GroupAction> decision =
-                mCoordinator.step(state, input, System.nanoTime());
+                mCoordinator.step(state, input, SteadyClock.nanoTime());
         mGroups.put(group, decision.state());
         decision.actions().forEach(action -> perform(group, action));
         boolean urgent =
@@ -281,7 +282,7 @@
     }
 
     private void log(GroupId group, GroupAction.LogRoute route) {
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         Long arrived = mArrivedNanos.remove(new RequestKey(route.origin(), route.request()));
         if (arrived != null) {
             mMetrics.queued((now - arrived) / NANOS_PER_SECOND);
@@ -303,7 +304,7 @@
     }
 
     private void report(boolean urgent) {
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         List<HeldLease> leases =
                 mGroups.values().stream().flatMap(state -> state.held().stream()).toList();
         Map<WorkspaceId, TokenDemand> demands = new TreeMap<>();
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
@@ -15,6 +15,7 @@
 import org.crocusturn.core.endpoints.CopyStatus;
 import org.crocusturn.core.endpoints.EndpointObservation;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpAnswer;
 import org.crocusturn.daemon.net.HttpClientConnection;
@@ -73,7 +74,7 @@
 
     @Override
     public void onEvent(StatusEvent event) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = SteadyClock.nanoTime();
         if (event instanceof StatusEvent.Watch watch) {
             watch(watch, nowNanos);
         } else if (event instanceof StatusEvent.Unwatch unwatch) {
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinks.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinks.java
@@ -14,6 +14,10 @@
 import org.crocusturn.core.callers.Outcome;
 import org.crocusturn.core.entryhosts.ForwardedReply;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+import org.crocusturn.core.entryhosts.SessionReply;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.LinkClient;
 import org.crocusturn.daemon.net.LinkServer;
@@ -90,7 +94,7 @@
      * forwarded before the lease moved still come over it.
      */
     public void keep(Set<String> addresses) {
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         addresses.forEach(this::client);
         addresses.forEach(address -> mLastWanted.put(address, now));
         mClients.keySet().forEach(address -> mLastWanted.putIfAbsent(address, now));
@@ -114,10 +118,20 @@
         return client(address).send(request);
     }
 
+    /** Sends a message to the entry host at an address; false if it was not sent. */
+    public boolean send(String address, PeerMessage message) {
+        return client(address).send(message);
+    }
+
     /** Replies to a request that came from an origin; a closed link drops the reply. */
     public void reply(HostId origin, long request, Outcome outcome) {
+        reply(origin, new ForwardedReply(request, outcome));
+    }
+
+    /** Replies to an origin; a closed link drops the reply. */
+    public void reply(HostId origin, PeerMessage reply) {
         PeerLink link = mOrigins.get(origin);
-        if (link != null && !link.send(new ForwardedReply(request, outcome))) {
+        if (link != null && !link.send(reply)) {
             LOG.warn("entryhosts: the link to {} takes no reply, it is closed", link.peer());
             link.close();
         }
@@ -151,6 +165,10 @@
             HostId origin = mOriginOfLink.get(link);
             if (origin != null && message instanceof ForwardedRequest request) {
                 mListener.requested(origin, request);
+            } else if (origin != null && message instanceof SessionCall call) {
+                mListener.called(origin, call);
+            } else if (origin != null && message instanceof SessionEnd end) {
+                mListener.ended(origin, end);
             }
         }
 
@@ -159,6 +177,7 @@
             HostId origin = mOriginOfLink.remove(link);
             if (origin != null) {
                 mOrigins.remove(origin);
+                mListener.originLost(origin);
             }
         }
     }
@@ -174,6 +193,8 @@
         public void onMessage(PeerLink link, PeerMessage message) {
             if (message instanceof ForwardedReply reply) {
                 mListener.replied(reply.id(), reply.outcome());
+            } else if (message instanceof SessionReply reply) {
+                mListener.answered(reply);
             }
         }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/DecisionLog.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.ring.SteadyClock;
 
 /**
  * Writes a log line for each decision of one part, up to a rate; further lines are counted.
@@ -33,7 +34,8 @@
      * @param prefix fixed prefix of the part, such as {@code endpoints}; empty if lines have theirs
      */
     public static DecisionLog create(Logger logger, String prefix) {
-        return new DecisionLog(Objects.requireNonNull(logger, "logger"), prefix, System.nanoTime());
+        return new DecisionLog(
+                Objects.requireNonNull(logger, "logger"), prefix, SteadyClock.nanoTime());
     }
 
     /** Writes a line, or counts it if too many came within a second. */
