--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionContext.java
@@ -0,0 +1,47 @@
+package org.crocusturn.core.callers;
+
+import java.util.Objects;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Is what a session has set: values and prepared statements. It lasts as long as the session, on
+ * whichever database connection its statements run. Immutable.
+ *
+ * @param values session values by name
+ * @param prepared prepared statements by the caller's name
+ */
+public record SessionContext(PMap<String, String> values, PMap<String, PreparedShape> prepared) {
+    /** Context of a new session. */
+    public static final SessionContext EMPTY =
+            new SessionContext(HashTreePMap.empty(), HashTreePMap.empty());
+
+    /** Checks that no part is null. */
+    public SessionContext {
+        Objects.requireNonNull(values, "values");
+        Objects.requireNonNull(prepared, "prepared");
+    }
+
+    /** Returns the number of values and prepared statements. */
+    public int size() {
+        return values.size() + prepared.size();
+    }
+
+    /** Returns the context after a statement for which {@link StatementKind#isLocal} holds. */
+    public SessionContext with(SessionStatement statement) {
+        return switch (statement.kind()) {
+            case SET_VALUE ->
+                    new SessionContext(
+                            values.plus(statement.name(), statement.argument()), prepared);
+            case PREPARE_READ -> withPrepared(statement, false);
+            case PREPARE_WRITE -> withPrepared(statement, true);
+            case DEALLOCATE -> new SessionContext(values, prepared.minus(statement.name()));
+            default -> this;
+        };
+    }
+
+    private SessionContext withPrepared(SessionStatement statement, boolean write) {
+        PreparedShape shape = new PreparedShape(write, statement.argument());
+        return new SessionContext(values, prepared.plus(statement.name(), shape));
+    }
+}
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
@@ -1,9 +1,14 @@
 package org.crocusturn.core.controlhosts;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.crocusturn.core.Decision;
+import org.crocusturn.core.HostId;
 
 /**
  * Decides what a member of the consensus group does.
@@ -39,6 +44,36 @@
         return Leases.valid(state, nowNanos);
     }
 
+    /**
+     * Returns whether a majority has acknowledged messages that this leader sent after a time: no
+     * other leader can have committed anything before that time that is missing here.
+     */
+    public static boolean confirmedSince(ConsensusState state, long sinceNanos, long nowNanos) {
+        return state.leading()
+                .filter(ConsensusRole.Leader::established)
+                .filter(leader -> Leases.contactNanos(state, leader, nowNanos) - sinceNanos > 0)
+                .isPresent();
+    }
+
+    /** Returns the members that a leader has not heard for a time. */
+    public static Set<HostId> silent(ConsensusState state, long silenceNanos, long nowNanos) {
+        return members(state, p -> nowNanos - p.ackedNanos() >= silenceNanos);
+    }
+
+    /** Returns the learners of a leader that have caught up. */
+    public static Set<HostId> ready(ConsensusState state) {
+        return members(
+                state, p -> p.counted() && p.match() > 0 && p.match() >= state.commitIndex());
+    }
+
+    private static Set<HostId> members(ConsensusState state, Predicate<Progress> test) {
+        return state.leading().stream()
+                .flatMap(leader -> leader.progress().entrySet().stream())
+                .filter(e -> test.test(e.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the time at which the next tick is due, in nanoseconds. */
     public static long nextTickNanos(ConsensusState state) {
         return state.leading()
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlUpdate.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlUpdate.java
@@ -15,6 +15,7 @@
  *     answered report, in milliseconds
  * @param leases group leases that the host holds; a lease missing here is lost
  * @param tokens rate tokens
+ * @param members control hosts in force, so that a host finds those that its settings do not name
  */
 public record ControlUpdate(
         long leader,
@@ -23,12 +24,32 @@
         StateUpdate state,
         long freshnessMillis,
         List<LeaseGrant> leases,
-        List<TokenGrant> tokens)
+        List<TokenGrant> tokens,
+        List<Member> members)
         implements PeerMessage {
     /** Copies the lists. */
     public ControlUpdate {
         Objects.requireNonNull(state, "state");
         leases = List.copyOf(leases);
         tokens = List.copyOf(tokens);
+        members = List.copyOf(members);
+    }
+
+    /** Creates an update that names no control hosts. */
+    public ControlUpdate(
+            long leader,
+            long sequence,
+            long version,
+            StateUpdate state,
+            long freshnessMillis,
+            List<LeaseGrant> leases,
+            List<TokenGrant> tokens) {
+        this(leader, sequence, version, state, freshnessMillis, leases, tokens, List.of());
+    }
+
+    /** Returns a copy that names the control hosts. */
+    public ControlUpdate withMembers(List<Member> hosts) {
+        return new ControlUpdate(
+                leader, sequence, version, state, freshnessMillis, leases, tokens, hosts);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/MembershipPolicy.java
@@ -0,0 +1,100 @@
+package org.crocusturn.core.controlhosts;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusturn.core.HostId;
+
+/**
+ * Decides the next change of the consensus group of a leader.
+ *
+ * <p>Hosts that ask to join become learners. A learner votes if that makes the number of voters
+ * odd, or if it takes the place of a voter that has been silent; that voter is removed once the
+ * learner votes. An even number of voters tolerates no more losses than the odd one below it.
+ */
+public final class MembershipPolicy {
+    /** Silence after which a voter is replaced if a learner is ready; restarts take about 3 s. */
+    public static final long REPLACE_NANOS = Duration.ofSeconds(6).toNanos();
+
+    /** Members that the leader keeps links to; more would only cost heartbeats. */
+    static final int MAX_MEMBERS = 9;
+
+    private MembershipPolicy() {}
+
+    /**
+     * Returns the next change, if one is due.
+     *
+     * @param membership membership in force
+     * @param joining hosts that asked to join within the last seconds, with their link addresses
+     * @param silent members other than the leader that have been silent for {@link #REPLACE_NANOS}
+     * @param ready learners that have caught up
+     */
+    public static Optional<MembershipChange> next(
+            Membership membership,
+            Map<HostId, String> joining,
+            Set<HostId> silent,
+            Set<HostId> ready) {
+        return moved(membership, joining)
+                .or(() -> silentLearner(membership, silent))
+                .or(() -> excessVoter(membership, silent))
+                .or(() -> voter(membership, silent, ready))
+                .or(() -> learner(membership, joining));
+    }
+
+    /** Removes a member that has come back under another address. */
+    private static Optional<MembershipChange> moved(
+            Membership membership, Map<HostId, String> joining) {
+        return membership.members().stream()
+                .filter(m -> joining.containsKey(m.host()))
+                .filter(m -> !m.linkAddress().equals(joining.get(m.host())))
+                .findFirst()
+                .map(m -> new MembershipChange.Remove(m.host()));
+    }
+
+    private static Optional<MembershipChange> silentLearner(
+            Membership membership, Set<HostId> silent) {
+        return membership.members().stream()
+                .filter(m -> !m.voter() && silent.contains(m.host()))
+                .findFirst()
+                .map(m -> new MembershipChange.Remove(m.host()));
+    }
+
+    private static Optional<MembershipChange> excessVoter(
+            Membership membership, Set<HostId> silent) {
+        List<Member> voters = membership.voters();
+        return voters.size() % 2 == 1
+                ? Optional.empty()
+                : voters.stream()
+                        .filter(m -> silent.contains(m.host()))
+                        .findFirst()
+                        .map(m -> new MembershipChange.Remove(m.host()));
+    }
+
+    private static Optional<MembershipChange> voter(
+            Membership membership, Set<HostId> silent, Set<HostId> ready) {
+        List<Member> voters = membership.voters();
+        boolean replaces = voters.stream().anyMatch(m -> silent.contains(m.host()));
+        boolean evens = voters.size() % 2 == 0;
+        long learners = membership.members().stream().filter(m -> !m.voter()).count();
+        // Two learners vote one after the other; the number is even only in between.
+        return replaces || evens || learners >= 2
+                ? membership.members().stream()
+                        .filter(m -> !m.voter() && ready.contains(m.host()))
+                        .min(Comparator.comparing(Member::host))
+                        .map(m -> new MembershipChange.Promote(m.host()))
+                : Optional.empty();
+    }
+
+    private static Optional<MembershipChange> learner(
+            Membership membership, Map<HostId, String> joining) {
+        return membership.members().size() >= MAX_MEMBERS
+                ? Optional.empty()
+                : joining.entrySet().stream()
+                        .filter(e -> membership.member(e.getKey()).isEmpty())
+                        .min(Map.Entry.comparingByKey())
+                        .map(e -> new MembershipChange.AddLearner(e.getKey(), e.getValue()));
+    }
+}
--- a/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
@@ -35,7 +35,11 @@
 
     /** Returns the history with a command that was applied last. */
     public CommandHistory plus(long version, ControlCommand command) {
-        PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, command));
+        ControlCommand kept =
+                command instanceof ControlCommand.ReplaceConfiguration replace
+                        ? replace.withoutDocument()
+                        : command;
+        PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, kept));
         return next.size() <= MAX_COMMANDS
                 ? new CommandHistory(baseVersion, next)
                 : new CommandHistory(next.get(0).version(), next.minus(0));
@@ -47,7 +51,7 @@
             return new StateUpdate.Unchanged();
         }
         if (knownVersion < baseVersion) {
-            return new StateUpdate.Replacement(state);
+            return new StateUpdate.Replacement(state.withoutDocument());
         }
         Deque<VersionedCommand> missing = new ArrayDeque<>();
         for (int i = commands.size() - 1; i >= 0; i--) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -19,6 +19,7 @@
 import org.crocusturn.core.operators.ControlCommand.ApplyConfiguration;
 import org.crocusturn.core.operators.ControlCommand.RegisterEndpoint;
 import org.crocusturn.core.operators.ControlCommand.RemoveEndpoint;
+import org.crocusturn.core.operators.ControlCommand.ReplaceConfiguration;
 import org.crocusturn.core.operators.ControlCommand.SetDataCentreDrained;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
@@ -111,6 +112,10 @@
             finished(turn, finished.result());
         } else if (input instanceof LeaderInput.AnnouncementReceived announcement) {
             announced(turn, announcement.endpoint());
+        } else if (input instanceof LeaderInput.DepartureReceived departure) {
+            if (turn.mState.control().endpoints().containsKey(departure.endpoint())) {
+                turn.propose(new RemoveEndpoint(departure.endpoint()));
+            }
         } else {
             tick(turn);
         }
@@ -183,6 +188,7 @@
 
     private static boolean isWide(ControlCommand command) {
         return command instanceof ApplyConfiguration
+                || command instanceof ReplaceConfiguration
                 || command instanceof SetDataCentreDrained
                 || command instanceof RegisterEndpoint
                 || command instanceof RemoveEndpoint;
@@ -258,11 +264,12 @@
         ControlState control = turn.mState.control();
         boolean known =
                 control.configuration().service(endpoint.service()).isPresent()
-                        && control.configuration().dataCentres().contains(endpoint.dataCentre());
+                        && control.configuration().knowsDataCentre(endpoint.dataCentre());
         if (!known) {
             return;
         }
-        if (!endpoint.equals(control.endpoints().get(endpoint.id()))) {
+        boolean outdated = control.endpoints().values().stream().anyMatch(endpoint::isOutdatedBy);
+        if (!outdated && !endpoint.equals(control.endpoints().get(endpoint.id()))) {
             turn.propose(new RegisterEndpoint(endpoint));
         }
         if (control.endpoints().containsKey(endpoint.id())) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderInput.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderInput.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.entryhosts;
 
 import java.util.Objects;
+import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
@@ -72,6 +73,14 @@
         }
     }
 
+    /** An endpoint told that it is gone. */
+    record DepartureReceived(EndpointId endpoint) implements LeaderInput {
+        /** Checks that the endpoint is not null. */
+        public DepartureReceived {
+            Objects.requireNonNull(endpoint, "endpoint");
+        }
+    }
+
     /** Time passed; fed at least every 50 ms. */
     record Tick() implements LeaderInput {}
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
@@ -19,6 +19,7 @@
 import org.crocusturn.core.endpoints.GroupFailover;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.GroupRecord;
+import org.crocusturn.core.operators.PromotionMode;
 
 /**
  * Collects the effects of one step of {@link ControlLeader}. It lives only within the step; what
@@ -70,7 +71,7 @@
         GroupRecord record = mState.control().groups().get(id);
         Optional<GroupFailover> known = mState.failovers().group(id);
         Optional<GroupLease> lease = mState.leases().lease(id);
-        if (record == null || known.isEmpty() || lease.isEmpty()) {
+        if (record == null || known.isEmpty() || lease.isEmpty() || isPromotedByHolder(id)) {
             return;
         }
         long before = acknowledgeTerm(record);
@@ -87,6 +88,14 @@
         }
     }
 
+    private boolean isPromotedByHolder(GroupId id) {
+        return mState.control()
+                .configuration()
+                .service(id.service())
+                .filter(s -> s.promotion() == PromotionMode.LEASEHOLDER)
+                .isPresent();
+    }
+
     private FailoverView view(GroupRecord record, GroupLease lease) {
         boolean dropped =
                 record.primary().isPresent()
--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
@@ -88,7 +88,7 @@
                         .filter(e -> services.contains(e.getValue().service()))
                         .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
         Set<DataCentreId> drained = new HashSet<>(state.drained());
-        drained.retainAll(Set.copyOf(next.dataCentres()));
+        drained.removeIf(centre -> !next.knowsDataCentre(centre));
         next.dataCentreStates()
                 .forEach(
                         (centre, set) -> {
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationReplacement.java
@@ -0,0 +1,52 @@
+package org.crocusturn.core.operators;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.operators.ControlCommand.ReplaceConfiguration;
+
+/** Decides whether a configuration may replace the one in force, where the highest version wins. */
+final class ConfigurationReplacement {
+    private ConfigurationReplacement() {}
+
+    /** Refuses what is not valid, and other content under the version in force. */
+    static Optional<Failure> refusal(ControlState state, ReplaceConfiguration command) {
+        Configuration next = command.configuration();
+        List<ConfigurationFault> faults = ConfigurationValidator.validate(next);
+        if (!faults.isEmpty()) {
+            return Optional.of(
+                    Failure.notRun(
+                            ErrorCode.MALFORMED_REQUEST,
+                            faults.stream()
+                                    .map(ConfigurationFault::toString)
+                                    .collect(Collectors.joining("; "))));
+        }
+        boolean other =
+                next.version() == state.configuration().version()
+                        && !command.changeId().equals(state.configurationChange());
+        return other
+                ? Optional.of(
+                        Failure.notRun(
+                                ErrorCode.CONFLICT,
+                                "configuration version "
+                                        + next.version()
+                                        + " is in force with other content"))
+                : Optional.empty();
+    }
+
+    /** Changes nothing if a higher version is in force: the order is acknowledged all the same. */
+    static ControlState accept(ControlState state, ReplaceConfiguration command) {
+        Configuration next = command.configuration();
+        if (next.version() <= state.configuration().version()) {
+            return state;
+        }
+        Map<String, KeyRecord> keys =
+                next.keys().stream()
+                        .collect(Collectors.toMap(KeyRecord::hash, Function.identity()));
+        return ConfigurationChange.accept(state, next, command.changeId()).withKeys(keys, Map.of());
+    }
+}
--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
@@ -46,6 +46,7 @@
         for (int i = 0; i < configuration.services().size(); i++) {
             validator.checkService("services[" + i + "]", configuration.services().get(i));
         }
+        validator.checkRoutes();
         return List.copyOf(validator.mFaults);
     }
 
@@ -150,6 +151,21 @@
         checkRange(path + ".connections", service.connections(), 2, MAX_CONNECTIONS);
     }
 
+    private void checkRoutes() {
+        checkUnique(
+                "routes",
+                ".database",
+                mConfiguration.routes().stream().map(Route::database).toList());
+        for (int i = 0; i < mConfiguration.routes().size(); i++) {
+            Route route = mConfiguration.routes().get(i);
+            check(
+                    mServices.containsKey(route.service()),
+                    "routes[" + i + "].service",
+                    route.service(),
+                    "the name of a declared service" + oneOf(mServices.keySet()));
+        }
+    }
+
     private void checkName(String path, String service, String database) {
         try {
             GroupId.of(service, database);
--- a/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
@@ -23,6 +23,24 @@
         }
     }
 
+    /**
+     * Puts a configuration in force unless one of a higher version is; an equal version with other
+     * content is refused. Keys that it does not hold are withdrawn.
+     */
+    record ReplaceConfiguration(String changeId, Configuration configuration)
+            implements OperatorCommand {
+        /** Checks that no part is null. */
+        public ReplaceConfiguration {
+            Objects.requireNonNull(changeId, "changeId");
+            Objects.requireNonNull(configuration, "configuration");
+        }
+
+        /** Returns a copy without the operator's text. */
+        public ReplaceConfiguration withoutDocument() {
+            return new ReplaceConfiguration(changeId, configuration.withoutDocument());
+        }
+    }
+
     /** Adds a key. */
     record IssueKey(String changeId, KeyRecord key) implements OperatorCommand {
         /** Checks that no part is null. */
--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -83,6 +83,11 @@
                 Map.of());
     }
 
+    /** Returns a copy without the text of the configuration, for hosts that never show it. */
+    public ControlState withoutDocument() {
+        return withConfiguration(configuration.withoutDocument(), configurationChange);
+    }
+
     /** Returns the group that holds a workspace's data of a service, if it is placed. */
     public Optional<GroupId> groupOf(WorkspaceId workspace, String service) {
         return Optional.ofNullable(placements.get(new PlacementKey(workspace, service)))
--- a/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
@@ -23,6 +23,7 @@
 import org.crocusturn.core.operators.ControlCommand.RegisterEndpoint;
 import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
 import org.crocusturn.core.operators.ControlCommand.RemoveEndpoint;
+import org.crocusturn.core.operators.ControlCommand.ReplaceConfiguration;
 import org.crocusturn.core.operators.ControlCommand.SetDataCentreDrained;
 import org.crocusturn.core.operators.ControlCommand.WithdrawKey;
 
@@ -96,6 +97,9 @@
         if (command instanceof ApplyConfiguration apply) {
             return ConfigurationChange.refusal(state, apply.configuration());
         }
+        if (command instanceof ReplaceConfiguration replace) {
+            return ConfigurationReplacement.refusal(state, replace);
+        }
         if (command instanceof IssueKey issue) {
             return refuseIssue(state, issue.key());
         }
@@ -108,7 +112,7 @@
         }
         if (command instanceof SetDataCentreDrained drain) {
             return refuseUnless(
-                    state.configuration().dataCentres().contains(drain.dataCentre()),
+                    state.configuration().knowsDataCentre(drain.dataCentre()),
                     ErrorCode.NOT_FOUND,
                     "data centre \"" + drain.dataCentre() + "\" is not declared");
         }
@@ -134,6 +138,9 @@
         if (command instanceof ApplyConfiguration apply) {
             return ConfigurationChange.accept(state, apply.configuration(), apply.changeId());
         }
+        if (command instanceof ReplaceConfiguration replace) {
+            return ConfigurationReplacement.accept(state, replace);
+        }
         if (command instanceof IssueKey issue) {
             Map<String, KeyRecord> keys = new HashMap<>(state.keys());
             keys.put(issue.key().hash(), issue.key());
@@ -173,9 +180,7 @@
 
     private static ControlState applyInternal(ControlState state, ControlCommand command) {
         if (command instanceof RegisterEndpoint register) {
-            Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
-            endpoints.put(register.endpoint().id(), register.endpoint());
-            return state.withEndpoints(endpoints);
+            return register(state, register.endpoint());
         }
         if (command instanceof RemoveEndpoint remove) {
             return remove(state, remove.endpoint());
@@ -215,6 +220,24 @@
         throw new IllegalArgumentException("command " + command + " is not known");
     }
 
+    // An earlier incarnation at the same address is gone; a late announcement of it changes
+    // nothing. Within an incarnation leaving is final, because announcements may arrive late.
+    private static ControlState register(ControlState state, EndpointRecord endpoint) {
+        if (state.endpoints().values().stream().anyMatch(endpoint::isOutdatedBy)) {
+            return state;
+        }
+        EndpointRecord known = state.endpoints().get(endpoint.id());
+        boolean left =
+                known != null
+                        && endpoint.incarnation() > 0
+                        && known.incarnation() == endpoint.incarnation()
+                        && known.leaving();
+        Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
+        endpoints.values().removeIf(endpoint::replaces);
+        endpoints.put(endpoint.id(), left ? endpoint.withLeaving(true) : endpoint);
+        return state.withEndpoints(endpoints);
+    }
+
     // A primary stays known until a failover replaced it: entry hosts need its address.
     private static ControlState remove(ControlState state, EndpointId endpoint) {
         boolean primary =
--- a/core/src/main/java/org/crocusturn/core/operators/Service.java
+++ b/core/src/main/java/org/crocusturn/core/operators/Service.java
@@ -13,6 +13,7 @@
  * @param connections connections that one database accepts, across the fleet
  * @param acknowledge when a write is acknowledged
  * @param replicaReadsWithoutToken whether a read without a session token may go to a replica
+ * @param promotion who moves the primary
  */
 public record Service(
         String name,
@@ -21,11 +22,36 @@
         int slots,
         int connections,
         AcknowledgeMode acknowledge,
-        boolean replicaReadsWithoutToken) {
+        boolean replicaReadsWithoutToken,
+        PromotionMode promotion) {
+    /** Name of the only database of a service whose copies are replicated as a whole. */
+    public static final String WHOLE = "all";
+
     /** Copies the databases. */
     public Service {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(acknowledge, "acknowledge");
+        Objects.requireNonNull(promotion, "promotion");
         databases = List.copyOf(databases);
     }
+
+    /** Creates a service whose primaries the control leader moves. */
+    public Service(
+            String name,
+            List<String> databases,
+            int instances,
+            int slots,
+            int connections,
+            AcknowledgeMode acknowledge,
+            boolean replicaReadsWithoutToken) {
+        this(
+                name,
+                databases,
+                instances,
+                slots,
+                connections,
+                acknowledge,
+                replicaReadsWithoutToken,
+                PromotionMode.CONTROL_LEADER);
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -53,7 +53,7 @@
                                 settings.platform().balancerDelay(),
                                 settings.platform().drainLimit(),
                                 this::phaseChanged));
-        mMember = ControlMember.start(settings, mThreads, mMetrics, this::failed);
+        mMember = ControlMember.start(settings.member(), mThreads, mMetrics, this::failed);
         mOperatorDuty =
                 start("operators", OperatorDuty.create(mMember, event -> offerToOperators(event)));
         mOperators =
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -32,6 +32,7 @@
 import org.crocusturn.core.operators.GroupRecord;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.callers.CallerFrontEnd;
 import org.crocusturn.daemon.callers.IngressDuty;
 import org.crocusturn.daemon.callers.IngressEvent;
@@ -150,7 +151,7 @@
 
     /** Returns whether the host knows the state of the system and takes work. */
     public boolean isReady() {
-        return mStateKnown.get() && mView.get().isFresh(System.nanoTime());
+        return mStateKnown.get() && mView.get().isFresh(SteadyClock.nanoTime());
     }
 
     /** Returns the latest control view. */
@@ -237,11 +238,10 @@
                         new SecureRandom().nextLong(),
                         mSettings.dataCentre(),
                         Addresses.format(mLinks.address()));
-        List<HostId> hosts = mSettings.controlHosts().stream().map(PeerAddress::host).toList();
         return start(
                 "control-link",
                 SMALL_RING,
-                ControlLinkDuty.create(self, hosts, empty, this::send, this::viewChanged));
+                ControlLinkDuty.create(self, empty, this::send, this::viewChanged, members -> {}));
     }
 
     private <E> Duty<E> start(
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -1,6 +1,5 @@
 package org.crocusturn.daemon.controlhosts;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -17,9 +16,11 @@
 import org.crocusturn.core.controlhosts.EntryHost;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 
 /** Reports to the control leader and keeps this host's control view up to date. */
 public final class ControlLinkDuty implements DutyHandler<ControlLinkEvent> {
@@ -38,9 +39,9 @@
     private static final long SEARCH_NANOS = 50_000_000;
 
     private final EntryHost mSelf;
-    private final List<HostId> mControlHosts;
     private final BiPredicate<HostId, EntryReport> mSender;
     private final Consumer<ControlView> mOnView;
+    private final Consumer<List<Member>> mOnMembers;
     private final Set<HostId> mOpen = new HashSet<>();
     private final Set<EndpointId> mSuspects = new HashSet<>();
     private ControlView mView;
@@ -55,40 +56,40 @@
 
     private ControlLinkDuty(
             EntryHost self,
-            List<HostId> controlHosts,
             ControlView view,
             BiPredicate<HostId, EntryReport> sender,
-            Consumer<ControlView> onView) {
+            Consumer<ControlView> onView,
+            Consumer<List<Member>> onMembers) {
+        mOnMembers = onMembers;
         mSelf = self;
-        mControlHosts = List.copyOf(controlHosts);
         mView = view;
         mSender = sender;
         mOnView = onView;
-        mLastReportNanos = System.nanoTime() - REPORT_NANOS;
-        mLastUpdateNanos = System.nanoTime();
+        mLastReportNanos = SteadyClock.nanoTime() - REPORT_NANOS;
+        mLastUpdateNanos = SteadyClock.nanoTime();
     }
 
     /**
      * Creates the handler.
      *
      * @param self this host
-     * @param controlHosts control hosts, in the order in which they are tried
      * @param view view of a host that knows nothing yet
      * @param sender sends a report over the link to a control host; false if it was not sent
      * @param onView told each new view
+     * @param onMembers told the control hosts in force now and then
      */
     public static ControlLinkDuty create(
             EntryHost self,
-            List<HostId> controlHosts,
             ControlView view,
             BiPredicate<HostId, EntryReport> sender,
-            Consumer<ControlView> onView) {
+            Consumer<ControlView> onView,
+            Consumer<List<Member>> onMembers) {
         return new ControlLinkDuty(
                 Objects.requireNonNull(self, "self"),
-                controlHosts,
                 Objects.requireNonNull(view, "view"),
                 Objects.requireNonNull(sender, "sender"),
-                Objects.requireNonNull(onView, "onView"));
+                Objects.requireNonNull(onView, "onView"),
+                Objects.requireNonNull(onMembers, "onMembers"));
     }
 
     @Override
@@ -143,15 +144,14 @@
         EntryReport report =
                 mView.nextReport(mSelf, mLeases, mDemands, Set.copyOf(mSuspects), mLeaving);
         // The sending time is noted before the report leaves, so that leases can only be shorter.
-        mView = mView.withReportSent(report.sequence(), System.nanoTime());
+        mView = mView.withReportSent(report.sequence(), SteadyClock.nanoTime());
         if (mSender.test(target.get(), report) && mLeader.isPresent()) {
             mSuspects.clear();
         }
     }
 
     private Optional<HostId> nextTry() {
-        List<HostId> open = new ArrayList<>(mControlHosts);
-        open.retainAll(mOpen);
+        List<HostId> open = mOpen.stream().sorted().toList();
         if (open.isEmpty()) {
             return Optional.empty();
         }
@@ -166,14 +166,14 @@
             forgetLeader(received.host(), "it does not lead");
             if (mLeader.isEmpty() && notLeader.leader().filter(mOpen::contains).isPresent()) {
                 mLeader = notLeader.leader();
-                mLastUpdateNanos = System.nanoTime();
+                mLastUpdateNanos = SteadyClock.nanoTime();
                 mUrgent = true;
             }
         }
     }
 
     private void update(HostId host, ControlUpdate update) {
-        ControlView next = mView.withUpdate(update, System.nanoTime());
+        ControlView next = mView.withUpdate(update, SteadyClock.nanoTime());
         if (next == mView) {
             return;
         }
@@ -181,8 +181,11 @@
             LOG.info("controlhosts: {} leads in term {}", host, update.leader());
         }
         mLeader = Optional.of(host);
-        mLastUpdateNanos = System.nanoTime();
+        mLastUpdateNanos = SteadyClock.nanoTime();
         mView = next;
+        if (!update.members().isEmpty()) {
+            mOnMembers.accept(update.members());
+        }
         mOnView.accept(next);
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
@@ -9,10 +9,12 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.EndpointNotice;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.FirstStartAnswer;
 import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.ProposalReply;
@@ -61,6 +63,12 @@
         /** Takes the report of an entry host. */
         void report(HostId from, EntryReport report);
 
+        /** Takes the wish of a host to be a member. */
+        void join(JoinRequest request);
+
+        /** Takes what another control host heard of an endpoint. */
+        void notice(EndpointNotice notice);
+
         /** Takes a change that another control host forwards. */
         void proposal(HostId from, ForwardedProposal proposal);
 
@@ -112,6 +120,11 @@
         return client != null && client.send(message);
     }
 
+    /** Sends a message to all members whose links are open. */
+    void sendToAllMembers(PeerMessage message) {
+        mMembers.values().forEach(client -> client.send(message));
+    }
+
     /** Sends a message over the link that a host opened; false if it was not sent. */
     boolean sendToIncoming(HostId host, PeerMessage message) {
         PeerLink link = mIncoming.get(host);
@@ -145,6 +158,10 @@
             mListener.firstStart(new FirstStartEvent.Answered(from, answer));
         } else if (message instanceof EntryReport report) {
             mListener.report(from, report);
+        } else if (message instanceof JoinRequest request) {
+            mListener.join(request);
+        } else if (message instanceof EndpointNotice notice) {
+            mListener.notice(notice);
         } else if (message instanceof ForwardedProposal proposal) {
             mListener.proposal(from, proposal);
         } else if (message instanceof ProposalReply reply) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -15,11 +15,13 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.EndpointNotice;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.FirstStart;
 import org.crocusturn.core.controlhosts.FirstStartAction;
 import org.crocusturn.core.controlhosts.FirstStartIds;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.MembershipChange;
@@ -39,7 +41,7 @@
 import org.crocusturn.daemon.operators.ControlAccess;
 import org.crocusturn.daemon.operators.ControlStatus;
 import org.crocusturn.daemon.platform.Metrics;
-import org.crocusturn.daemon.settings.ControlSettings;
+import org.crocusturn.daemon.settings.MemberSettings;
 
 /**
  * Is this host's part in the consensus group, with the duties that follow from it.
@@ -71,7 +73,7 @@
     private volatile ControlNode mNode;
 
     private ControlMember(
-            ControlSettings settings,
+            MemberSettings settings,
             NetThreads threads,
             Metrics metrics,
             Consumer<RuntimeException> onFailure) {
@@ -81,7 +83,14 @@
         mOnFailure = onFailure;
         mConnections =
                 LeaderConnections.create(
-                        threads, this::node, this::sendToEntryHost, this::offerToLeader);
+                        threads,
+                        this::node,
+                        this::sendToEntryHost,
+                        this::offerToLeader,
+                        settings.automaticMembers()
+                                ? new AutomaticMembership(
+                                        mSelf, settings.link(), this::sendToAllMembers)
+                                : new OperatedMembership());
         mLeaderDuty =
                 Duty.start(
                         mSelf + "-leader",
@@ -102,7 +111,10 @@
                         SharedSecret.of(settings.linkSecret().bytes()),
                         new FromLinks());
         mLinks.keep(mMembers);
-        boolean asks = settings.bootstrap() && !ControlNode.stored(mFolder, CODEC);
+        boolean asks =
+                settings.bootstrap()
+                        && settings.isFirstMember()
+                        && !ControlNode.stored(mFolder, CODEC);
         if (!asks) {
             startNode(Optional.empty());
         }
@@ -118,7 +130,7 @@
      * @param onFailure told if the member cannot go on
      */
     public static ControlMember start(
-            ControlSettings settings,
+            MemberSettings settings,
             NetThreads threads,
             Metrics metrics,
             Consumer<RuntimeException> onFailure) {
@@ -149,6 +161,30 @@
         offerToLeader(new LeaderEvent.Announced(endpoint));
     }
 
+    /** Brings what an endpoint said of itself to the leader; false if no leader is known. */
+    public boolean notice(EndpointNotice notice) {
+        if (leads()) {
+            offerToLeader(event(notice));
+            return true;
+        }
+        return leaderHint().filter(leader -> sendToMember(leader, notice)).isPresent();
+    }
+
+    /** Returns the host that leads as far as this one knows. */
+    public Optional<HostId> leaderHint() {
+        return node().flatMap(ControlNode::leaderHint);
+    }
+
+    /**
+     * Returns whether this host leads and a majority has answered messages that it sent after a
+     * time, so that the state it has applied holds all that was committed before that time.
+     *
+     * @param sinceNanos steady time
+     */
+    public boolean confirmedSince(long sinceNanos) {
+        return node().filter(node -> node.confirmedSince(sinceNanos)).isPresent();
+    }
+
     /** Hands leadership over because this host stops. */
     public void handOver() {
         node().ifPresent(ControlNode::transferLeadership);
@@ -259,11 +295,21 @@
         return mLinks.sendToMember(host, message);
     }
 
+    private void sendToAllMembers(PeerMessage message) {
+        mLinks.sendToAllMembers(message);
+    }
+
+    private static LeaderEvent event(EndpointNotice notice) {
+        return notice.gone()
+                ? new LeaderEvent.Departed(notice.endpoint().id())
+                : new LeaderEvent.Announced(notice.endpoint());
+    }
+
     private Optional<ControlNode> node() {
         return Optional.ofNullable(mNode);
     }
 
-    private static Membership firstMembers(ControlSettings settings) {
+    private static Membership firstMembers(MemberSettings settings) {
         return new Membership(
                 settings.members().stream()
                         .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
@@ -395,6 +441,24 @@
             offerToLeader(new LeaderEvent.Reported(from, report));
         }
 
+        @Override
+        public void join(JoinRequest request) {
+            if (leads()) {
+                offerToLeader(new LeaderEvent.JoinAsked(request));
+            } else {
+                leaderHint()
+                        .filter(leader -> !leader.equals(request.host()))
+                        .ifPresent(leader -> sendToMember(leader, request));
+            }
+        }
+
+        @Override
+        public void notice(EndpointNotice notice) {
+            if (leads()) {
+                offerToLeader(event(notice));
+            }
+        }
+
         @Override
         public void proposal(HostId from, ForwardedProposal proposal) {
             if (proposal.command() instanceof OperatorCommand command && mNode != null) {
@@ -441,7 +505,7 @@
 
         @Override
         public Optional<HostId> leaderHint() {
-            return node().flatMap(ControlNode::leaderHint);
+            return ControlMember.this.leaderHint();
         }
 
         @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -23,6 +23,7 @@
 import org.crocusturn.core.controlhosts.MembershipChange;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.SteadyClock;
 
 /**
  * Runs one member of the consensus group: the consensus duty and the storage duty.
@@ -118,7 +119,7 @@
     private static ConsensusState firstState(
             Optional<StoredLog> stored, HostId self, Optional<Membership> first) {
         long seed = new SecureRandom().nextLong();
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         if (stored.isPresent()) {
             StoredLog log = stored.get();
             LOG.info(
@@ -141,7 +142,13 @@
     /** Returns whether this host leads and no other host can lead now. */
     public boolean leaderLeaseValid() {
         return !mHandler.failed()
-                && Consensus.leaderLeaseValid(mHandler.state(), System.nanoTime());
+                && Consensus.leaderLeaseValid(mHandler.state(), SteadyClock.nanoTime());
+    }
+
+    /** Returns whether a majority has answered messages that this leader sent after a time. */
+    public boolean confirmedSince(long sinceNanos) {
+        return !mHandler.failed()
+                && Consensus.confirmedSince(mHandler.state(), sinceNanos, SteadyClock.nanoTime());
     }
 
     /** Returns the latest consensus state, for status pages and tests. */
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FileLogStorage.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FileLogStorage.java
@@ -152,10 +152,11 @@
                     mLog,
                     content.totalBytes(),
                     content.validBytes());
-            try (FileChannel channel = FileChannel.open(mLog, StandardOpenOption.WRITE)) {
-                channel.truncate(content.validBytes());
-                channel.force(true);
-            }
+        }
+        // A killed process may have written entries without syncing them; from now on they count.
+        try (FileChannel channel = FileChannel.open(mLog, StandardOpenOption.WRITE)) {
+            channel.truncate(content.validBytes());
+            channel.force(true);
         }
         return content.payloads();
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
@@ -1,6 +1,8 @@
 package org.crocusturn.daemon.controlhosts;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -8,7 +10,7 @@
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
-import org.crocusturn.core.controlhosts.MembershipChange;
+import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.daemon.endpoints.EndpointCommander;
@@ -26,13 +28,16 @@
     private final Consumer<LeaderEvent> mLeader;
     private final EndpointCommander mCommander;
     private final StatusMonitor mMonitor;
+    private final MembershipKeeper mKeeper;
 
     private LeaderConnections(
             NetThreads threads,
             Supplier<Optional<ControlNode>> node,
             BiConsumer<HostId, PeerMessage> sender,
-            Consumer<LeaderEvent> leader) {
+            Consumer<LeaderEvent> leader,
+            MembershipKeeper keeper) {
         mNode = node;
+        mKeeper = keeper;
         mSender = sender;
         mLeader = leader;
         mCommander = EndpointCommander.create(threads, ORDER_TIMEOUT);
@@ -47,13 +52,15 @@
      * @param node gives the member of the consensus group once it has started
      * @param sender sends a message to an entry host
      * @param leader takes what endpoints answer
+     * @param keeper keeps the consensus group complete
      */
     static LeaderConnections create(
             NetThreads threads,
             Supplier<Optional<ControlNode>> node,
             BiConsumer<HostId, PeerMessage> sender,
-            Consumer<LeaderEvent> leader) {
-        return new LeaderConnections(threads, node, sender, leader);
+            Consumer<LeaderEvent> leader,
+            MembershipKeeper keeper) {
+        return new LeaderConnections(threads, node, sender, leader, keeper);
     }
 
     @Override
@@ -94,15 +101,18 @@
     }
 
     @Override
-    public void promoteLearners() {
-        mNode.get().ifPresent(LeaderConnections::promoteLearners);
+    public List<Member> members() {
+        return mNode.get().map(n -> n.state().membership().members()).orElse(List.of());
     }
 
-    private static void promoteLearners(ControlNode node) {
-        node.state().membership().members().stream()
-                .filter(member -> !member.voter())
-                .map(member -> new MembershipChange.Promote(member.host()))
-                .forEach(node::changeMembership);
+    @Override
+    public void keepMembership(Map<HostId, String> joining, long nowNanos) {
+        mNode.get().ifPresent(node -> mKeeper.keep(node, joining, nowNanos));
+    }
+
+    @Override
+    public void join(long nowNanos) {
+        mNode.get().ifPresent(node -> mKeeper.join(node, nowNanos));
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/OperatedMembership.java
@@ -0,0 +1,21 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.util.Map;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.MembershipChange;
+
+/** Leaves additions and removals to operators; lets learners vote once they have caught up. */
+final class OperatedMembership implements MembershipKeeper {
+    @Override
+    public void keep(ControlNode node, Map<HostId, String> joining, long nowNanos) {
+        node.state().membership().members().stream()
+                .filter(member -> !member.voter())
+                .map(member -> new MembershipChange.Promote(member.host()))
+                .forEach(node::changeMembership);
+    }
+
+    @Override
+    public void join(ControlNode node, long nowNanos) {
+        // An operator adds a host with the command line.
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinksListener.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/EntryLinksListener.java
@@ -3,6 +3,9 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.callers.Outcome;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+import org.crocusturn.core.entryhosts.SessionReply;
 
 /** Takes the events of links between entry hosts; called from I/O threads. */
 public interface EntryLinksListener {
@@ -14,4 +17,16 @@
 
     /** Takes the loss of the link to a host. */
     void lost(HostId host);
+
+    /** Takes a statement of a session; the origin names the link that it came over. */
+    default void called(HostId origin, SessionCall call) {}
+
+    /** Takes the end of a session's transaction. */
+    default void ended(HostId origin, SessionEnd end) {}
+
+    /** Takes the answer to a statement that this host sent. */
+    default void answered(SessionReply reply) {}
+
+    /** Takes the loss of the link that an origin names. */
+    default void originLost(HostId origin) {}
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.endpoints.EndpointCommand;
@@ -22,6 +23,7 @@
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.DecisionLog;
 import org.crocusturn.daemon.platform.Metrics;
 
@@ -34,8 +36,14 @@
 public final class LeaderDuty implements DutyHandler<LeaderEvent> {
     private static final long TICK_NANOS = 20_000_000;
 
-    /** Time between two attempts to let learners vote, in nanoseconds. */
-    private static final long PROMOTION_NANOS = 500_000_000;
+    /** Time between two looks at the consensus group, in nanoseconds. */
+    private static final long MEMBERSHIP_NANOS = 500_000_000;
+
+    /** Time for which a wish to join counts; hosts repeat it every 500 ms. */
+    private static final long JOINING_NANOS = 2_000_000_000L;
+
+    /** Reports between two that are answered with the members of the consensus group. */
+    private static final long MEMBERS_EVERY = 8;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -43,18 +51,22 @@
     private final DecisionLog mLog = DecisionLog.create(LogManager.getLogger(LeaderDuty.class), "");
     private final Map<EndpointId, String> mWatched = new HashMap<>();
     private final Map<org.crocusturn.core.GroupId, Long> mFailovers = new HashMap<>();
+    private final Map<HostId, Joining> mJoining = new HashMap<>();
     private final LeaderPorts mPorts;
     private final Metrics mMetrics;
     private LeaderState mState = LeaderState.idle();
     private boolean mGained;
     private long mNextTickNanos;
-    private long mNextPromotionNanos;
+    private long mNextMembershipNanos;
 
     private LeaderDuty(LeaderPorts ports, Metrics metrics) {
         mPorts = ports;
         mMetrics = metrics;
     }
 
+    /** Is a host that asked to be a member. */
+    private record Joining(String linkAddress, long askedNanos) {}
+
     /** Creates the handler. */
     public static LeaderDuty create(LeaderPorts ports, Metrics metrics) {
         return new LeaderDuty(
@@ -84,6 +96,12 @@
             stepIfLeading(new LeaderInput.CommandFinished(ordered.result()));
         } else if (event instanceof LeaderEvent.Announced announced) {
             stepIfLeading(new LeaderInput.AnnouncementReceived(announced.endpoint()));
+        } else if (event instanceof LeaderEvent.Departed departed) {
+            stepIfLeading(new LeaderInput.DepartureReceived(departed.endpoint()));
+        } else if (event instanceof LeaderEvent.JoinAsked asked) {
+            mJoining.put(
+                    asked.request().host(),
+                    new Joining(asked.request().linkAddress(), SteadyClock.nanoTime()));
         } else if (event instanceof LeaderEvent.HostsAsked asked) {
             asked.reply().complete(leads() ? liveHosts() : Set.of());
         }
@@ -94,21 +112,29 @@
         if (mNextTickNanos - nowNanos <= 0) {
             mMetrics.leads(leads());
             stepIfLeading(new LeaderInput.Tick());
-            promoteLearners(nowNanos);
+            keepMembership(nowNanos);
             mNextTickNanos = nowNanos + TICK_NANOS;
         }
         return mNextTickNanos;
     }
 
-    private void promoteLearners(long nowNanos) {
-        if (leads() && mNextPromotionNanos - nowNanos <= 0) {
-            mPorts.promoteLearners();
-            mNextPromotionNanos = nowNanos + PROMOTION_NANOS;
+    private void keepMembership(long nowNanos) {
+        if (mNextMembershipNanos - nowNanos > 0) {
+            return;
+        }
+        mNextMembershipNanos = nowNanos + MEMBERSHIP_NANOS;
+        mJoining.values().removeIf(j -> nowNanos - j.askedNanos() > JOINING_NANOS);
+        if (leads()) {
+            Map<HostId, String> joining = new HashMap<>();
+            mJoining.forEach((host, j) -> joining.put(host, j.linkAddress()));
+            mPorts.keepMembership(joining, nowNanos);
+        } else {
+            mPorts.join(nowNanos);
         }
     }
 
     private Set<HostId> liveHosts() {
-        return mState.registry().live(System.nanoTime()).stream()
+        return mState.registry().live(SteadyClock.nanoTime()).stream()
                 .map(host -> host.id())
                 .collect(Collectors.toSet());
     }
@@ -124,7 +150,7 @@
         }
         step(new LeaderInput.CommandApplied(applied.version(), applied.command(), applied.state()));
         watch(applied.state());
-        long now = System.nanoTime();
+        long now = SteadyClock.nanoTime();
         if (applied.command() instanceof ControlCommand.BeginFailover begin) {
             mFailovers.put(begin.group(), now);
         } else if (applied.command() instanceof ControlCommand.CompletePromotion complete) {
@@ -153,7 +179,7 @@
 
     private void step(LeaderInput input) {
         Decision<LeaderState, LeaderAction> decision =
-                mLeader.step(mState, input, System.nanoTime());
+                mLeader.step(mState, input, SteadyClock.nanoTime());
         mState = decision.state();
         decision.actions().forEach(this::perform);
     }
@@ -163,12 +189,14 @@
             mPorts.propose(propose.command());
         } else if (action instanceof LeaderAction.SendUpdate send) {
             if (mPorts.leads()) {
-                mPorts.send(send.host(), send.update());
+                ControlUpdate update = send.update();
+                boolean named = update.sequence() % MEMBERS_EVERY == 1;
+                mPorts.send(send.host(), named ? update.withMembers(mPorts.members()) : update);
             }
         } else if (action instanceof LeaderAction.Order order) {
             order(order.command());
         } else if (action instanceof LeaderAction.Log log) {
-            mLog.write(log.text(), System.nanoTime());
+            mLog.write(log.text(), SteadyClock.nanoTime());
         }
     }
 
@@ -192,7 +220,7 @@
 
     private void watch(EndpointRecord endpoint) {
         String known = mWatched.get(endpoint.id());
-        if (endpoint.statusAddress().equals(known)) {
+        if (endpoint.statusAddress().isEmpty() || endpoint.statusAddress().equals(known)) {
             return;
         }
         if (known != null) {
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
@@ -3,8 +3,10 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
 import org.crocusturn.core.endpoints.EndpointObservation;
 import org.crocusturn.core.operators.ControlCommand;
@@ -75,6 +77,22 @@
         }
     }
 
+    /** An endpoint told that it is gone. */
+    record Departed(EndpointId endpoint) implements LeaderEvent {
+        /** Checks that the endpoint is not null. */
+        public Departed {
+            Objects.requireNonNull(endpoint, "endpoint");
+        }
+    }
+
+    /** A host asks to be a member of the consensus group. */
+    record JoinAsked(JoinRequest request) implements LeaderEvent {
+        /** Checks that the request is not null. */
+        public JoinAsked {
+            Objects.requireNonNull(request, "request");
+        }
+    }
+
     /** Someone asks which entry hosts are alive. */
     record HostsAsked(CompletableFuture<Set<HostId>> reply) implements LeaderEvent {
         /** Checks that the reply is not null. */
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderPorts.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderPorts.java
@@ -1,9 +1,12 @@
 package org.crocusturn.daemon.entryhosts;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ControlCommand;
 
@@ -30,6 +33,16 @@
     /** Ends the watching of an endpoint. */
     void unwatch(EndpointId endpoint);
 
-    /** Lets learners that have caught up vote; a refused promotion is tried again later. */
-    void promoteLearners();
+    /** Returns the control hosts in force. */
+    List<Member> members();
+
+    /**
+     * Changes the consensus group if a change is due; a refused change is tried again later.
+     *
+     * @param joining hosts that asked to join lately, with their link addresses
+     */
+    void keepMembership(Map<HostId, String> joining, long nowNanos);
+
+    /** Asks the leader to join if this host is left out of the consensus group. */
+    void join(long nowNanos);
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.platform.Lifecycle;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.net.HttpAnswer;
 import org.crocusturn.daemon.net.HttpExchange;
 import org.crocusturn.daemon.net.Json;
@@ -22,9 +23,12 @@
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
 
-    /** Time between two looks at the lifecycle, in nanoseconds. */
+    /** Time between two looks at the lifecycle while the process stops, in nanoseconds. */
     private static final long TICK_NANOS = 20_000_000;
 
+    /** Time between two looks while nothing but an event can change the phase, in nanoseconds. */
+    private static final long CALM_NANOS = 1_000_000_000;
+
     private final Duration mBalancerDelay;
     private final Duration mDrainLimit;
     private final Consumer<Phase> mOnPhase;
@@ -49,12 +53,12 @@
     public static LifecycleDuty create(
             Duration balancerDelay, Duration drainLimit, Consumer<Phase> onPhase) {
         Objects.requireNonNull(onPhase, "onPhase");
-        return new LifecycleDuty(balancerDelay, drainLimit, onPhase, System.nanoTime());
+        return new LifecycleDuty(balancerDelay, drainLimit, onPhase, SteadyClock.nanoTime());
     }
 
     @Override
     public void onEvent(LifecycleEvent event) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = SteadyClock.nanoTime();
         if (event instanceof LifecycleEvent.HealthAsked asked) {
             answer(asked.exchange());
         } else if (event instanceof LifecycleEvent.StateKnown) {
@@ -69,7 +73,9 @@
     @Override
     public long onTimer(long nowNanos) {
         moveTo(mLifecycle.at(nowNanos, mBalancerDelay, busy(), mDrainLimit));
-        return nowNanos + TICK_NANOS;
+        boolean stopping =
+                mLifecycle.phase() == Phase.LEAVING || mLifecycle.phase() == Phase.DRAINING;
+        return nowNanos + (stopping ? TICK_NANOS : CALM_NANOS);
     }
 
     private int busy() {
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
@@ -47,4 +47,9 @@
         Objects.requireNonNull(dataFolder, "dataFolder");
         members = List.copyOf(members);
     }
+
+    /** Returns the part that concerns the consensus group. */
+    public MemberSettings member() {
+        return new MemberSettings(host, dataFolder, link, members, bootstrap, false, linkSecret);
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
@@ -29,6 +29,7 @@
     static ControlCommand decode(OperatorsProto.ControlCommand value) {
         return switch (value.getKindCase()) {
             case APPLY_CONFIGURATION -> decode(value.getApplyConfiguration());
+            case REPLACE_CONFIGURATION -> decode(value.getReplaceConfiguration());
             case ISSUE_KEY ->
                     new ControlCommand.IssueKey(
                             value.getIssueKey().getChangeId(),
@@ -71,6 +72,10 @@
             builder.getApplyConfigurationBuilder()
                     .setChangeId(c.changeId())
                     .setConfiguration(ConfigurationMapper.encode(c.configuration()));
+        } else if (value instanceof ControlCommand.ReplaceConfiguration c) {
+            builder.getReplaceConfigurationBuilder()
+                    .setChangeId(c.changeId())
+                    .setConfiguration(ConfigurationMapper.encode(c.configuration()));
         } else if (value instanceof ControlCommand.IssueKey c) {
             builder.getIssueKeyBuilder()
                     .setChangeId(c.changeId())
@@ -114,6 +119,12 @@
                 value.getChangeId(), ConfigurationMapper.decode(value.getConfiguration()));
     }
 
+    private static ControlCommand decode(OperatorsProto.ReplaceConfiguration value) {
+        Wire.require(value.hasConfiguration(), "configuration");
+        return new ControlCommand.ReplaceConfiguration(
+                value.getChangeId(), ConfigurationMapper.decode(value.getConfiguration()));
+    }
+
     private static ControlCommand decode(OperatorsProto.CompletePromotion value) {
         return new ControlCommand.CompletePromotion(
                 CommonMapper.decode(value.getGroup()),
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.wire;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -7,9 +8,13 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.DataCentreState;
+import org.crocusturn.core.operators.PromotionMode;
 import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Route;
 import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.core.operators.Workspace;
 import org.crocusturn.daemon.generated.OperatorsProto;
 
@@ -35,6 +40,9 @@
                                                 .setDrained(
                                                         e.getValue() == DataCentreState.DRAINED)));
         value.keys().forEach(k -> builder.addKeys(RecordMapper.encode(k)));
+        value.routes().forEach(r -> builder.addRoutes(encode(r)));
+        builder.setIdleTransactionMillis(value.sessionLimits().idleTransaction().toMillis());
+        builder.setDocument(Compression.compress(value.document()));
         return builder.build();
     }
 
@@ -55,7 +63,10 @@
                 value.getServicesList().stream().map(ConfigurationMapper::decode).toList(),
                 value.getOpenRoutesList(),
                 states,
-                value.getKeysList().stream().map(RecordMapper::decode).toList());
+                value.getKeysList().stream().map(RecordMapper::decode).toList(),
+                value.getRoutesList().stream().map(ConfigurationMapper::decode).toList(),
+                new SessionLimits(Duration.ofMillis(value.getIdleTransactionMillis())),
+                Compression.decompress(value.getDocument()));
     }
 
     private static OperatorsProto.Workspace encode(Workspace value) {
@@ -86,6 +97,34 @@
                 databases);
     }
 
+    private static OperatorsProto.Route encode(Route value) {
+        return OperatorsProto.Route.newBuilder()
+                .setName(value.name())
+                .setDatabase(value.database())
+                .setService(value.service())
+                .setConsistency(
+                        OperatorsProto.Route.Consistency.valueOf(value.consistency().name()))
+                .setMaxAgeMillis(value.maxAge().toMillis())
+                .setTimeoutMillis(value.timeout().toMillis())
+                .setTargetMillis(value.target().toMillis())
+                .setPriority(value.priority())
+                .setOpen(value.open())
+                .build();
+    }
+
+    private static Route decode(OperatorsProto.Route value) {
+        return new Route(
+                value.getName(),
+                value.getDatabase(),
+                value.getService(),
+                Consistency.valueOf(value.getConsistency().name()),
+                Duration.ofMillis(value.getMaxAgeMillis()),
+                Duration.ofMillis(value.getTimeoutMillis()),
+                Duration.ofMillis(value.getTargetMillis()),
+                value.getPriority(),
+                value.getOpen());
+    }
+
     private static OperatorsProto.Service encode(Service value) {
         return OperatorsProto.Service.newBuilder()
                 .setName(value.name())
@@ -96,6 +135,7 @@
                 .setAcknowledge(
                         OperatorsProto.Service.Acknowledge.valueOf(value.acknowledge().name()))
                 .setReplicaReadsWithoutToken(value.replicaReadsWithoutToken())
+                .setPromotedByLeaseholder(value.promotion() == PromotionMode.LEASEHOLDER)
                 .build();
     }
 
@@ -107,6 +147,9 @@
                 value.getSlots(),
                 value.getConnections(),
                 AcknowledgeMode.valueOf(value.getAcknowledge().name()),
-                value.getReplicaReadsWithoutToken());
+                value.getReplicaReadsWithoutToken(),
+                value.getPromotedByLeaseholder()
+                        ? PromotionMode.LEASEHOLDER
+                        : PromotionMode.CONTROL_LEADER);
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ConsensusMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConsensusMapper.java
@@ -2,7 +2,9 @@
 
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
+import org.crocusturn.core.controlhosts.EndpointNotice;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.controlhosts.ProposalReply;
 import org.crocusturn.daemon.generated.ControlHostsProto;
 
@@ -150,6 +152,29 @@
                 value.getTerm(), value.getNonce(), CommonMapper.decode(value.getBarrier()));
     }
 
+    static ControlHostsProto.JoinRequest encode(JoinRequest value) {
+        return ControlHostsProto.JoinRequest.newBuilder()
+                .setHost(value.host().value())
+                .setLinkAddress(value.linkAddress())
+                .build();
+    }
+
+    static JoinRequest decode(ControlHostsProto.JoinRequest value) {
+        return new JoinRequest(HostId.of(value.getHost()), value.getLinkAddress());
+    }
+
+    static ControlHostsProto.EndpointNotice encode(EndpointNotice value) {
+        return ControlHostsProto.EndpointNotice.newBuilder()
+                .setEndpoint(RecordMapper.encode(value.endpoint()))
+                .setGone(value.gone())
+                .build();
+    }
+
+    static EndpointNotice decode(ControlHostsProto.EndpointNotice value) {
+        Wire.require(value.hasEndpoint(), "endpoint");
+        return new EndpointNotice(RecordMapper.decode(value.getEndpoint()), value.getGone());
+    }
+
     static ControlHostsProto.ForwardedProposal encode(ForwardedProposal value) {
         return ControlHostsProto.ForwardedProposal.newBuilder()
                 .setId(value.id())
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/PeerMessageCodec.java
@@ -11,14 +11,19 @@
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.EndpointNotice;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.FirstStartAnswer;
 import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.ProposalReply;
 import org.crocusturn.core.entryhosts.ForwardedReply;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+import org.crocusturn.core.entryhosts.SessionReply;
 import org.crocusturn.daemon.generated.PeerProto;
 
 /** Converts the messages between processes to bytes and back. */
@@ -114,7 +119,32 @@
                             ForwardedReply.class,
                             MessageCase.FORWARDED_REPLY,
                             (e, m) -> e.setForwardedReply(AnswerMapper.encode(m)),
-                            e -> AnswerMapper.decode(e.getForwardedReply())));
+                            e -> AnswerMapper.decode(e.getForwardedReply())),
+                    new MessageKind<>(
+                            JoinRequest.class,
+                            MessageCase.JOIN_REQUEST,
+                            (e, m) -> e.setJoinRequest(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getJoinRequest())),
+                    new MessageKind<>(
+                            EndpointNotice.class,
+                            MessageCase.ENDPOINT_NOTICE,
+                            (e, m) -> e.setEndpointNotice(ConsensusMapper.encode(m)),
+                            e -> ConsensusMapper.decode(e.getEndpointNotice())),
+                    new MessageKind<>(
+                            SessionCall.class,
+                            MessageCase.SESSION_CALL,
+                            (e, m) -> e.setSessionCall(SessionMapper.encode(m)),
+                            e -> SessionMapper.decode(e.getSessionCall())),
+                    new MessageKind<>(
+                            SessionReply.class,
+                            MessageCase.SESSION_REPLY,
+                            (e, m) -> e.setSessionReply(SessionMapper.encode(m)),
+                            e -> SessionMapper.decode(e.getSessionReply())),
+                    new MessageKind<>(
+                            SessionEnd.class,
+                            MessageCase.SESSION_END,
+                            (e, m) -> e.setSessionEnd(SessionMapper.encode(m)),
+                            e -> SessionMapper.decode(e.getSessionEnd())));
 
     private static final Map<Class<?>, MessageKind<?>> BY_TYPE =
             KINDS.stream().collect(Collectors.toMap(MessageKind::type, Function.identity()));
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/RecordMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/RecordMapper.java
@@ -37,7 +37,8 @@
                         .setDataCentre(value.dataCentre().value())
                         .setAddress(value.address())
                         .setStatusAddress(value.statusAddress())
-                        .setLeaving(value.leaving());
+                        .setLeaving(value.leaving())
+                        .setIncarnation(value.incarnation());
         value.databases()
                 .forEach(
                         d ->
@@ -59,7 +60,8 @@
                 value.getDatabasesList().stream()
                         .map(d -> new DatabaseRecord(d.getName(), d.getSlots(), d.getConnections()))
                         .toList(),
-                value.getLeaving());
+                value.getLeaving(),
+                value.getIncarnation());
     }
 
     static OperatorsProto.Leaseholder encode(Leaseholder value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
@@ -3,6 +3,7 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.LeaseGrant;
+import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.StateUpdate;
 import org.crocusturn.core.controlhosts.TokenGrant;
 import org.crocusturn.daemon.generated.ControlHostsProto;
@@ -21,6 +22,7 @@
                         .setFreshnessMillis(value.freshnessMillis());
         value.leases().forEach(l -> builder.addLeases(encode(l)));
         value.tokens().forEach(t -> builder.addTokens(encode(t)));
+        builder.addAllMembers(LogMapper.encode(new Membership(value.members())).getMembersList());
         return builder.build();
     }
 
@@ -32,7 +34,12 @@
                 decode(value.getState()),
                 value.getFreshnessMillis(),
                 value.getLeasesList().stream().map(UpdateMapper::decode).toList(),
-                value.getTokensList().stream().map(UpdateMapper::decode).toList());
+                value.getTokensList().stream().map(UpdateMapper::decode).toList(),
+                LogMapper.decode(
+                                ControlHostsProto.Membership.newBuilder()
+                                        .addAllMembers(value.getMembersList())
+                                        .build())
+                        .members());
     }
 
     private static ControlHostsProto.StateUpdate encode(StateUpdate value) {
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -22,20 +22,27 @@
 import org.crocusturn.core.callers.GroupOperation;
 import org.crocusturn.core.callers.GroupRequest;
 import org.crocusturn.core.callers.Outcome;
+import org.crocusturn.core.callers.PreparedShape;
 import org.crocusturn.core.callers.Role;
 import org.crocusturn.core.callers.ServedBy;
 import org.crocusturn.core.callers.SessionMark;
+import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.callers.SessionStatement;
 import org.crocusturn.core.callers.SqlValue;
 import org.crocusturn.core.callers.Statement;
 import org.crocusturn.core.callers.StatementAnswer;
+import org.crocusturn.core.callers.StatementKind;
 import org.crocusturn.core.callers.TransactionId;
+import org.crocusturn.core.callers.TransactionStep;
 import org.crocusturn.core.controlhosts.ConsensusMessage;
 import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.EndpointNotice;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.FirstStartAnswer;
 import org.crocusturn.core.controlhosts.FirstStartQuestion;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.JoinRequest;
 import org.crocusturn.core.controlhosts.LeaseGrant;
 import org.crocusturn.core.controlhosts.LogContent;
 import org.crocusturn.core.controlhosts.LogEntry;
@@ -49,9 +56,13 @@
 import org.crocusturn.core.controlhosts.TokenGrant;
 import org.crocusturn.core.entryhosts.ForwardedReply;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+import org.crocusturn.core.entryhosts.SessionReply;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.DataCentreState;
@@ -61,8 +72,11 @@
 import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.core.operators.Leaseholder;
 import org.crocusturn.core.operators.PlacementKey;
+import org.crocusturn.core.operators.PromotionMode;
 import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Route;
 import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.core.operators.Workspace;
 
 /** Makes messages with every kind of content; no field has its default value. */
@@ -98,6 +112,12 @@
                         commands().map(c -> new ForwardedProposal(4, c)),
                         failures().map(f -> new ProposalReply(5, outcome(Optional.of(f)))),
                         Stream.of(new ProposalReply(6, outcome(Optional.empty()))),
+                        Stream.of(
+                                new JoinRequest(HOST, "10.0.0.4:7560"),
+                                new EndpointNotice(endpoint(), true),
+                                new SessionEnd(77, GROUP)),
+                        Arrays.stream(StatementKind.values()).map(WireSamples::sessionCall),
+                        sessionOutcomes().map(o -> new SessionReply(78, o)),
                         operations().map(WireSamples::request),
                         failures().map(f -> new ForwardedReply(8, new Outcome.Failed(f))),
                         answers().map(a -> new ForwardedReply(9, new Outcome.Answered(a))))
@@ -155,7 +175,8 @@
                                         state,
                                         1_500,
                                         List.of(new LeaseGrant(GROUP, 12, 1_000, 3, true)),
-                                        List.of(new TokenGrant(WORKSPACE, 2, 30, 1_000))));
+                                        List.of(new TokenGrant(WORKSPACE, 2, 30, 1_000)),
+                                        MEMBERSHIP.members()));
     }
 
     private static Stream<PeerMessage> consensus() {
@@ -175,6 +196,7 @@
     private static Stream<ControlCommand> commands() {
         return Stream.of(
                 new ControlCommand.ApplyConfiguration("change-1", configuration()),
+                new ControlCommand.ReplaceConfiguration("change-5", configuration()),
                 new ControlCommand.IssueKey("change-2", KEY),
                 new ControlCommand.WithdrawKey("change-3", "tablet-9"),
                 new ControlCommand.SetDataCentreDrained("change-4", ABDALI, true),
@@ -197,7 +219,17 @@
                                 Set.of("taftish-db"),
                                 Map.of("taftish-db", "a1"))),
                 Arrays.stream(AcknowledgeMode.values())
-                        .map(mode -> new Service(mode.name(), List.of("a1"), 3, 2, 16, mode, true))
+                        .map(
+                                mode ->
+                                        new Service(
+                                                mode.name(),
+                                                List.of("a1"),
+                                                3,
+                                                2,
+                                                16,
+                                                mode,
+                                                true,
+                                                PromotionMode.LEASEHOLDER))
                         .toList(),
                 List.of("/certificates"),
                 Map.of(
@@ -205,7 +237,46 @@
                         DataCentreState.DRAINED,
                         DataCentreId.of("marka"),
                         DataCentreState.IN_SERVICE),
-                List.of(KEY));
+                List.of(KEY),
+                Arrays.stream(Consistency.values()).map(WireSamples::route).toList(),
+                new SessionLimits(Duration.ofSeconds(3)),
+                "{\"version\": 9, \"routes\": []}");
+    }
+
+    private static Route route(Consistency consistency) {
+        return new Route(
+                "r-" + consistency,
+                "db" + consistency.ordinal(),
+                "taftish-db",
+                consistency,
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(800),
+                Duration.ofMillis(120),
+                2,
+                true);
+    }
+
+    private static SessionCall sessionCall(StatementKind kind) {
+        return new SessionCall(
+                11,
+                77,
+                GROUP,
+                12,
+                WORKSPACE,
+                new SessionCall.Terms(Consistency.OWN_WRITES, 2_500, 2, 790),
+                TransactionStep.values()[kind.ordinal() % TransactionStep.values().length],
+                new SessionStatement("5c0e", kind, "s1", "1a4 xk", "EXEC s1 1a4 xk"),
+                Optional.of(new PreparedShape(true, "q2c")),
+                Map.of("zone", "a b"),
+                POSITION);
+    }
+
+    private static Stream<SessionOutcome> sessionOutcomes() {
+        return Stream.concat(
+                Stream.of(
+                        SessionOutcome.answered(List.of("a", ""), "7.1f3"),
+                        SessionOutcome.committed(List.of(), "7.1f3", POSITION)),
+                failures().map(f -> SessionOutcome.failed(f, true)));
     }
 
     private static EndpointRecord endpoint() {
@@ -216,7 +287,8 @@
                 "127.0.0.1:7200",
                 "127.0.0.1:7201",
                 List.of(new DatabaseRecord("a1", 2, 16)),
-                true);
+                true,
+                1_700_000_000_123L);
     }
 
     private static ControlState state() {
