Serve sessions: one leaseholder runs the statements of a group

Cause: callers could only send single requests over HTTP. Change: SessionsDuty owns sessions on an entry host, SessionGroupsDuty runs their statements for the groups that the host holds: session values and prepared statements follow the session to any connection, reads go to any copy behind the position that they need, transactions keep one connection, and PrimaryKeeper orders promotions under the lease epoch. Decisions are pure: SessionDecisions, StatementReaction, ReadPlacement, PositionHistory, CopyProgress and PromotionPlan.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionEvent.java
@@ -0,0 +1,72 @@
+package org.crocusturn.daemon.callers;
+
+import java.util.Objects;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.callers.SessionStatement;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.entryhosts.SessionReply;
+import org.crocusturn.core.platform.Phase;
+
+/** Is what {@link SessionsDuty} reacts to. */
+public sealed interface SessionEvent {
+    /**
+     * A caller asks for a session.
+     *
+     * @param session number of the session
+     * @param channel answers the caller
+     * @param database database name that the caller asks for
+     * @param keyHash SHA-256 of the caller's key in lower-case hexadecimal; empty without a key
+     */
+    record Opened(long session, SessionChannel channel, String database, String keyHash)
+            implements SessionEvent {
+        /** Checks that no part is null. */
+        public Opened {
+            Objects.requireNonNull(channel, "channel");
+            Objects.requireNonNull(database, "database");
+            Objects.requireNonNull(keyHash, "keyHash");
+        }
+    }
+
+    /** A caller sent a statement. */
+    record Asked(long session, SessionStatement statement) implements SessionEvent {
+        /** Checks that the statement is not null. */
+        public Asked {
+            Objects.requireNonNull(statement, "statement");
+        }
+    }
+
+    /** A session ended: the caller said so or its connection closed. */
+    record Left(long session) implements SessionEvent {}
+
+    /** A leaseholder answered. */
+    record Replied(SessionReply reply) implements SessionEvent {
+        /** Checks that the reply is not null. */
+        public Replied {
+            Objects.requireNonNull(reply, "reply");
+        }
+    }
+
+    /** The link to an entry host is lost. */
+    record LinkLost(HostId host) implements SessionEvent {
+        /** Checks that the host is not null. */
+        public LinkLost {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /** The view of the replicated state changed. */
+    record ViewChanged(ControlView view) implements SessionEvent {
+        /** Checks that the view is not null. */
+        public ViewChanged {
+            Objects.requireNonNull(view, "view");
+        }
+    }
+
+    /** The process entered a phase. */
+    record PhaseChanged(Phase phase) implements SessionEvent {
+        /** Checks that the phase is not null. */
+        public PhaseChanged {
+            Objects.requireNonNull(phase, "phase");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopySet.java
@@ -0,0 +1,47 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.crocusturn.core.EndpointId;
+
+/** Holds the copies of a group as the replicated state names them; belongs to one thread. */
+final class CopySet {
+    private final Map<EndpointId, CopyPool> mCopies = new TreeMap<>();
+
+    /** Takes the endpoints of the latest view and returns the copies that are gone. */
+    List<CopyPool> update(GroupSettings settings) {
+        List<CopyPool> gone =
+                mCopies.values().stream()
+                        .filter(pool -> settings.endpoints().stream().noneMatch(pool::isSameAs))
+                        .toList();
+        gone.forEach(pool -> mCopies.remove(pool.record().id()));
+        settings.endpoints()
+                .forEach(
+                        record ->
+                                mCopies.computeIfAbsent(
+                                                record.id(),
+                                                id -> new CopyPool(record, settings.connections()))
+                                        .update(record, settings.connections()));
+        return gone;
+    }
+
+    Optional<CopyPool> find(EndpointId endpoint) {
+        return Optional.ofNullable(mCopies.get(endpoint));
+    }
+
+    Collection<CopyPool> values() {
+        return mCopies.values();
+    }
+
+    int size() {
+        return mCopies.size();
+    }
+
+    /** Returns the statements that all copies together can run at once. */
+    int slots() {
+        return mCopies.values().stream().mapToInt(CopyPool::slots).sum();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/OpenTransactions.java
@@ -0,0 +1,65 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.crocusturn.core.HostId;
+
+/** Holds the open transactions of a group; belongs to the thread of the group. */
+final class OpenTransactions {
+    private final HeldGroup mGroup;
+    private final GroupPorts mPorts;
+    private final Map<OpenTransaction.Key, OpenTransaction> mTransactions = new HashMap<>();
+
+    OpenTransactions(HeldGroup group, GroupPorts ports) {
+        mGroup = group;
+        mPorts = ports;
+    }
+
+    int size() {
+        return mTransactions.size();
+    }
+
+    boolean isEmpty() {
+        return mTransactions.isEmpty();
+    }
+
+    boolean anyWriter() {
+        return mTransactions.values().stream().anyMatch(t -> !t.isReadOnly());
+    }
+
+    Optional<OpenTransaction> find(HostId origin, long session) {
+        return Optional.ofNullable(mTransactions.get(new OpenTransaction.Key(origin, session)));
+    }
+
+    void add(OpenTransaction transaction) {
+        mTransactions.put(transaction.key(), transaction);
+    }
+
+    void remove(OpenTransaction transaction) {
+        mTransactions.remove(transaction.key());
+    }
+
+    /** Rolls a transaction back as soon as nothing runs in it. */
+    void abandon(OpenTransaction transaction) {
+        transaction.abandon();
+        if (transaction.run().isEmpty()) {
+            rollback(transaction);
+        }
+    }
+
+    /** Rolls back the transactions that match. */
+    void abandonAll(Predicate<OpenTransaction> test) {
+        List.copyOf(mTransactions.values()).stream().filter(test).forEach(this::abandon);
+    }
+
+    /** Ends a transaction in which nothing runs and gives its connection back. */
+    void rollback(OpenTransaction transaction) {
+        remove(transaction);
+        RollbackTask task = new RollbackTask(mGroup);
+        transaction.session().assign(task, mPorts.nowNanos());
+        task.start(transaction.session());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PooledSession.java
@@ -0,0 +1,132 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.PreparedShape;
+import org.crocusturn.core.endpoints.SessionCommand;
+
+/**
+ * Is a connection of a {@link CopyPool} with what was set on it; belongs to the thread of the
+ * groups.
+ */
+final class PooledSession {
+    private final long mNumber;
+    private final CopyPool mCopy;
+    private final WorkspaceId mWorkspace;
+    private final Map<String, String> mValues = new HashMap<>();
+    private final Map<PreparedShape, String> mPrepared = new HashMap<>();
+    private EndpointSession mConnection;
+    private Optional<SessionTask> mTask = Optional.empty();
+    private boolean mOpen;
+    private long mUsedNanos;
+    private int mNames;
+
+    PooledSession(long number, CopyPool copy, WorkspaceId workspace) {
+        mNumber = number;
+        mCopy = copy;
+        mWorkspace = workspace;
+    }
+
+    long number() {
+        return mNumber;
+    }
+
+    CopyPool copy() {
+        return mCopy;
+    }
+
+    WorkspaceId workspace() {
+        return mWorkspace;
+    }
+
+    boolean isOpen() {
+        return mOpen;
+    }
+
+    boolean isIdle() {
+        return mOpen && mTask.isEmpty();
+    }
+
+    long usedNanos() {
+        return mUsedNanos;
+    }
+
+    Optional<SessionTask> task() {
+        return mTask;
+    }
+
+    void connected(EndpointSession connection) {
+        mConnection = connection;
+    }
+
+    void opened() {
+        mOpen = true;
+    }
+
+    void assign(SessionTask task, long nowNanos) {
+        mTask = Optional.of(task);
+        mUsedNanos = nowNanos;
+    }
+
+    void release() {
+        mTask = Optional.empty();
+    }
+
+    void send(SessionCommand command) {
+        mConnection.send(command);
+    }
+
+    void close() {
+        mOpen = false;
+        mTask = Optional.empty();
+        mConnection.close();
+    }
+
+    /** Returns how many commands the connection needs before a statement with these values. */
+    int distance(Map<String, String> values) {
+        return (int)
+                        values.entrySet().stream()
+                                .filter(e -> !e.getValue().equals(mValues.get(e.getKey())))
+                                .count()
+                + (values.keySet().containsAll(mValues.keySet()) ? 0 : 1 + values.size());
+    }
+
+    /** Returns the commands that make the session's values and a shape hold, and notes them. */
+    List<SessionCommand> align(Map<String, String> values, Optional<PreparedShape> shape) {
+        List<SessionCommand> commands = new ArrayList<>();
+        if (!values.keySet().containsAll(mValues.keySet())) {
+            commands.add(new SessionCommand.Reset());
+            mValues.clear();
+            mPrepared.clear();
+        }
+        values.forEach(
+                (name, value) -> {
+                    if (!value.equals(mValues.put(name, value))) {
+                        commands.add(new SessionCommand.SetValue(name, value));
+                    }
+                });
+        shape.filter(s -> !mPrepared.containsKey(s))
+                .ifPresent(
+                        s -> {
+                            // Callers' names collide, so each shape gets a name of the connection.
+                            String name = "c" + ++mNames;
+                            mPrepared.put(s, name);
+                            commands.add(new SessionCommand.Prepare(name, s));
+                        });
+        return commands;
+    }
+
+    /** Returns the name of an aligned shape. */
+    Optional<String> preparedName(Optional<PreparedShape> shape) {
+        return shape.map(mPrepared::get);
+    }
+
+    /** Forgets a shape that the endpoint says it does not know. */
+    void forgetPrepared(Optional<PreparedShape> shape) {
+        shape.ifPresent(mPrepared::remove);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -0,0 +1,424 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.callers.StatementKind;
+import org.crocusturn.core.callers.TransactionStep;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.GrantedTokens;
+import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.TokenAllowance;
+import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.endpoints.ConnectionLoss;
+import org.crocusturn.core.endpoints.SessionResult;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionReply;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.SteadyClock;
+import org.crocusturn.daemon.platform.DecisionLog;
+
+/** Runs the statements of sessions for the groups whose leases this host holds. */
+public final class SessionGroupsDuty implements DutyHandler<SessionGroupsEvent> {
+    /** Time between ticks while a group has work; bounds the delay of a time limit. */
+    private static final long BUSY_TICK_NANOS = Duration.ofMillis(20).toNanos();
+
+    /** Time between ticks of idle groups. */
+    private static final long IDLE_TICK_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** Time between regular notes for the next report. */
+    private static final long REPORT_NANOS = Duration.ofMillis(100).toNanos();
+
+    private final HostId mSelf;
+    private final DataCentreId mDataCentre;
+    private final EndpointConnector mConnector;
+    private final PromotionService mPromotions;
+    private final Predicate<SessionGroupsEvent> mOwnRing;
+    private final SessionGroupsListener mListener;
+    private final DecisionLog mLog =
+            DecisionLog.create(LogManager.getLogger(SessionGroupsDuty.class), "endpoints");
+    private final Map<GroupId, HeldGroup> mGroups = new TreeMap<>();
+    private final Map<Long, PooledSession> mSessions = new HashMap<>();
+    private final Map<WorkspaceId, TokenAllowance> mTokens = new HashMap<>();
+    private final Ports mPorts = new Ports();
+    private ControlView mView;
+    private List<HeldLease> mLastHeld = List.of();
+    private long mNextSession = 1;
+    private long mNextTickNanos;
+    private long mNextReportNanos;
+    private boolean mTokensNeeded;
+
+    private SessionGroupsDuty(
+            HostId self,
+            DataCentreId dataCentre,
+            ControlView view,
+            EndpointConnector connector,
+            PromotionService promotions,
+            Predicate<SessionGroupsEvent> ownRing,
+            SessionGroupsListener listener) {
+        mSelf = self;
+        mDataCentre = dataCentre;
+        mView = view;
+        mConnector = connector;
+        mPromotions = promotions;
+        mOwnRing = ownRing;
+        mListener = listener;
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param self this host
+     * @param dataCentre where it stands
+     * @param view view of a host that knows nothing yet
+     * @param connector opens connections to endpoints
+     * @param promotions orders promotions
+     * @param ownRing offers an event to the ring of this duty
+     * @param listener hears answers and reports
+     */
+    public static SessionGroupsDuty create(
+            HostId self,
+            DataCentreId dataCentre,
+            ControlView view,
+            EndpointConnector connector,
+            PromotionService promotions,
+            Predicate<SessionGroupsEvent> ownRing,
+            SessionGroupsListener listener) {
+        return new SessionGroupsDuty(
+                Objects.requireNonNull(self, "self"),
+                Objects.requireNonNull(dataCentre, "dataCentre"),
+                Objects.requireNonNull(view, "view"),
+                Objects.requireNonNull(connector, "connector"),
+                Objects.requireNonNull(promotions, "promotions"),
+                Objects.requireNonNull(ownRing, "ownRing"),
+                Objects.requireNonNull(listener, "listener"));
+    }
+
+    @Override
+    public void onEvent(SessionGroupsEvent event) {
+        if (event instanceof SessionGroupsEvent.Called called) {
+            call(called.origin(), called.call());
+        } else if (event instanceof SessionGroupsEvent.Answered answered) {
+            PooledSession session = mSessions.get(answered.session());
+            if (session != null) {
+                session.task()
+                        .ifPresentOrElse(
+                                t -> t.result(session, answered.result()),
+                                () -> mPorts.close(session));
+            }
+        } else if (event instanceof SessionGroupsEvent.Opened opened) {
+            PooledSession session = mSessions.get(opened.session());
+            if (session != null) {
+                session.opened();
+                session.task().ifPresent(t -> t.opened(session));
+            }
+        } else if (event instanceof SessionGroupsEvent.Lost lost) {
+            lose(lost);
+        } else if (event instanceof SessionGroupsEvent.Ended ended) {
+            group(ended.end().group()).ifPresent(g -> g.end(ended.origin(), ended.end().session()));
+        } else if (event instanceof SessionGroupsEvent.OriginLost lost) {
+            List.copyOf(mGroups.values()).forEach(g -> g.originLost(lost.origin()));
+        } else if (event instanceof SessionGroupsEvent.ViewChanged changed) {
+            changeView(changed.view());
+        } else if (event instanceof SessionGroupsEvent.Ordered ordered) {
+            group(ordered.group())
+                    .filter(g -> g.epoch() == ordered.epoch())
+                    .ifPresent(g -> g.keeper().ordered(ordered.endpoint(), ordered.answer()));
+        }
+    }
+
+    @Override
+    public long onTimer(long nowNanos) {
+        if (mNextTickNanos - nowNanos <= 0) {
+            List.copyOf(mGroups.values()).forEach(g -> g.tick(nowNanos));
+            boolean busy =
+                    mGroups.values().stream().anyMatch(g -> g.busy() > 0 || g.history().isEmpty());
+            mNextTickNanos = nowNanos + (busy ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
+        }
+        if (mTokensNeeded || mNextReportNanos - nowNanos <= 0) {
+            report(nowNanos);
+        }
+        return mGroups.isEmpty()
+                ? nowNanos + IDLE_TICK_NANOS
+                : Math.min(mNextTickNanos, mNextReportNanos);
+    }
+
+    private Optional<HeldGroup> group(GroupId id) {
+        return Optional.ofNullable(mGroups.get(id)).filter(g -> !g.isReleased());
+    }
+
+    private void call(HostId origin, SessionCall call) {
+        long now = SteadyClock.nanoTime();
+        Optional<HeldGroup> group = group(call.group());
+        if (group.isEmpty() || !mView.leaseValid(call.group(), now)) {
+            refuse(origin, call);
+            return;
+        }
+        if (call.step() != TransactionStep.CONTINUE) {
+            TokenAllowance arrived = tokens(call.workspace()).withArrival(now);
+            mTokens.put(call.workspace(), arrived);
+            mTokensNeeded |= isLimited(call.workspace()) && arrived.available(now) == 0;
+        }
+        group.get().arrive(origin, call);
+        mNextTickNanos = Math.min(mNextTickNanos, now + BUSY_TICK_NANOS);
+    }
+
+    private void refuse(HostId origin, SessionCall call) {
+        boolean open = call.step() == TransactionStep.CONTINUE;
+        Failure failure =
+                Failure.notRun(
+                        open ? ErrorCode.TRANSACTION_LOST : ErrorCode.MOVED,
+                        "this host does not hold the lease");
+        boolean failed =
+                call.step() != TransactionStep.NONE
+                        && call.statement().kind() != StatementKind.COMMIT;
+        mPorts.reply(origin, call.id(), SessionOutcome.failed(failure, failed));
+    }
+
+    /** Callers without a key on open routes belong to no workspace and have no rate. */
+    private boolean isLimited(WorkspaceId workspace) {
+        return mView.state().configuration().workspace(workspace).isPresent();
+    }
+
+    private TokenAllowance tokens(WorkspaceId workspace) {
+        return mTokens.getOrDefault(workspace, TokenAllowance.empty());
+    }
+
+    private void lose(SessionGroupsEvent.Lost lost) {
+        PooledSession session = mSessions.remove(lost.session());
+        if (session != null) {
+            session.copy().remove(session);
+            Optional<SessionTask> task = session.task();
+            session.close();
+            task.ifPresentOrElse(
+                    t -> t.lost(session, lost.loss(), lost.text()), () -> doubt(session));
+        }
+    }
+
+    /** An idle connection that closes is often the first sign of a dead endpoint. */
+    private void doubt(PooledSession session) {
+        mGroups.values().stream()
+                .filter(g -> g.pools().contains(session.copy()))
+                .findFirst()
+                .ifPresent(g -> g.doubt(session.copy()));
+    }
+
+    private void changeView(ControlView view) {
+        boolean stateChanged = mView.state() != view.state();
+        mView = view;
+        List.copyOf(mGroups.keySet()).forEach(this::closeUnleased);
+        view.leases()
+                .forEach(
+                        (id, lease) -> {
+                            if (!mGroups.containsKey(id)) {
+                                open(id, lease.epoch());
+                            }
+                            if (lease.move()) {
+                                mGroups.get(id).beginMove();
+                            }
+                        });
+        if (stateChanged) {
+            mGroups.values().stream()
+                    .filter(g -> !g.isReleased())
+                    .forEach(g -> g.update(settings(g.id())));
+        }
+        long now = SteadyClock.nanoTime();
+        view.newTokens().forEach(this::grant);
+        mGroups.values().forEach(HeldGroup::dispatch);
+        mNextTickNanos = Math.min(mNextTickNanos, now + BUSY_TICK_NANOS);
+    }
+
+    private void closeUnleased(GroupId id) {
+        HeldGroup group = mGroups.get(id);
+        boolean kept = mView.lease(id).filter(lease -> lease.epoch() == group.epoch()).isPresent();
+        if (!kept) {
+            mGroups.remove(id);
+            group.close();
+            mLog.write(
+                    "group " + id + " epoch " + group.epoch() + " is closed",
+                    SteadyClock.nanoTime());
+        }
+    }
+
+    private void open(GroupId id, long epoch) {
+        mLog.write("group " + id + " epoch " + epoch + " is held", SteadyClock.nanoTime());
+        mGroups.put(id, new HeldGroup(id, epoch, settings(id), mPorts));
+    }
+
+    private GroupSettings settings(GroupId id) {
+        ControlState state = mView.state();
+        return new GroupSettings(
+                state.endpoints().values().stream()
+                        .filter(e -> e.service().equals(id.service()))
+                        .toList(),
+                state.drained(),
+                state.configuration().service(id.service()).map(Service::connections).orElse(1),
+                state.configuration().sessionLimits().idleTransaction(),
+                mDataCentre);
+    }
+
+    private void grant(GrantedTokens granted) {
+        mTokens.put(
+                granted.workspace(),
+                tokens(granted.workspace()).withGrant(granted.tokens(), granted.expiresNanos()));
+    }
+
+    private void report(long nowNanos) {
+        mNextReportNanos = nowNanos + REPORT_NANOS;
+        List<HeldLease> held =
+                mGroups.values().stream()
+                        .map(g -> new HeldLease(g.id(), g.epoch(), 0, g.isReleased(), g.busy()))
+                        .toList();
+        Map<WorkspaceId, Long> waiting = new HashMap<>();
+        mGroups.values().stream()
+                .flatMap(g -> g.waiting().stream())
+                .filter(run -> !run.isPaid())
+                .forEach(run -> waiting.merge(run.call().workspace(), 1L, Long::sum));
+        List<TokenDemand> demands =
+                mTokens.entrySet().stream()
+                        .sorted(Map.Entry.comparingByKey())
+                        .map(
+                                e ->
+                                        new TokenDemand(
+                                                e.getKey(),
+                                                e.getValue()
+                                                        .wanted(
+                                                                waiting.getOrDefault(
+                                                                        e.getKey(), 0L),
+                                                                nowNanos),
+                                                e.getValue().spentTotal()))
+                        .toList();
+        boolean released =
+                !held.stream()
+                        .filter(HeldLease::released)
+                        .map(HeldLease::group)
+                        .toList()
+                        .equals(
+                                mLastHeld.stream()
+                                        .filter(HeldLease::released)
+                                        .map(HeldLease::group)
+                                        .toList());
+        mListener.reportChanged(held, demands, mTokensNeeded || released);
+        mLastHeld = held;
+        mTokensNeeded = false;
+    }
+
+    /** Hears of one connection on I/O threads and passes it on. */
+    private final class Listener implements EndpointSessionListener {
+        private final long mNumber;
+
+        private Listener(long number) {
+            mNumber = number;
+        }
+
+        @Override
+        public void onOpened() {
+            offer(new SessionGroupsEvent.Opened(mNumber));
+        }
+
+        @Override
+        public void onResult(SessionResult result) {
+            offer(new SessionGroupsEvent.Answered(mNumber, result));
+        }
+
+        @Override
+        public void onLost(ConnectionLoss loss, String text) {
+            offer(new SessionGroupsEvent.Lost(mNumber, loss, text));
+        }
+    }
+
+    private void offer(SessionGroupsEvent event) {
+        if (!mOwnRing.test(event)) {
+            LogManager.getLogger(SessionGroupsDuty.class)
+                    .error("endpoints: the ring of the groups is full, an event is lost");
+        }
+    }
+
+    /** Serves the groups. */
+    private final class Ports implements GroupPorts {
+        @Override
+        public long nowNanos() {
+            return SteadyClock.nanoTime();
+        }
+
+        @Override
+        public boolean leaseValid(GroupId group) {
+            return mView.leaseValid(group, SteadyClock.nanoTime());
+        }
+
+        @Override
+        public boolean hasToken(WorkspaceId workspace) {
+            return !isLimited(workspace) || tokens(workspace).available(SteadyClock.nanoTime()) > 0;
+        }
+
+        @Override
+        public void takeToken(WorkspaceId workspace) {
+            tokens(workspace)
+                    .spend(SteadyClock.nanoTime())
+                    .ifPresent(rest -> mTokens.put(workspace, rest));
+        }
+
+        @Override
+        public PooledSession open(
+                CopyPool copy, WorkspaceId workspace, Duration timeout, SessionTask task) {
+            long number = mNextSession++;
+            PooledSession session = new PooledSession(number, copy, workspace);
+            session.assign(task, nowNanos());
+            mSessions.put(number, session);
+            copy.add(session);
+            session.connected(
+                    mConnector.open(copy.record(), workspace, timeout, new Listener(number)));
+            return session;
+        }
+
+        @Override
+        public void close(PooledSession session) {
+            mSessions.remove(session.number());
+            session.copy().remove(session);
+            session.close();
+        }
+
+        @Override
+        public void reply(HostId origin, long call, SessionOutcome outcome) {
+            mListener.replied(origin, new SessionReply(call, outcome));
+        }
+
+        @Override
+        public void promote(GroupId group, EndpointId endpoint, long fence) {
+            mPromotions
+                    .promote(group.service(), endpoint, fence)
+                    .thenAccept(
+                            answer ->
+                                    offer(
+                                            new SessionGroupsEvent.Ordered(
+                                                    group, fence, endpoint, answer)));
+        }
+
+        @Override
+        public void giveBack(GroupId group) {
+            Optional.ofNullable(mGroups.get(group)).ifPresent(HeldGroup::close);
+            mTokensNeeded = true;
+        }
+
+        @Override
+        public void log(String line) {
+            mLog.write("host " + mSelf + ": " + line, nowNanos());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
@@ -0,0 +1,79 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.util.Objects;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.endpoints.ConnectionLoss;
+import org.crocusturn.core.endpoints.SessionResult;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+
+/** Is what {@link SessionGroupsDuty} reacts to. */
+public sealed interface SessionGroupsEvent {
+    /** A call of an entry host arrived; the origin names the link that it came over. */
+    record Called(HostId origin, SessionCall call) implements SessionGroupsEvent {
+        /** Checks that no part is null. */
+        public Called {
+            Objects.requireNonNull(origin, "origin");
+            Objects.requireNonNull(call, "call");
+        }
+    }
+
+    /** A session gave up its transaction. */
+    record Ended(HostId origin, SessionEnd end) implements SessionGroupsEvent {
+        /** Checks that no part is null. */
+        public Ended {
+            Objects.requireNonNull(origin, "origin");
+            Objects.requireNonNull(end, "end");
+        }
+    }
+
+    /** The link that an origin names is lost. */
+    record OriginLost(HostId origin) implements SessionGroupsEvent {
+        /** Checks that the origin is not null. */
+        public OriginLost {
+            Objects.requireNonNull(origin, "origin");
+        }
+    }
+
+    /** The view of the replicated state or of the leases changed. */
+    record ViewChanged(ControlView view) implements SessionGroupsEvent {
+        /** Checks that the view is not null. */
+        public ViewChanged {
+            Objects.requireNonNull(view, "view");
+        }
+    }
+
+    /** A connection takes commands. */
+    record Opened(long session) implements SessionGroupsEvent {}
+
+    /** A connection got the result of its oldest open command. */
+    record Answered(long session, SessionResult result) implements SessionGroupsEvent {
+        /** Checks that the result is not null. */
+        public Answered {
+            Objects.requireNonNull(result, "result");
+        }
+    }
+
+    /** A connection is lost. */
+    record Lost(long session, ConnectionLoss loss, String text) implements SessionGroupsEvent {
+        /** Checks that no part is null. */
+        public Lost {
+            Objects.requireNonNull(loss, "loss");
+            Objects.requireNonNull(text, "text");
+        }
+    }
+
+    /** The platform answered an order. */
+    record Ordered(GroupId group, long epoch, EndpointId endpoint, PromotionService.Answer answer)
+            implements SessionGroupsEvent {
+        /** Checks that no part is null. */
+        public Ordered {
+            Objects.requireNonNull(group, "group");
+            Objects.requireNonNull(endpoint, "endpoint");
+            Objects.requireNonNull(answer, "answer");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementFailures.java
@@ -0,0 +1,44 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
+import org.crocusturn.core.endpoints.EndpointError;
+import org.crocusturn.core.endpoints.StatementReaction;
+
+/** Makes the failures that callers are told when a statement is given up. */
+final class StatementFailures {
+    /** When callers should come back after a refusal because of load. */
+    static final Duration RETRY_AFTER = Duration.ofMillis(100);
+
+    private StatementFailures() {}
+
+    /** Returns the failure of a statement whose attempts are used up. */
+    static Failure exhausted(StatementReaction.Nature nature, Optional<EndpointError> error) {
+        if (nature != StatementReaction.Nature.READ && nature != StatementReaction.Nature.WRITE) {
+            return Failure.notRun(ErrorCode.TRANSACTION_LOST, "the copy stays overloaded");
+        }
+        boolean ran = error.filter(e -> e.verdict() != Verdict.NOT_RUN).isPresent();
+        return ran
+                ? new Failure(
+                        ErrorCode.DATABASE_REFUSED,
+                        Verdict.RAN,
+                        "the statement failed in the database",
+                        Optional.empty())
+                : Failure.notRun(ErrorCode.OVERLOADED, "no copy could run the statement")
+                        .withRetryAfter(RETRY_AFTER);
+    }
+
+    /** Returns the failure of a statement whose time is over. */
+    static Failure late(boolean sent) {
+        return sent
+                ? new Failure(
+                        ErrorCode.TIMED_OUT,
+                        Verdict.MAY_HAVE_RUN,
+                        "the database did not answer in time",
+                        Optional.empty())
+                : Failure.notRun(ErrorCode.OVERLOADED, "no connection in time");
+    }
+}
