Find leaders that seeds do not name, and keep serving while the control leader changes

(3) A new leaseholder that could not reach the primary waited for its position for ever. (4) All callers' first statements waited for handshakes. (5) A leaseholder without a lease could still resume replicas.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
@@ -25,8 +25,11 @@
  * leaves the level at once, spending is taken from grants as it is reported, and unspent tokens are
  * credited only by a report that was certainly sent after they were void.
  *
- * <p>A new leader knows nothing of earlier grants, which may hold the whole burst. Its buckets are
- * empty and begin to fill only when those grants are void, 1,020 ms after it began to lead.
+ * <p>A new leader knows nothing of earlier grants. Each leader keeps {@link #RESERVE_SECONDS} of
+ * the rate, or half of the burst if that is less, out of its grants; until the earlier grants are
+ * void, 1,020 ms after it began to lead, a new leader grants from buckets that start empty and hold
+ * no more than that reserve. So a change of the leader neither stops a workspace nor lets it exceed
+ * the guarantee.
  *
  * <p>A report costs O(its demands x (log workspaces + demanding hosts of the workspace)). Nothing
  * happens at a tick. Buckets of removed workspaces are kept until the next leader.
@@ -35,6 +38,7 @@
  * @param rates rate of each workspace in force
  * @param unconfirmed grants by host that it has not confirmed; they are sent again
  * @param startNanos time at which buckets begin to fill
+ * @param settledNanos time at which the grants of earlier leaders are void
  * @param lastId number of the last grant
  */
 public record RateAuthority(
@@ -42,7 +46,11 @@
         Map<WorkspaceId, RateLimit> rates,
         PMap<HostId, PVector<SentGrant>> unconfirmed,
         long startNanos,
+        long settledNanos,
         long lastId) {
+    /** Seconds of the rate that a new leader may have granted before earlier grants are void. */
+    private static final double RESERVE_SECONDS = 0.05;
+
     /** A grant with less time left is not sent again. */
     private static final long MIN_SENT_MILLIS = 20;
 
@@ -76,12 +84,23 @@
 
     /** Creates the authority of a new leader. */
     public static RateAuthority of(Configuration configuration, long nowNanos) {
-        return startingAt(configuration, nowNanos + LeaseTimes.EXPIRY_NANOS);
+        return new RateAuthority(
+                HashTreePMap.empty(),
+                ratesOf(configuration),
+                HashTreePMap.empty(),
+                nowNanos,
+                nowNanos + LeaseTimes.EXPIRY_NANOS,
+                0);
     }
 
     static RateAuthority startingAt(Configuration configuration, long startNanos) {
         return new RateAuthority(
-                HashTreePMap.empty(), ratesOf(configuration), HashTreePMap.empty(), startNanos, 0);
+                HashTreePMap.empty(),
+                ratesOf(configuration),
+                HashTreePMap.empty(),
+                startNanos,
+                startNanos,
+                0);
     }
 
     /** Returns the grants to send to a host with an answer to its latest report. */
@@ -100,7 +119,8 @@
 
     /** Returns the authority under another configuration. */
     public RateAuthority with(Configuration configuration) {
-        return new RateAuthority(buckets, ratesOf(configuration), unconfirmed, startNanos, lastId);
+        return new RateAuthority(
+                buckets, ratesOf(configuration), unconfirmed, startNanos, settledNanos, lastId);
     }
 
     /**
@@ -123,8 +143,8 @@
         }
         TokenBucket bucket =
                 buckets.getOrDefault(demand.workspace(), TokenBucket.of(startNanos))
-                        .at(rate, nowNanos)
-                        .withDemand(host, demand, rate);
+                        .at(rate, limit(rate, nowNanos), nowNanos)
+                        .withDemand(host, demand, limit(rate, nowNanos));
         long tokens = bucket.grantable(host, demand, rate, nowNanos);
         long id = tokens > 0 ? lastId + 1 : lastId;
         PMap<HostId, PVector<SentGrant>> sent =
@@ -147,9 +167,16 @@
                 rates,
                 sent,
                 startNanos,
+                settledNanos,
                 id);
     }
 
+    /** Returns the tokens that may be granted and unsettled together. */
+    private double limit(RateLimit rate, long nowNanos) {
+        long reserve = Math.round(Math.min(rate.burst() / 2.0, rate.perSecond() * RESERVE_SECONDS));
+        return nowNanos - settledNanos < 0 ? reserve : rate.burst() - reserve;
+    }
+
     private RateAuthority withConfirmed(RegisteredHost host) {
         PVector<SentGrant> sent = unconfirmed.get(host.id());
         if (sent == null) {
@@ -163,6 +190,7 @@
                         ? unconfirmed.minus(host.id())
                         : unconfirmed.plus(host.id(), TreePVector.from(useful)),
                 startNanos,
+                settledNanos,
                 lastId);
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
@@ -11,8 +11,9 @@
 /**
  * Is the token bucket of one workspace. Immutable.
  *
- * <p>Level plus unsettled grants never exceeds the burst. Each step costs O(hosts that demand
- * tokens of the workspace), which is at most the number of its services outside of lease moves.
+ * <p>Level plus unsettled grants never exceeds the limit that the authority gives. Each step costs
+ * O(hosts that demand tokens of the workspace), which is at most the number of its services outside
+ * of lease moves.
  *
  * @param level tokens that can be granted; negative after the burst was reduced
  * @param filledNanos time up to which the rate is in the level
@@ -41,7 +42,7 @@
     }
 
     /** Returns the bucket filled up to a time; before its start it stays empty. */
-    TokenBucket at(RateLimit rate, long nowNanos) {
+    TokenBucket at(RateLimit rate, double limit, long nowNanos) {
         Map<Process, TokenLedger> current = new HashMap<>(ledgers);
         current.replaceAll((process, ledger) -> ledger.withForfeits(nowNanos));
         boolean dropped = current.values().removeIf(l -> l.isIdle(nowNanos));
@@ -49,7 +50,7 @@
         long elapsed = Math.max(0, nowNanos - filledNanos);
         double filled = level + rate.perSecond() * elapsed / Duration.ofSeconds(1).toNanos();
         return new TokenBucket(
-                Math.min(filled, (double) rate.burst() - outstanding),
+                Math.min(filled, limit - outstanding),
                 filledNanos + elapsed,
                 dropped ? Math.max(safeNanos, nowNanos) : safeNanos,
                 current);
@@ -59,7 +60,7 @@
      * Returns the bucket after a host's report, settled but without a new grant. A process gets an
      * account once all earlier grants to it are void and their spending is known.
      */
-    TokenBucket withDemand(RegisteredHost host, TokenDemand demand, RateLimit rate) {
+    TokenBucket withDemand(RegisteredHost host, TokenDemand demand, double limit) {
         TokenLedger known = ledgers.get(Process.of(host));
         if (known == null) {
             return host.proved() && host.sentAfterNanos() - safeNanos >= 0
@@ -77,7 +78,7 @@
         long refund = spent.refund(host.sentAfterNanos());
         TokenLedger settled = spent.withoutVoid(host.sentAfterNanos());
         TokenBucket next = withLedger(host, settled);
-        double cap = (double) rate.burst() - next.counted();
+        double cap = limit - next.counted();
         return new TokenBucket(
                 Math.min(level + refund, cap), filledNanos, safeNanos, next.ledgers());
     }
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PositionHistoryTest.java
@@ -0,0 +1,68 @@
+package org.crocusturn.core.endpoints;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.stream.Stream;
+import org.crocusturn.core.LogPosition;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against reads that miss a commit older than the age that they accept. */
+class PositionHistoryTest {
+    private static final long MS = 1_000_000;
+
+    private static PositionHistory history() {
+        return PositionHistory.startingAt(position(10), 1_000 * MS)
+                .with(position(11), 1_100 * MS)
+                .with(position(12), 1_200 * MS)
+                .with(position(13), 1_202 * MS)
+                .with(position(14), 1_300 * MS);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"900, 10", "1000, 10", "1099, 10", "1100, 11", "1200, 13", "1299, 13", "9999, 14"})
+    void tellsThePositionOfATime(long atMillis, long index) {
+        assertEquals(position(index), history().asOf(atMillis * MS));
+    }
+
+    /** An entry that merges two acknowledgements must count as the earlier one. */
+    @Test
+    void neverTellsTooOldAPosition() {
+        PositionHistory history = PositionHistory.startingAt(position(1), 0);
+        for (long i = 2; i < 2_000; i++) {
+            history = history.with(position(i), i * MS);
+            assertTrue(history.asOf(i * MS).compareTo(position(i)) >= 0, "at " + i);
+            assertEquals(position(i), history.latest());
+        }
+        assertTrue(history.entries().size() < 500, "kept " + history.entries().size());
+    }
+
+    static Stream<Arguments> progress() {
+        return Stream.of(
+                Arguments.of("it has the position", 14L, 0L, 1_300L, true),
+                Arguments.of("it lags and the commit is young", 10L, 300L, 1_310L, false),
+                Arguments.of("the commit is older than the lag", 10L, 50L, 1_400L, true));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("progress")
+    void predictsArrival(String what, long index, long lagMillis, long nowMillis, boolean reaches) {
+        CopyProgress copy = new CopyProgress(position(index), lagMillis * MS);
+        assertEquals(reaches, copy.reaches(position(14), history(), nowMillis * MS), what);
+    }
+
+    @Test
+    void countsAGrowingLagAtOnce() {
+        CopyProgress copy = CopyProgress.UNKNOWN.with(position(10), history(), 1_400 * MS);
+        assertEquals(300 * MS, copy.lagNanos());
+        assertTrue(copy.with(position(14), history(), 1_401 * MS).lagNanos() < 300 * MS);
+    }
+
+    private static LogPosition position(long index) {
+        return LogPosition.of(2, index);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PromotionPlanTest.java
@@ -0,0 +1,108 @@
+package org.crocusturn.core.endpoints;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.LogPosition;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a promotion that loses acknowledged commits, and against a group left without. */
+class PromotionPlanTest {
+    private static final Optional<LogPosition> UNKNOWN = Optional.empty();
+
+    static Stream<Arguments> plans() {
+        return Stream.of(
+                plan("the newest wins", List.of(at("a", 5), at("b", 7), silent("p")), UNKNOWN, "b"),
+                plan(
+                        "two silent copies may hold more",
+                        List.of(at("a", 5), silent("b"), silent("p")),
+                        UNKNOWN,
+                        ""),
+                plan(
+                        "a known position makes one enough",
+                        List.of(at("a", 5), silent("b"), silent("p")),
+                        known(5),
+                        "a"),
+                plan(
+                        "one behind the known position waits",
+                        List.of(at("a", 4), silent("b"), silent("p")),
+                        known(5),
+                        ""),
+                plan(
+                        "a leaving copy loses a tie",
+                        List.of(leaving("a", 7), at("b", 7), silent("p")),
+                        UNKNOWN,
+                        "b"),
+                plan(
+                        "a leaving copy that alone is complete wins",
+                        List.of(leaving("a", 7), at("b", 6), silent("p")),
+                        UNKNOWN,
+                        "a"),
+                plan(
+                        "a drained data centre is left out",
+                        List.of(drained("a", 7), at("b", 7), silent("p")),
+                        UNKNOWN,
+                        "b"),
+                plan(
+                        "nothing is promoted past a drained newer copy",
+                        List.of(drained("a", 8), at("b", 7), silent("p")),
+                        UNKNOWN,
+                        ""),
+                plan(
+                        "nobody answered",
+                        List.of(silent("a"), silent("b"), silent("p")),
+                        known(0),
+                        ""));
+    }
+
+    private static Arguments plan(
+            String what,
+            List<PromotionPlan.Candidate> copies,
+            Optional<LogPosition> acknowledged,
+            String chosen) {
+        return Arguments.of(what, copies, acknowledged, chosen);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("plans")
+    void choosesSafely(
+            String what,
+            List<PromotionPlan.Candidate> copies,
+            Optional<LogPosition> acknowledged,
+            String chosen) {
+        assertEquals(
+                chosen,
+                PromotionPlan.choose(copies, acknowledged).map(EndpointId::value).orElse(""),
+                what);
+    }
+
+    private static Optional<LogPosition> known(long index) {
+        return Optional.of(LogPosition.of(3, index));
+    }
+
+    private static PromotionPlan.Candidate at(String id, long index) {
+        return candidate(id, known(index), false, false);
+    }
+
+    private static PromotionPlan.Candidate silent(String id) {
+        return candidate(id, Optional.empty(), false, false);
+    }
+
+    private static PromotionPlan.Candidate leaving(String id, long index) {
+        return candidate(id, known(index), true, false);
+    }
+
+    private static PromotionPlan.Candidate drained(String id, long index) {
+        return candidate(id, known(index), false, true);
+    }
+
+    private static PromotionPlan.Candidate candidate(
+            String id, Optional<LogPosition> received, boolean leaving, boolean drained) {
+        return new PromotionPlan.Candidate(EndpointId.of(id), received, leaving, drained);
+    }
+}
--- a/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
@@ -113,6 +113,21 @@
         assertTrue(all.getMax() <= 1.2 * all.getMin(), all.toString());
     }
 
+    /**
+     * Guards against a workspace that stands still for a second after a change of the leader, and
+     * against a new leader that grants more than earlier ones have kept in reserve.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {20, 200, 600, 1_000})
+    void grantsTheReserveUntilEarlierGrantsAreVoid(long atMillis) {
+        mRates = RateAuthority.of(configuration(100, 50), 0);
+        report("h", 1, 0, 0, 0);
+        report("h", 5, 0, 0, 1);
+        long first = sum(report("h", atMillis, 40, 0, 2));
+        assertTrue(first >= 1, "nothing is granted at " + atMillis);
+        assertTrue(first <= 5, "granted " + first + " of a reserve of 5");
+    }
+
     private static Configuration configuration(double rate, long burst) {
         RateLimit limit = new RateLimit(rate, burst);
         return new Configuration(
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -71,8 +71,11 @@
     /** New events of callers that may wait; the rest of the ring is kept for answers. */
     private static final int MAX_WAITING = 16_384;
 
-    /** Age of the latest answer of the control leader from which the host is not ready. */
-    private static final Duration STALE = Duration.ofSeconds(3);
+    /**
+     * Age of the latest answer of the control leader from which the host is not ready; a change of
+     * the leader takes about 1 s.
+     */
+    private static final Duration STALE = Duration.ofMillis(2_000);
 
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(1);
 
@@ -147,7 +150,10 @@
                         "sessions",
                         RING,
                         SessionsDuty.create(
-                                empty, new Dispatcher(), busy -> noteBusy("sessions", busy)));
+                                empty,
+                                new Dispatcher(),
+                                busy -> noteBusy("sessions", busy),
+                                this::inTouch));
         connect(settings.controlLinks());
     }
 
@@ -178,7 +184,11 @@
 
     /** Returns whether the host takes new sessions. */
     public boolean isReady() {
-        return mPhase == Phase.SERVING && SteadyClock.nanoTime() - mAnsweredNanos < STALE.toNanos();
+        return mPhase == Phase.SERVING && inTouch();
+    }
+
+    private boolean inTouch() {
+        return SteadyClock.nanoTime() - mAnsweredNanos < STALE.toNanos();
     }
 
     /** Opens links to control hosts that are not known yet. */
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.crocusturn.core.ErrorCode;
@@ -56,6 +57,7 @@
 
     private final SessionDispatcher mDispatcher;
     private final IntConsumer mOnBusy;
+    private final BooleanSupplier mInTouch;
     private final DecisionLog mLog =
             DecisionLog.create(LogManager.getLogger(SessionsDuty.class), "callers");
     private final Map<Long, Session> mSessions = new HashMap<>();
@@ -65,7 +67,12 @@
     private long mNextCall = 1;
     private long mNextTickNanos;
 
-    private SessionsDuty(ControlView view, SessionDispatcher dispatcher, IntConsumer onBusy) {
+    private SessionsDuty(
+            ControlView view,
+            SessionDispatcher dispatcher,
+            IntConsumer onBusy,
+            BooleanSupplier inTouch) {
+        mInTouch = inTouch;
         mView = view;
         mDispatcher = dispatcher;
         mOnBusy = onBusy;
@@ -113,13 +120,18 @@
      * @param view view of a host that knows nothing yet
      * @param dispatcher brings calls to leaseholders
      * @param onBusy told the number of open sessions while the process stops
+     * @param inTouch tells whether the control leader has answered lately
      */
     public static SessionsDuty create(
-            ControlView view, SessionDispatcher dispatcher, IntConsumer onBusy) {
+            ControlView view,
+            SessionDispatcher dispatcher,
+            IntConsumer onBusy,
+            BooleanSupplier inTouch) {
         return new SessionsDuty(
                 Objects.requireNonNull(view, "view"),
                 Objects.requireNonNull(dispatcher, "dispatcher"),
-                Objects.requireNonNull(onBusy, "onBusy"));
+                Objects.requireNonNull(onBusy, "onBusy"),
+                Objects.requireNonNull(inTouch, "inTouch"));
     }
 
     @Override
@@ -420,9 +432,13 @@
         }
     }
 
-    /** Closes sessions between two operations while the process stops. */
+    /**
+     * Closes sessions between two operations while the process stops or is cut off from the control
+     * hosts, so that their callers reach a host that can serve them.
+     */
     private void closeIdle() {
-        if (mPhase != Phase.DRAINING) {
+        boolean cutOff = mPhase == Phase.SERVING && !mInTouch.getAsBoolean();
+        if (mPhase != Phase.DRAINING && !cutOff) {
             return;
         }
         List.copyOf(mSessions.values()).stream()
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -163,6 +163,9 @@
         if (received.message() instanceof ControlUpdate update) {
             update(received.host(), update);
         } else if (received.message() instanceof NotLeader notLeader) {
+            if (!notLeader.members().isEmpty()) {
+                mOnMembers.accept(notLeader.members());
+            }
             forgetLeader(received.host(), "it does not lead");
             if (mLeader.isEmpty() && notLeader.leader().filter(mOpen::contains).isPresent()) {
                 mLeader = notLeader.leader();
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -185,9 +185,10 @@
         return node().filter(node -> node.confirmedSince(sinceNanos)).isPresent();
     }
 
-    /** Hands leadership over because this host stops. */
-    public void handOver() {
-        node().ifPresent(ControlNode::transferLeadership);
+    /** Hands leadership over because this host stops; the future ends when it does not lead. */
+    public CompletableFuture<Void> handOver() {
+        return node().map(ControlNode::transferLeadership)
+                .orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ControlProbe.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ControlProbe.java
@@ -81,7 +81,7 @@
 
     @Override
     public void lost(PooledSession session, ConnectionLoss loss, String text) {
-        mPorts.log("the probe of " + mCopy.record().id() + " is lost: " + loss + " " + text);
+        mPorts.note("the probe of " + mCopy.record().id() + " is lost: " + loss + " " + text);
         // A connection that closes before it took commands shows no more than a refused one.
         end(loss == ConnectionLoss.CLOSED && !mOpened ? ConnectionLoss.REFUSED : loss);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupPorts.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupPorts.java
@@ -36,6 +36,9 @@
     /** Asks the control leader for another epoch, because this one can order nothing any more. */
     void giveBack(GroupId group);
 
-    /** Writes a line on a decision. */
+    /** Writes a line on a change of what the leaseholder believes; these are few. */
+    void note(String line);
+
+    /** Writes a line on a decision about one call; the rate is limited. */
     void log(String line);
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.EndpointRecord;
 
 /**
@@ -15,16 +16,19 @@
  * @param connections connections that one copy accepts
  * @param idleTransaction time without a statement after which a transaction is ended
  * @param dataCentre where the leaseholder stands
+ * @param workspaces workspaces that may send statements
  */
 record GroupSettings(
         List<EndpointRecord> endpoints,
         Set<DataCentreId> drained,
         int connections,
         Duration idleTransaction,
-        DataCentreId dataCentre) {
+        DataCentreId dataCentre,
+        List<WorkspaceId> workspaces) {
     GroupSettings {
         endpoints = List.copyOf(endpoints);
         drained = Set.copyOf(drained);
+        workspaces = List.copyOf(workspaces);
         Objects.requireNonNull(idleTransaction, "idleTransaction");
         Objects.requireNonNull(dataCentre, "dataCentre");
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
@@ -90,7 +90,7 @@
     /** Asks all copies for their roles because a belief proved wrong. */
     void rediscover(String reason) {
         if (mPhase == Phase.SERVING) {
-            mPorts.log("group " + mGroup.id() + " looks for its primary: " + reason);
+            mPorts.note("group " + mGroup.id() + " looks for its primary: " + reason);
             enter(Phase.DISCOVERING);
             mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
         }
@@ -130,7 +130,7 @@
         }
         mNextProbeNanos.put(pool.record().id(), now + RETRY_NANOS);
         if (loss != ConnectionLoss.LIMIT && pool.health() != CopyPool.Health.DOWN) {
-            mPorts.log("endpoint " + pool.record().id() + " is down: " + loss);
+            mPorts.note("endpoint " + pool.record().id() + " is down: " + loss);
             pool.setHealth(CopyPool.Health.DOWN);
         }
     }
@@ -143,12 +143,13 @@
         ReplicationStatus status = result.status().get();
         mNextProbeNanos.remove(pool.record().id());
         if (pool.health() != CopyPool.Health.UP) {
-            mPorts.log("endpoint " + pool.record().id() + " is up: " + status);
+            mPorts.note("endpoint " + pool.record().id() + " is up: " + status);
             pool.setHealth(CopyPool.Health.UP);
+            new WarmUp(mGroup, pool, mPorts).next();
         }
         pool.setStatus(result.status());
         boolean newer = status.primary() && status.term() > mTerm;
-        if (newer && mPhase != Phase.DISCOVERING) {
+        if (newer && mPhase != Phase.DISCOVERING && mGroup.leaseValid()) {
             adopt(pool, status);
         }
         mGroup.dispatch();
@@ -160,6 +161,10 @@
             return;
         }
         List.copyOf(mProbes.values()).forEach(probe -> probe.tick(now));
+        // Another host may hold the group by now and may have stopped the replicas on purpose.
+        if (!mGroup.leaseValid()) {
+            return;
+        }
         mGroup.pools().stream().filter(pool -> isDue(pool, now)).toList().forEach(this::doubt);
         switch (mPhase) {
             case DISCOVERING -> discover(now);
@@ -217,7 +222,7 @@
                 mGroup.history()
                         .map(h -> h.with(status.received(), now))
                         .orElseGet(() -> PositionHistory.startingAt(status.received(), now)));
-        mPorts.log(
+        mPorts.note(
                 "group "
                         + mGroup.id()
                         + " epoch "
@@ -258,7 +263,7 @@
         result.error()
                 .ifPresent(
                         error ->
-                                mPorts.log(
+                                mPorts.note(
                                         pool.record().id() + " was not resumed: " + result.text()));
     }
 
@@ -275,7 +280,7 @@
         if (unwanted && now - mPlannedNanos >= 0 && successor().isPresent()) {
             mPlannedNanos = now + PLANNED_PAUSE_NANOS;
             mTarget = successor();
-            mPorts.log("group " + mGroup.id() + " moves its primary to " + mTarget.get());
+            mPorts.note("group " + mGroup.id() + " moves its primary to " + mTarget.get());
             enter(Phase.QUIESCING);
         }
     }
@@ -314,7 +319,7 @@
     }
 
     private void startFencing(String reason) {
-        mPorts.log("group " + mGroup.id() + " needs another primary: " + reason);
+        mPorts.note("group " + mGroup.id() + " needs another primary: " + reason);
         mTerm =
                 Math.max(
                         mTerm,
@@ -342,7 +347,7 @@
                         .allMatch(p -> mFenced.containsKey(p.record().id()));
         if (told || now - mSinceNanos >= FENCING_NANOS) {
             PromotionPlan.choose(
-                            replicas().stream().map(this::candidate).toList(),
+                            mGroup.pools().stream().map(this::candidate).toList(),
                             mGroup.history().map(PositionHistory::latest))
                     .ifPresent(this::promote);
         }
@@ -397,13 +402,13 @@
             return;
         }
         mUnanswered = Optional.of(target);
-        mPorts.log("group " + mGroup.id() + " orders " + target + " with fence " + mGroup.epoch());
+        mPorts.note("group " + mGroup.id() + " orders " + target + " with fence " + mGroup.epoch());
         mPorts.promote(mGroup.id(), target, mGroup.epoch());
     }
 
     /** Takes the platform's answer to an order. */
     void ordered(EndpointId target, PromotionService.Answer answer) {
-        mPorts.log("group " + mGroup.id() + " ordered " + target + ": " + answer);
+        mPorts.note("group " + mGroup.id() + " ordered " + target + ": " + answer);
         if (answer == PromotionService.Answer.ACCEPTED) {
             mUnanswered = Optional.empty();
         } else if (answer == PromotionService.Answer.REFUSED) {
@@ -416,7 +421,7 @@
 
     private void confirm(long now) {
         if (now - mSinceNanos >= ORDER_NANOS) {
-            mPorts.log("group " + mGroup.id() + " was not promoted in time");
+            mPorts.note("group " + mGroup.id() + " was not promoted in time");
             mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
             enter(Phase.DISCOVERING);
             return;
@@ -428,7 +433,7 @@
     }
 
     private void giveBack(String reason) {
-        mPorts.log("group " + mGroup.id() + " gives epoch " + mGroup.epoch() + " back: " + reason);
+        mPorts.note("group " + mGroup.id() + " gives epoch " + mGroup.epoch() + " back: " + reason);
         enter(Phase.GIVEN_BACK);
         mPorts.giveBack(mGroup.id());
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.ErrorCode;
@@ -30,12 +31,18 @@
 import org.crocusturn.core.entryhosts.SessionReply;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.DecisionLog;
 
 /** Runs the statements of sessions for the groups whose leases this host holds. */
 public final class SessionGroupsDuty implements DutyHandler<SessionGroupsEvent> {
+    private static final Logger LOG = LogManager.getLogger(SessionGroupsDuty.class);
+
+    /** Tokens that a host holds of each workspace, so that its first calls need not wait. */
+    private static final long LEAST_TOKENS = 3;
+
     /** Time between ticks while a group has work; bounds the delay of a time limit. */
     private static final long BUSY_TICK_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -51,8 +58,7 @@
     private final PromotionService mPromotions;
     private final Predicate<SessionGroupsEvent> mOwnRing;
     private final SessionGroupsListener mListener;
-    private final DecisionLog mLog =
-            DecisionLog.create(LogManager.getLogger(SessionGroupsDuty.class), "endpoints");
+    private final DecisionLog mLog = DecisionLog.create(LOG, "endpoints");
     private final Map<GroupId, HeldGroup> mGroups = new TreeMap<>();
     private final Map<Long, PooledSession> mSessions = new HashMap<>();
     private final Map<WorkspaceId, TokenAllowance> mTokens = new HashMap<>();
@@ -270,7 +276,8 @@
                 state.drained(),
                 state.configuration().service(id.service()).map(Service::connections).orElse(1),
                 state.configuration().sessionLimits().idleTransaction(),
-                mDataCentre);
+                mDataCentre,
+                state.configuration().workspaces().stream().map(Workspace::id).toList());
     }
 
     private void grant(GrantedTokens granted) {
@@ -291,19 +298,12 @@
                 .filter(run -> !run.isPaid())
                 .forEach(run -> waiting.merge(run.call().workspace(), 1L, Long::sum));
         List<TokenDemand> demands =
-                mTokens.entrySet().stream()
-                        .sorted(Map.Entry.comparingByKey())
-                        .map(
-                                e ->
-                                        new TokenDemand(
-                                                e.getKey(),
-                                                e.getValue()
-                                                        .wanted(
-                                                                waiting.getOrDefault(
-                                                                        e.getKey(), 0L),
-                                                                nowNanos),
-                                                e.getValue().spentTotal()))
-                        .toList();
+                mGroups.isEmpty()
+                        ? List.of()
+                        : mView.state().configuration().workspaces().stream()
+                                .map(Workspace::id)
+                                .map(id -> demand(id, waiting.getOrDefault(id, 0L), nowNanos))
+                                .toList();
         boolean released =
                 !held.stream()
                         .filter(HeldLease::released)
@@ -319,6 +319,12 @@
         mTokensNeeded = false;
     }
 
+    private TokenDemand demand(WorkspaceId workspace, long waiting, long nowNanos) {
+        TokenAllowance tokens = tokens(workspace);
+        return new TokenDemand(
+                workspace, LEAST_TOKENS + tokens.wanted(waiting, nowNanos), tokens.spentTotal());
+    }
+
     /** Hears of one connection on I/O threads and passes it on. */
     private final class Listener implements EndpointSessionListener {
         private final long mNumber;
@@ -345,8 +351,7 @@
 
     private void offer(SessionGroupsEvent event) {
         if (!mOwnRing.test(event)) {
-            LogManager.getLogger(SessionGroupsDuty.class)
-                    .error("endpoints: the ring of the groups is full, an event is lost");
+            LOG.error("endpoints: the ring of the groups is full, an event is lost");
         }
     }
 
@@ -416,6 +421,11 @@
             mTokensNeeded = true;
         }
 
+        @Override
+        public void note(String line) {
+            LOG.info("endpoints: host {}: {}", mSelf, line);
+        }
+
         @Override
         public void log(String line) {
             mLog.write("host " + mSelf + ": " + line, nowNanos());
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -165,7 +165,7 @@
     private void report(LeaderEvent.Reported reported) {
         EntryReport report = reported.report();
         if (!leads()) {
-            mPorts.send(report.host(), new NotLeader(mPorts.leaderHint()));
+            mPorts.send(report.host(), new NotLeader(mPorts.leaderHint(), mPorts.members()));
         } else if (report.host().equals(reported.link())) {
             step(new LeaderInput.ReportReceived(report));
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.wire;
 
+import java.util.List;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.LogContent;
 import org.crocusturn.core.controlhosts.LogEntry;
@@ -76,6 +77,11 @@
         return builder.build();
     }
 
+    static List<Member> members(List<ControlHostsProto.Member> values) {
+        return decode(ControlHostsProto.Membership.newBuilder().addAllMembers(values).build())
+                .members();
+    }
+
     static Membership decode(ControlHostsProto.Membership value) {
         return new Membership(
                 value.getMembersList().stream()
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -8,6 +8,7 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.daemon.generated.ControlHostsProto;
@@ -51,12 +52,14 @@
     static ControlHostsProto.NotLeader encode(NotLeader value) {
         ControlHostsProto.NotLeader.Builder builder = ControlHostsProto.NotLeader.newBuilder();
         value.leader().ifPresent(l -> builder.setLeader(l.value()));
+        builder.addAllMembers(LogMapper.encode(new Membership(value.members())).getMembersList());
         return builder.build();
     }
 
     static NotLeader decode(ControlHostsProto.NotLeader value) {
         return new NotLeader(
-                value.hasLeader() ? Optional.of(HostId.of(value.getLeader())) : Optional.empty());
+                value.hasLeader() ? Optional.of(HostId.of(value.getLeader())) : Optional.empty(),
+                LogMapper.members(value.getMembersList()));
     }
 
     private static ControlHostsProto.HeldLease encode(HeldLease value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
@@ -35,11 +35,7 @@
                 value.getFreshnessMillis(),
                 value.getLeasesList().stream().map(UpdateMapper::decode).toList(),
                 value.getTokensList().stream().map(UpdateMapper::decode).toList(),
-                LogMapper.decode(
-                                ControlHostsProto.Membership.newBuilder()
-                                        .addAllMembers(value.getMembersList())
-                                        .build())
-                        .members());
+                LogMapper.members(value.getMembersList()));
     }
 
     private static ControlHostsProto.StateUpdate encode(StateUpdate value) {
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupPorts.java
@@ -0,0 +1,188 @@
+package org.crocusturn.daemon.endpoints;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.endpoints.EndpointError;
+import org.crocusturn.core.endpoints.ReplicationStatus;
+import org.crocusturn.core.endpoints.SessionCommand;
+import org.crocusturn.core.endpoints.SessionResult;
+
+/** Stands for the duty of a group and for its endpoints; commands wait until they are answered. */
+final class FakeGroupPorts implements GroupPorts {
+    /** Is a command that an endpoint got. */
+    record Sent(PooledSession session, SessionCommand command) {
+        String endpoint() {
+            return session.copy().record().id().value();
+        }
+    }
+
+    final List<Sent> mSent = new ArrayList<>();
+    final Map<Long, SessionOutcome> mReplies = new HashMap<>();
+    final List<String> mOrders = new ArrayList<>();
+    final Map<String, ReplicationStatus> mStatuses = new HashMap<>();
+    long mNow = 1_000_000_000L;
+    boolean mLease = true;
+    boolean mToken = true;
+    int mGivenBack;
+    private long mNumber;
+
+    @Override
+    public long nowNanos() {
+        return mNow;
+    }
+
+    @Override
+    public boolean leaseValid(GroupId group) {
+        return mLease;
+    }
+
+    @Override
+    public boolean hasToken(WorkspaceId workspace) {
+        return mToken;
+    }
+
+    @Override
+    public void takeToken(WorkspaceId workspace) {
+        // Tokens do not run out here.
+    }
+
+    @Override
+    public PooledSession open(
+            CopyPool copy, WorkspaceId workspace, Duration timeout, SessionTask task) {
+        PooledSession session = new PooledSession(++mNumber, copy, workspace);
+        session.connected(new Connection(session));
+        session.assign(task, mNow);
+        session.opened();
+        copy.add(session);
+        task.opened(session);
+        return session;
+    }
+
+    @Override
+    public void close(PooledSession session) {
+        session.copy().remove(session);
+        session.close();
+    }
+
+    @Override
+    public void reply(HostId origin, long call, SessionOutcome outcome) {
+        mReplies.put(call, outcome);
+    }
+
+    @Override
+    public void promote(GroupId group, EndpointId endpoint, long fence) {
+        mOrders.add(endpoint + " " + fence);
+    }
+
+    @Override
+    public void giveBack(GroupId group) {
+        mGivenBack++;
+    }
+
+    @Override
+    public void note(String line) {
+        // Nothing reads the log.
+    }
+
+    @Override
+    public void log(String line) {
+        // Nothing reads the log.
+    }
+
+    /** Answers all questions about the place in the group. */
+    void tellStatuses() {
+        List<Sent> asked =
+                mSent.stream()
+                        .filter(
+                                s ->
+                                        s.command() instanceof SessionCommand.AskStatus
+                                                || s.command()
+                                                        instanceof SessionCommand.PauseReplication
+                                                || s.command()
+                                                        instanceof SessionCommand.ResumeReplication)
+                        .toList();
+        mSent.removeAll(asked);
+        asked.forEach(
+                s ->
+                        Optional.ofNullable(mStatuses.get(s.endpoint()))
+                                .ifPresent(
+                                        status ->
+                                                s.session()
+                                                        .task()
+                                                        .ifPresent(
+                                                                t ->
+                                                                        t.result(
+                                                                                s.session(),
+                                                                                told(status)))));
+    }
+
+    private static SessionResult told(ReplicationStatus status) {
+        return new SessionResult(
+                List.of(),
+                "-",
+                Optional.empty(),
+                "",
+                SessionResult.State.IDLE,
+                Optional.of(status.received()),
+                Optional.of(status));
+    }
+
+    /** Answers the oldest open command of a kind. */
+    void answer(Class<? extends SessionCommand> kind, SessionResult result) {
+        Sent sent =
+                mSent.stream().filter(s -> kind.isInstance(s.command())).findFirst().orElseThrow();
+        mSent.remove(sent);
+        sent.session().task().orElseThrow().result(sent.session(), result);
+    }
+
+    static SessionResult done(SessionResult.State state, long index) {
+        return new SessionResult(
+                List.of("row"),
+                "sig",
+                Optional.empty(),
+                "",
+                state,
+                Optional.of(LogPosition.of(1, index)),
+                Optional.empty());
+    }
+
+    static SessionResult failed(EndpointError error, SessionResult.State state) {
+        return new SessionResult(
+                List.of(),
+                "",
+                Optional.of(error),
+                error.name(),
+                state,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    /** Notes commands. */
+    private final class Connection implements EndpointSession {
+        private final PooledSession mSession;
+
+        private Connection(PooledSession session) {
+            mSession = session;
+        }
+
+        @Override
+        public void send(SessionCommand command) {
+            mSent.add(new Sent(mSession, command));
+        }
+
+        @Override
+        public void close() {
+            mSent.removeIf(s -> s.session() == mSession);
+        }
+    }
+}
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -102,7 +102,7 @@
 
     static Stream<PeerMessage> messages() {
         return Stream.of(
-                        Stream.of(report(), new NotLeader(Optional.of(HOST))),
+                        Stream.of(report(), new NotLeader(Optional.of(HOST), MEMBERSHIP.members())),
                         Stream.of(new NotLeader(Optional.empty())),
                         updates(),
                         consensus(),
