--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.endpoints.CopyProgress;
 import org.crocusturn.core.endpoints.ReplicationStatus;
@@ -74,6 +75,13 @@
         mStatus = status;
     }
 
+    /** Returns the newest position that the copy is known to have received or applied. */
+    LogPosition newestPosition() {
+        return mStatus.map(ReplicationStatus::received)
+                .orElse(LogPosition.ZERO)
+                .max(mProgress.position());
+    }
+
     int slots() {
         return mRecord.databases().isEmpty() ? 1 : mRecord.databases().get(0).slots();
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
@@ -290,7 +290,7 @@
                 .filter(mGroup::isServing)
                 .filter(p -> !isPrimary(p))
                 .max(
-                        Comparator.<CopyPool, LogPosition>comparing(p -> p.progress().position())
+                        Comparator.<CopyPool, LogPosition>comparing(CopyPool::newestPosition)
                                 .thenComparing(p -> p.record().id()))
                 .map(p -> p.record().id());
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupPorts.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupPorts.java
@@ -27,6 +27,7 @@
     }
 
     final List<Sent> mSent = new ArrayList<>();
+    private final List<PooledSession> mOpening = new ArrayList<>();
     final Map<Long, SessionOutcome> mReplies = new HashMap<>();
     final List<String> mOrders = new ArrayList<>();
     final Map<String, ReplicationStatus> mStatuses = new HashMap<>();
@@ -62,12 +63,20 @@
         PooledSession session = new PooledSession(++mNumber, copy, workspace);
         session.connected(new Connection(session));
         session.assign(task, mNow);
-        session.opened();
         copy.add(session);
-        task.opened(session);
+        mOpening.add(session);
         return session;
     }
 
+    /** Lets all connections take commands that were asked for. */
+    void openAll() {
+        while (!mOpening.isEmpty()) {
+            PooledSession session = mOpening.remove(0);
+            session.opened();
+            session.task().ifPresent(t -> t.opened(session));
+        }
+    }
+
     @Override
     public void close(PooledSession session) {
         session.copy().remove(session);
@@ -101,6 +110,7 @@
 
     /** Answers all questions about the place in the group. */
     void tellStatuses() {
+        openAll();
         List<Sent> asked =
                 mSent.stream()
                         .filter(
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/HeldGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/HeldGroupTest.java
@@ -105,6 +105,7 @@
                         Optional.empty(),
                         Map.of(),
                         LogPosition.ZERO));
+        mPorts.openAll();
         return mCall;
     }
 
@@ -186,6 +187,7 @@
                         .findFirst()
                         .orElseThrow();
         sent.session().task().orElseThrow().lost(sent.session(), ConnectionLoss.CLOSED, "");
+        mPorts.openAll();
         assertEquals(
                 verdict,
                 Optional.ofNullable(mPorts.mReplies.get(lost))
@@ -205,6 +207,7 @@
         mPorts.answer(
                 SessionCommand.Run.class,
                 FakeGroupPorts.failed(EndpointError.LAGGING, SessionResult.State.IDLE));
+        mPorts.openAll();
         mPorts.answer(SessionCommand.Run.class, FakeGroupPorts.done(SessionResult.State.IDLE, 10));
         assertTrue(mPorts.mReplies.get(read).failure().isEmpty());
     }
