Refuse statements of a session whose key has left its workspace

Pooled connections keep one workspace and calls carry the workspace of the key, so a mix of connections is ruled out by reading; what is left is a session on an open route that goes on as a caller without a key once its key is withdrawn. Change: a session keeps the workspace under which it was opened, and its statements are refused with KEY_REFUSED if the key leaves that workspace. RouteCheckTest covers the cases.

--- a/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
+++ b/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
@@ -48,6 +48,20 @@
         return new RouteCheck(route, Optional.of(workspace.orElse(ANYONE)), Optional.empty());
     }
 
+    /**
+     * Returns this check for a statement of a session, refused if its key has left its workspace.
+     *
+     * <p>On a route that is open to all, a session whose key is withdrawn would otherwise go on as
+     * a caller without a key, and the endpoint would be told a workspace that is not the caller's.
+     *
+     * @param opened workspace under which the session was opened
+     */
+    public RouteCheck forSessionOf(WorkspaceId opened) {
+        boolean left =
+                !opened.equals(ANYONE) && workspace.filter(w -> !w.equals(opened)).isPresent();
+        return left ? refused(ErrorCode.KEY_REFUSED, "the key has left workspace " + opened) : this;
+    }
+
     private static RouteCheck refused(ErrorCode code, String message) {
         return new RouteCheck(
                 Optional.empty(), Optional.empty(), Optional.of(Failure.notRun(code, message)));
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/callers/RouteCheckTest.java
@@ -0,0 +1,52 @@
+package org.crocusturn.core.callers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.Consistency;
+import org.crocusturn.core.operators.Route;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class RouteCheckTest {
+    private static final WorkspaceId FIRST = WorkspaceId.of("first");
+    private static final WorkspaceId SECOND = WorkspaceId.of("second");
+    private static final Route OPEN_ROUTE =
+            new Route(
+                    "route",
+                    "database",
+                    "service",
+                    Consistency.PRIMARY,
+                    Duration.ZERO,
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(1),
+                    1,
+                    true);
+
+    static Stream<Arguments> sessions() {
+        return Stream.of(
+                Arguments.of("key still in force", FIRST, FIRST, null),
+                Arguments.of("key withdrawn", FIRST, RouteCheck.ANYONE, ErrorCode.KEY_REFUSED),
+                Arguments.of("key of another workspace", FIRST, SECOND, ErrorCode.KEY_REFUSED),
+                Arguments.of("no key", RouteCheck.ANYONE, RouteCheck.ANYONE, null),
+                Arguments.of("key that came later", RouteCheck.ANYONE, FIRST, null));
+    }
+
+    /** Guards against a session on an open route that goes on for no one after its key has gone. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("sessions")
+    void sessionKeepsItsWorkspace(
+            String name, WorkspaceId opened, WorkspaceId now, ErrorCode refusal) {
+        RouteCheck check =
+                new RouteCheck(Optional.of(OPEN_ROUTE), Optional.of(now), Optional.empty())
+                        .forSessionOf(opened);
+        assertEquals(Optional.ofNullable(refusal), check.failure().map(Failure::code));
+        assertEquals(refusal == null ? Optional.of(now) : Optional.empty(), check.workspace());
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -15,6 +15,7 @@
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.Verdict;
+import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.PreparedShape;
 import org.crocusturn.core.callers.RouteCheck;
 import org.crocusturn.core.callers.SessionDecisions;
@@ -84,16 +85,18 @@
         private final SessionChannel mChannel;
         private final String mDatabase;
         private final String mKeyHash;
+        private final WorkspaceId mWorkspace;
         private final Deque<SessionStatement> mWaiting = new ArrayDeque<>();
         private SessionState mState = SessionState.NEW;
         private Optional<Call> mCall = Optional.empty();
         private Optional<Leaseholder> mHolder = Optional.empty();
 
-        private Session(long number, SessionChannel channel, String database, String keyHash) {
-            mNumber = number;
-            mChannel = channel;
-            mDatabase = database;
-            mKeyHash = keyHash;
+        private Session(SessionEvent.Opened opened, WorkspaceId workspace) {
+            mNumber = opened.session();
+            mChannel = opened.channel();
+            mDatabase = opened.database();
+            mKeyHash = opened.keyHash();
+            mWorkspace = workspace;
         }
     }
 
@@ -183,9 +186,7 @@
             return;
         }
         mSessions.put(
-                opened.session(),
-                new Session(
-                        opened.session(), opened.channel(), opened.database(), opened.keyHash()));
+                opened.session(), new Session(opened, check.workspace().orElse(RouteCheck.ANYONE)));
         opened.channel().accept();
     }
 
@@ -211,7 +212,9 @@
     private void next(Session session) {
         while (session.mCall.isEmpty() && !session.mWaiting.isEmpty()) {
             SessionStatement statement = session.mWaiting.remove();
-            RouteCheck check = RouteCheck.of(mView.state(), session.mDatabase, session.mKeyHash);
+            RouteCheck check =
+                    RouteCheck.of(mView.state(), session.mDatabase, session.mKeyHash)
+                            .forSessionOf(session.mWorkspace);
             SessionStep step = SessionDecisions.next(session.mState, statement, check);
             if (step instanceof SessionStep.Answer answer) {
                 if (answer.endsTransaction()) {
