Share what the entry daemons and the session path wrote twice

Cause: a reading of the whole change found twins and work done twice. Left as they are: the copy methods of ControlState and ConsensusState, whose parts are those of a record; the wiring of the three daemons beyond these parts, which differs in its duties. Checks: formatter, linter, architecture rules and 959 selected tests of core, daemon and platform pass.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.ControlStateMachine;
 
 /**
  * Is an entry host's copy of the replicated state together with what the control leader granted.
@@ -83,6 +84,16 @@
         private List<GrantedTokens> mNewTokens = List.of();
     }
 
+    /**
+     * Creates the view of a host that knows nothing yet and applies commands as control hosts do.
+     */
+    public static ControlView empty() {
+        return empty(
+                (state, command) ->
+                        ControlStateMachine.apply(state, command.version(), command.command())
+                                .state());
+    }
+
     /** Creates the view of a host that knows nothing yet. */
     public static ControlView empty(StateApplier applier) {
         Draft draft = new Draft();
--- a/core/src/main/java/org/crocusturn/core/endpoints/Work.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/Work.java
@@ -86,54 +86,31 @@
     }
 
     Work withPaid() {
-        return new Work(
-                origin,
-                request,
-                secret,
-                arrivedNanos,
-                deadlineNanos,
-                routedNanos,
-                true,
-                primaryOnly,
-                mayHaveRun);
+        return with(routedNanos, true, primaryOnly, mayHaveRun);
     }
 
     Work withPrimaryOnly() {
-        return new Work(
-                origin,
-                request,
-                secret,
-                arrivedNanos,
-                deadlineNanos,
-                routedNanos,
-                paid,
-                true,
-                mayHaveRun);
+        return with(routedNanos, paid, true, mayHaveRun);
     }
 
     Work withMayHaveRun() {
-        return new Work(
-                origin,
-                request,
-                secret,
-                arrivedNanos,
-                deadlineNanos,
-                routedNanos,
-                paid,
-                primaryOnly,
-                true);
+        return with(routedNanos, paid, primaryOnly, true);
     }
 
     Work withRouted(long nowNanos) {
+        return with(nowNanos, paid, primaryOnly, mayHaveRun);
+    }
+
+    private Work with(long routed, boolean isPaid, boolean onlyPrimary, boolean unknown) {
         return new Work(
                 origin,
                 request,
                 secret,
                 arrivedNanos,
                 deadlineNanos,
-                nowNanos,
-                paid,
-                primaryOnly,
-                mayHaveRun);
+                routed,
+                isPaid,
+                onlyPrimary,
+                unknown);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -3,9 +3,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
 
 /**
@@ -99,6 +101,15 @@
         return !endpoint.leaving() && !drained.contains(endpoint.dataCentre());
     }
 
+    /** Returns the link addresses of all leaseholders but one host. */
+    public Set<String> leaseholderLinks(HostId except) {
+        return groups.values().stream()
+                .flatMap(group -> group.leaseholder().stream())
+                .filter(holder -> !holder.host().equals(except))
+                .map(Leaseholder::linkAddress)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns a copy at another version. */
     public ControlState withVersion(long value) {
         return new ControlState(
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -6,12 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.EndpointId;
@@ -28,8 +26,6 @@
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.entryhosts.CallerRequest;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
-import org.crocusturn.core.operators.ControlStateMachine;
-import org.crocusturn.core.operators.GroupRecord;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
 import org.crocusturn.core.ring.SteadyClock;
@@ -94,12 +90,7 @@
     private EntryDaemon(EntrySettings settings) {
         mSettings = settings;
         mThreads = NetThreads.start(settings.host().value(), IO_THREADS);
-        ControlView empty =
-                ControlView.empty(
-                        (state, command) ->
-                                ControlStateMachine.apply(
-                                                state, command.version(), command.command())
-                                        .state());
+        ControlView empty = ControlView.empty();
         mView = new AtomicReference<>(empty);
         SharedSecret linkSecret = SharedSecret.of(settings.linkSecret().bytes());
         SessionTokenCodec tokens =
@@ -274,7 +265,7 @@
         mIngress.offer(new IngressEvent.ViewChanged(view));
         mGroups.offer(new GroupsEvent.ViewChanged(view));
         if (before.state() != view.state()) {
-            mLinks.keep(leaseholders(view));
+            mLinks.keep(view.state().leaseholderLinks(mSettings.host()));
         }
         mLifecycle.offer(new LifecycleEvent.BusyChanged("leases", view.leases().size()));
         if (mStateKnown.compareAndSet(false, true)) {
@@ -282,15 +273,6 @@
         }
     }
 
-    private Set<String> leaseholders(ControlView view) {
-        return view.state().groups().values().stream()
-                .map(GroupRecord::leaseholder)
-                .flatMap(holder -> holder.stream())
-                .filter(holder -> !holder.host().equals(mSettings.host()))
-                .map(holder -> holder.linkAddress())
-                .collect(Collectors.toSet());
-    }
-
     private void phaseChanged(Phase phase) {
         mIngress.offer(new IngressEvent.PhaseChanged(phase));
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -33,8 +32,6 @@
 import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.entryhosts.SessionEnd;
 import org.crocusturn.core.entryhosts.SessionReply;
-import org.crocusturn.core.operators.ControlStateMachine;
-import org.crocusturn.core.operators.GroupRecord;
 import org.crocusturn.core.operators.Leaseholder;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
@@ -103,12 +100,7 @@
         mSettings = settings;
         mThreads = threads;
         mSecret = SharedSecret.of(settings.linkSecret().bytes());
-        ControlView empty =
-                ControlView.empty(
-                        (state, command) ->
-                                ControlStateMachine.apply(
-                                                state, command.version(), command.command())
-                                        .state());
+        ControlView empty = ControlView.empty();
         mView = new AtomicReference<>(empty);
         mLifecycle =
                 start(
@@ -250,12 +242,12 @@
     }
 
     private void membersChanged(List<Member> members) {
-        connect(members.stream().map(m -> Addresses.parse(m.linkAddress())).toList());
         Set<InetSocketAddress> known =
                 members.stream()
                         .map(m -> Addresses.parse(m.linkAddress()))
                         .collect(Collectors.toSet());
         known.addAll(mSettings.controlLinks());
+        connect(known);
         mControlLinks.entrySet().removeIf(e -> !known.contains(e.getKey()) && closed(e.getValue()));
     }
 
@@ -270,7 +262,7 @@
         mGroups.offer(new SessionGroupsEvent.ViewChanged(view));
         if (before.state() != view.state()) {
             mSessions.offer(new SessionEvent.ViewChanged(view));
-            mLinks.keep(leaseholders(view));
+            mLinks.keep(view.state().leaseholderLinks(mSettings.host()));
         }
         noteBusy("leases", view.leases().size());
         boolean known = view.state().configuration().version() > 0;
@@ -279,15 +271,6 @@
         }
     }
 
-    private Set<String> leaseholders(ControlView view) {
-        return view.state().groups().values().stream()
-                .map(GroupRecord::leaseholder)
-                .flatMap(Optional::stream)
-                .filter(holder -> !holder.host().equals(mSettings.host()))
-                .map(Leaseholder::linkAddress)
-                .collect(Collectors.toSet());
-    }
-
     private void phaseChanged(Phase phase) {
         mPhase = phase;
         mSessions.offer(new SessionEvent.PhaseChanged(phase));
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerHeaders.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerHeaders.java
@@ -1,13 +1,10 @@
 package org.crocusturn.daemon.callers;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Sha256;
 import org.crocusturn.daemon.net.HttpRequest;
 
 /** Reads the headers of callers; no message of a refusal repeats their values. */
@@ -41,7 +38,7 @@
                                         CrocusturnException.notRun(
                                                 ErrorCode.KEY_REFUSED,
                                                 "header authorization must be Bearer and a key"));
-        return hash(parts.group(1));
+        return Sha256.hex(parts.group(1));
     }
 
     /**
@@ -66,13 +63,4 @@
             throw StatementParser.malformed("header content-type must be application/json");
         }
     }
-
-    private static String hash(String key) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("the Java platform lacks SHA-256", e);
-        }
-    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
@@ -193,17 +193,21 @@
         if (!leaseValid()) {
             return;
         }
-        Optional<StatementRun> next = mQueues.take(this::canStart);
+        Optional<StatementRun> next = mQueues.take(this::place);
         while (next.isPresent()) {
             start(next.get());
-            next = mQueues.take(this::canStart);
+            next = mQueues.take(this::place);
         }
     }
 
-    private boolean canStart(StatementRun run) {
-        return run.isDue(mPorts.nowNanos())
-                && (run.isPaid() || mPorts.hasToken(run.call().workspace()))
-                && mRouting.target(run).isPresent();
+    /** Places a call on the copy that can start it now; returns false if there is none. */
+    private boolean place(StatementRun run) {
+        boolean allowed =
+                run.isDue(mPorts.nowNanos())
+                        && (run.isPaid() || mPorts.hasToken(run.call().workspace()));
+        Optional<CopyPool> target = allowed ? mRouting.target(run) : Optional.empty();
+        target.ifPresent(run::setCopy);
+        return target.isPresent();
     }
 
     /** Returns whether a copy may get new work. */
@@ -217,7 +221,7 @@
     }
 
     private void start(StatementRun run) {
-        CopyPool pool = mRouting.target(run).orElseThrow();
+        CopyPool pool = run.copy();
         if (!run.isPaid()) {
             mPorts.takeToken(run.call().workspace());
             run.setPaid();
@@ -276,14 +280,10 @@
             run.rest(mPorts.nowNanos() + OVERLOAD_PAUSE_NANOS);
             return;
         }
-        PooledSession session = run.session();
+        settle(run, result.state());
         if (reaction instanceof StatementReaction.RetryElsewhere && mayRetry(run)) {
-            settle(run, session, result.state());
             retry(run, result);
-            return;
-        }
-        settle(run, session, result.state());
-        if (reaction instanceof StatementReaction.Fail fail) {
+        } else if (reaction instanceof StatementReaction.Fail fail) {
             fail(run, fail.failure(), fail.transactionFailed());
         } else {
             fail(
@@ -333,11 +333,10 @@
     }
 
     /** Takes a run out of its connection, which goes back to the pool if it is clean. */
-    private void settle(StatementRun run, PooledSession session, SessionResult.State state) {
-        mRunning.remove(run);
-        run.copy().finished();
-        Optional<OpenTransaction> transaction = run.transaction();
-        transaction.ifPresent(mTransactions::remove);
+    private void settle(StatementRun run, SessionResult.State state) {
+        PooledSession session = run.session();
+        stopRunning(run);
+        run.transaction().ifPresent(mTransactions::remove);
         if (state == SessionResult.State.IDLE) {
             idle(session);
         } else {
@@ -347,6 +346,13 @@
         }
     }
 
+    /** Frees the place of a run on its copy. */
+    private void stopRunning(StatementRun run) {
+        if (mRunning.remove(run)) {
+            run.copy().finished();
+        }
+    }
+
     private void done(StatementRun run, SessionResult result) {
         boolean staysOpen =
                 run.transaction().isPresent()
@@ -366,14 +372,13 @@
         if (staysOpen) {
             stayOpen(run);
         } else {
-            settle(run, run.session(), result.state());
+            settle(run, result.state());
         }
         dispatch();
     }
 
     private void stayOpen(StatementRun run) {
-        mRunning.remove(run);
-        run.copy().finished();
+        stopRunning(run);
         OpenTransaction transaction = run.transaction().orElseThrow();
         transaction.setRun(Optional.empty(), mPorts.nowNanos());
         if (transaction.isAbandoned()) {
@@ -404,9 +409,7 @@
     void lost(StatementRun run, ConnectionLoss loss) {
         CopyPool pool = run.copy();
         mPorts.log(run + " lost its connection to " + pool.record().id() + ": " + loss);
-        if (mRunning.remove(run)) {
-            pool.finished();
-        }
+        stopRunning(run);
         mPorts.close(run.session());
         run.transaction().ifPresent(mTransactions::remove);
         if (loss != ConnectionLoss.LIMIT) {
@@ -440,9 +443,8 @@
     /** Takes back a run that has not sent its statement. */
     void notRun(StatementRun run, String reason) {
         mPorts.log(run + " is not run: " + reason);
-        PooledSession session = run.session();
         boolean begun = run.transaction().isPresent();
-        settle(run, session, begun ? SessionResult.State.TRANSACTION : SessionResult.State.IDLE);
+        settle(run, begun ? SessionResult.State.TRANSACTION : SessionResult.State.IDLE);
         if (run.call().step() == TransactionStep.CONTINUE) {
             fail(
                     run,
@@ -465,7 +467,7 @@
         if (result.error().filter(e -> e == EndpointError.READ_ONLY).isPresent()) {
             mKeeper.rediscover("a begin was refused by " + run.copy().record().id());
         }
-        settle(run, run.session(), result.state());
+        settle(run, result.state());
         if (mayRetry(run)) {
             retry(run, result);
         } else {
@@ -532,13 +534,10 @@
     }
 
     private void timeOut(StatementRun run) {
-        PooledSession session = run.session();
         boolean sent = run.stage() == StatementRun.Stage.RUNNING;
-        run.end();
-        mRunning.remove(run);
-        run.copy().finished();
+        stopRunning(run);
         run.transaction().ifPresent(mTransactions::remove);
-        mPorts.close(session);
+        mPorts.close(run.session());
         doubt(run.copy());
         fail(run, StatementFailures.late(sent), run.call().step() != TransactionStep.NONE);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
@@ -91,11 +91,15 @@
     void rediscover(String reason) {
         if (mPhase == Phase.SERVING) {
             mPorts.note("group " + mGroup.id() + " looks for its primary: " + reason);
-            enter(Phase.DISCOVERING);
-            mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
+            discoverAgain();
         }
     }
 
+    private void discoverAgain() {
+        mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
+        enter(Phase.DISCOVERING);
+    }
+
     /** Asks a copy how it is. */
     void doubt(CopyPool pool) {
         ControlProbe probe = probe(pool);
@@ -352,8 +356,7 @@
                     .ifPresent(this::promote);
         }
         if (mPhase == Phase.FENCING && now - mSinceNanos >= ORDER_NANOS) {
-            mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
-            enter(Phase.DISCOVERING);
+            discoverAgain();
         }
     }
 
@@ -422,8 +425,7 @@
     private void confirm(long now) {
         if (now - mSinceNanos >= ORDER_NANOS) {
             mPorts.note("group " + mGroup.id() + " was not promoted in time");
-            mGroup.pools().forEach(pool -> pool.setStatus(Optional.empty()));
-            enter(Phase.DISCOVERING);
+            discoverAgain();
             return;
         }
         if (now - mNextNanos >= 0) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -82,6 +82,11 @@
         return mCopy;
     }
 
+    /** Chooses the copy for the next start. */
+    void setCopy(CopyPool copy) {
+        mCopy = copy;
+    }
+
     PooledSession session() {
         return mSession;
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/NewKey.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/NewKey.java
@@ -1,11 +1,9 @@
 package org.crocusturn.daemon.operators;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
 import java.util.Base64;
 import java.util.HexFormat;
+import org.crocusturn.core.Sha256;
 
 /**
  * Is a caller's key that was just drawn; only its hash leaves the operator's machine.
@@ -37,14 +35,7 @@
 
     /** Returns the SHA-256 of any key text in lower-case hexadecimal digits. */
     public static String hash(String key) {
-        try {
-            return HexFormat.of()
-                    .formatHex(
-                            MessageDigest.getInstance("SHA-256")
-                                    .digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        return Sha256.hex(key);
     }
 
     @Override
--- a/standin/src/main/java/org/crocusturn/standin/bench/ControlStateBenchmark.java
+++ b/standin/src/main/java/org/crocusturn/standin/bench/ControlStateBenchmark.java
@@ -40,10 +40,7 @@
                 new ControlCommand.ApplyConfiguration(
                         "change-2", next(Fleets.configuration(mGroups)));
         mView =
-                ControlView.empty(
-                                (s, c) ->
-                                        ControlStateMachine.apply(s, c.version(), c.command())
-                                                .state())
+                ControlView.empty()
                         .withReportSent(1, 0)
                         .withUpdate(update(1, new StateUpdate.Replacement(mState)), 1)
                         .withReportSent(2, 2);
