Resume leases, count earlier tokens and spread leases when hosts restart

Ruled out: the platform's databases (up all the time), slow elections (0.6 s), lost reports.

Change: a lease is assigned again once another process of the holder's host, on the holder's link address, has confirmed an answer of the leader. Entry hosts tell the tokens that they hold; a leader that has heard all holders counts them as its grants and need not wait. Tokens are fetched ahead for 0.8 s, and few under small bursts. A host drops its tokens when it holds no lease. SpreadPlacement replaces RendezvousPlacement.

The bounds of TokenAllowanceTest.wantsTokensAheadOfDemand follow the new 0.8 s and are as narrow as before. GrantsTheReserve names a holder that stays silent, as the old code assumed.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -163,6 +163,7 @@
      * @param host the entry host
      * @param leases group leases that it holds or released
      * @param demands rate tokens that it needs
+     * @param holdingsTerm term of the leader up to which the demands tell all tokens that it holds
      * @param suspects endpoints that refused or reset a connection
      * @param leaving whether it stops
      */
@@ -170,6 +171,7 @@
             EntryHost host,
             List<HeldLease> leases,
             List<TokenDemand> demands,
+            long holdingsTerm,
             Set<EndpointId> suspects,
             boolean leaving) {
         return new EntryReport(
@@ -183,7 +185,8 @@
                 demands,
                 suspects,
                 leaving,
-                mAnswered);
+                mAnswered,
+                holdingsTerm);
     }
 
     /** Returns a copy that knows when a report was sent. */
--- a/core/src/main/java/org/crocusturn/core/controlhosts/EntryReport.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/EntryReport.java
@@ -24,6 +24,8 @@
  * @param answered greatest sequence that a received update answered; 0 if the process has received
  *     none. It proves to the leader that this report was sent after that report had arrived, which
  *     makes it safe to credit unspent tokens. A sequence number goes to one control host only.
+ * @param holdingsTerm consensus term of the leader up to which the demands tell all tokens that the
+ *     process holds; 0 if they do not
  */
 public record EntryReport(
         HostId host,
@@ -36,7 +38,8 @@
         List<TokenDemand> demands,
         Set<EndpointId> suspects,
         boolean leaving,
-        long answered)
+        long answered,
+        long holdingsTerm)
         implements PeerMessage {
     /** Copies the collections. */
     public EntryReport {
@@ -48,6 +51,34 @@
         suspects = Set.copyOf(suspects);
     }
 
+    /** Creates a report of a process that does not tell what tokens it holds. */
+    public EntryReport(
+            HostId host,
+            long incarnation,
+            DataCentreId dataCentre,
+            String linkAddress,
+            long sequence,
+            long knownVersion,
+            List<HeldLease> leases,
+            List<TokenDemand> demands,
+            Set<EndpointId> suspects,
+            boolean leaving,
+            long answered) {
+        this(
+                host,
+                incarnation,
+                dataCentre,
+                linkAddress,
+                sequence,
+                knownVersion,
+                leases,
+                demands,
+                suspects,
+                leaving,
+                answered,
+                0);
+    }
+
     /** Creates a report of a process that has received no update. */
     public EntryReport(
             HostId host,
--- a/core/src/main/java/org/crocusturn/core/controlhosts/TokenAllowance.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/TokenAllowance.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.crocusturn.core.operators.RateLimit;
 
 /**
  * Holds the rate tokens of one workspace that a leaseholder may spend.
@@ -13,8 +14,20 @@
  * copy the list of grants, which holds one element for each report of the last second.
  */
 public final class TokenAllowance {
-    /** Tokens are fetched ahead for this time; longer than one report interval of 200 ms. */
-    private static final double AHEAD_SECONDS = 0.3;
+    /**
+     * Tokens are fetched ahead for this time: a report interval of 200 ms and an election of up to
+     * 600 ms, so that a workspace is served while the control leader changes.
+     */
+    private static final double AHEAD_SECONDS = 0.8;
+
+    /** Tokens that a host holds of a workspace that has not called lately. */
+    private static final long LEAST_TOKENS = 3;
+
+    /**
+     * Part of a burst that such tokens may be, as a divisor. Under a low rate several hosts would
+     * otherwise hold the whole burst and spend none of it.
+     */
+    private static final long LEAST_DIVISOR = 10;
 
     /** Time constant of the observed rate; the leader's tokens live as long. */
     private static final double RATE_SECONDS = 1.0;
@@ -49,6 +62,11 @@
                 .sum();
     }
 
+    /** Returns the tokens that a host holds of a workspace before its first call. */
+    public static long least(RateLimit rate) {
+        return Math.min(LEAST_TOKENS, rate.burst() / LEAST_DIVISOR);
+    }
+
     /** Returns the number of tokens spent so far. */
     public long spentTotal() {
         return mSpentTotal;
@@ -76,6 +94,11 @@
         return new TokenAllowance(List.copyOf(shares), mSpentTotal, mRecent, mRecentAtNanos);
     }
 
+    /** Returns a copy whose tokens are given up. */
+    public TokenAllowance withoutGrants() {
+        return new TokenAllowance(List.of(), mSpentTotal, mRecent, mRecentAtNanos);
+    }
+
     /** Returns a copy that counts one more request in the observed rate. */
     public TokenAllowance withArrival(long nowNanos) {
         return new TokenAllowance(mShares, mSpentTotal, decayed(nowNanos) + 1, nowNanos);
--- a/core/src/main/java/org/crocusturn/core/controlhosts/TokenDemand.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/TokenDemand.java
@@ -9,13 +9,19 @@
  * @param workspace the workspace
  * @param wanted tokens that the host would like to hold, for waiting and expected requests
  * @param spentTotal tokens spent since the process started
+ * @param held tokens that it can still spend, those of earlier leaders included
  */
-public record TokenDemand(WorkspaceId workspace, long wanted, long spentTotal) {
+public record TokenDemand(WorkspaceId workspace, long wanted, long spentTotal, long held) {
     /** Checks the ranges. */
     public TokenDemand {
         Objects.requireNonNull(workspace, "workspace");
-        if (wanted < 0 || spentTotal < 0) {
-            throw new IllegalArgumentException("wanted and spentTotal must not be negative");
+        if (wanted < 0 || spentTotal < 0 || held < 0) {
+            throw new IllegalArgumentException("wanted, spentTotal and held must not be negative");
         }
     }
+
+    /** Creates the demand of a process that does not tell what it holds. */
+    public TokenDemand(WorkspaceId workspace, long wanted, long spentTotal) {
+        this(workspace, wanted, spentTotal, 0);
+    }
 }
--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupLease.java
@@ -54,6 +54,14 @@
         failTransactionLane(step);
         failWaiting(step);
         step.closeAll();
+        // The leader relies on it that only holders of leases spend what others granted.
+        step.mAllowances
+                .entries()
+                .toList()
+                .forEach(
+                        e ->
+                                step.mAllowances =
+                                        step.mAllowances.with(e.key(), e.value().withoutGrants()));
         step.mBackoff = PersistentMap.empty();
         step.mHandoverNanos = Optional.empty();
         step.mReleased = false;
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -60,7 +60,7 @@
 
     /** Creates a leader with the policies of the design. */
     public static ControlLeader standard() {
-        return of(new RendezvousPlacement(), FailureDetector.standard());
+        return of(new SpreadPlacement(), FailureDetector.standard());
     }
 
     /** Creates a leader with given policies. */
@@ -219,6 +219,7 @@
 
     private static void report(LeaderTurn turn, EntryReport report) {
         if (turn.mState.registry().isNew(report)) {
+            boolean wasProved = isProved(turn, report);
             turn.mState =
                     turn.mState
                             .withRegistry(turn.mState.registry().with(report, turn.mNow))
@@ -226,12 +227,30 @@
             RegisteredHost host = turn.mState.registry().host(report.host()).orElseThrow();
             turn.mState =
                     turn.mState.withRates(
-                            turn.mState.rates().with(host, report.demands(), turn.mNow));
+                            turn.mState
+                                    .rates()
+                                    .with(
+                                            host,
+                                            report.demands(),
+                                            report.holdingsTerm() == turn.mState.term(),
+                                            turn.mNow));
             report.leases().forEach(held -> held(turn, held));
+            if (host.proved() && !wasProved) {
+                LeaseDecisions leases = new LeaseDecisions(turn);
+                turn.mState.leases().groupsOf(host.id()).forEach(leases::check);
+            }
         }
         turn.tell(report.host());
     }
 
+    private static boolean isProved(LeaderTurn turn, EntryReport report) {
+        return turn.mState
+                .registry()
+                .host(report.host())
+                .filter(h -> h.incarnation() == report.incarnation() && h.proved())
+                .isPresent();
+    }
+
     private static void held(LeaderTurn turn, HeldLease held) {
         FailoverPhase phase =
                 turn.mState
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
@@ -59,7 +59,10 @@
                 CommandHistory.of(control.version()),
                 EntryRegistry.of(nowNanos),
                 LeaseTable.inherited(control, nowNanos),
-                RateAuthority.of(control.configuration(), nowNanos),
+                RateAuthority.of(
+                        control.configuration(),
+                        control.groups().values().stream().flatMap(g -> g.leaseholder().stream()),
+                        nowNanos),
                 FailoverTable.of(control, nowNanos),
                 false,
                 nowNanos,
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderTurn.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -32,6 +34,7 @@
     LeaderState mState;
     private final List<LeaderAction> mActions = new ArrayList<>();
     private final Set<HostId> mTold = new TreeSet<>();
+    private final Map<HostId, Integer> mPlaced = new HashMap<>();
     private List<RegisteredHost> mEligible;
 
     LeaderTurn(LeaderState state, long now, PlacementPolicy placement, FailureDetector detector) {
@@ -54,6 +57,18 @@
         mTold.add(host);
     }
 
+    /** Notes that this step assigns a lease to a host. */
+    void place(HostId host) {
+        mPlaced.merge(host, 1, Integer::sum);
+    }
+
+    /** Returns the number of leases that a host holds or is about to get; costs O(1). */
+    int groups(HostId host) {
+        return mState.leases().groupsOf(host).size()
+                + mState.leases().movesOf(host)
+                + mPlaced.getOrDefault(host, 0);
+    }
+
     /** Returns the live hosts that may get leases; costs O(hosts) once for each step. */
     List<RegisteredHost> eligible() {
         if (mEligible == null) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
 import org.crocusturn.core.endpoints.FailoverPhase;
 import org.crocusturn.core.operators.ControlCommand.AssignLease;
 import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
@@ -50,6 +51,8 @@
                 mTurn.mState.registry().isLive(holder.host(), holder.incarnation(), mTurn.mNow);
         if (lease.released()) {
             assign(record, lease, holder.host() + " gave it back");
+        } else if (isSuperseded(holder)) {
+            resume(record, lease, holder);
         } else if (lease.isOver(mTurn.mNow) && (lease.closed() || !live)) {
             assign(record, lease, "the lease of " + holder.host() + " ran out");
         } else if (live && !lease.moving() && !lease.closed()) {
@@ -57,12 +60,44 @@
         }
     }
 
+    /**
+     * Returns whether another process of the holder's host has taken the holder's place.
+     *
+     * <p>That process listens on the holder's link address and has confirmed an answer of this
+     * leader, so the holder had ended before. Its lease need not run out, which would cost 1 s
+     * after every loss of power.
+     */
+    private boolean isSuperseded(Leaseholder holder) {
+        return mTurn.mState
+                .registry()
+                .host(holder.host())
+                .filter(RegisteredHost::proved)
+                .filter(h -> h.incarnation() != holder.incarnation())
+                .filter(h -> h.linkAddress().equals(holder.linkAddress()))
+                .isPresent();
+    }
+
+    /** Assigns a lease to the process that took the holder's place, if it may have leases. */
+    private void resume(GroupRecord record, GroupLease lease, Leaseholder holder) {
+        Optional<RegisteredHost> same =
+                mTurn.eligible().stream().filter(h -> h.id().equals(holder.host())).findFirst();
+        assign(
+                record,
+                lease,
+                same.or(() -> choose(record)),
+                holder.host() + " runs as another process");
+    }
+
     private boolean isProposed(GroupLease lease) {
         return lease.proposed() && mTurn.mNow - lease.proposedNanos() < PROPOSAL_REPEAT_NANOS;
     }
 
     private void assign(GroupRecord record, GroupLease lease, String reason) {
-        Optional<RegisteredHost> next = choose(record);
+        assign(record, lease, choose(record), reason);
+    }
+
+    private void assign(
+            GroupRecord record, GroupLease lease, Optional<RegisteredHost> next, String reason) {
         if (next.isEmpty() && lease.holder().isEmpty()) {
             return;
         }
@@ -71,6 +106,7 @@
         }
         next.ifPresent(
                 host -> {
+                    mTurn.place(host.id());
                     long epoch = record.lastEpoch() + 1;
                     mTurn.propose(
                             new AssignLease(
@@ -165,7 +201,19 @@
                 record.primary()
                         .map(e -> mTurn.mState.control().endpoints().get(e))
                         .map(EndpointRecord::dataCentre);
-        return mTurn.mPlacement.choose(record.id(), primary, mTurn.eligible());
+        Optional<HostId> holder = record.leaseholder().map(Leaseholder::host);
+        return mTurn.mPlacement.choose(
+                record.id(),
+                primary,
+                mTurn.eligible().stream()
+                        .map(h -> option(h, holder.filter(h.id()::equals).isPresent()))
+                        .toList());
+    }
+
+    private PlacementPolicy.Option option(RegisteredHost host, boolean holder) {
+        int groups = mTurn.groups(host.id()) - (holder ? 1 : 0);
+        boolean settled = holder || mTurn.mNow - host.joinedNanos() >= STABLE_NANOS;
+        return new PlacementPolicy.Option(host, groups, settled, holder);
     }
 
     private void log(GroupRecord record, String text) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseTable.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseTable.java
@@ -57,7 +57,12 @@
 
     /** Returns whether a planned move from or to a host is in progress. */
     public boolean isMoving(HostId host) {
-        return moves.getOrDefault(host, 0) > 0;
+        return movesOf(host) > 0;
+    }
+
+    /** Returns the number of planned moves from or to a host that are in progress. */
+    int movesOf(HostId host) {
+        return moves.getOrDefault(host, 0);
     }
 
     /** Returns the table after the record of a group may have changed. */
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
@@ -5,15 +5,19 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.controlhosts.TokenGrant;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Leaseholder;
 import org.crocusturn.core.operators.RateLimit;
 import org.crocusturn.core.operators.Workspace;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
@@ -27,9 +31,13 @@
  *
  * <p>A new leader knows nothing of earlier grants. Each leader keeps {@link #RESERVE_SECONDS} of
  * the rate, or half of the burst if that is less, out of its grants; until the earlier grants are
- * void, 1,020 ms after it began to lead, a new leader grants from buckets that start empty and hold
- * no more than that reserve. So a change of the leader neither stops a workspace nor lets it exceed
- * the guarantee.
+ * void, at most 1,020 ms after it began to lead, a new leader grants from buckets that start empty
+ * and hold no more than that reserve. So a change of the leader neither stops a workspace nor lets
+ * it exceed the guarantee.
+ *
+ * <p>Only the processes that held leases when the leader began to lead can spend earlier grants. As
+ * soon as each of them has told what it holds, or has ended, the leader counts these tokens as its
+ * own grants and has no need to wait: a workspace would otherwise live on the reserve for a second.
  *
  * <p>A report costs O(its demands x (log workspaces + demanding hosts of the workspace)). Nothing
  * happens at a tick. Buckets of removed workspaces are kept until the next leader.
@@ -40,6 +48,7 @@
  * @param startNanos time at which buckets begin to fill
  * @param settledNanos time at which the grants of earlier leaders are void
  * @param lastId number of the last grant
+ * @param unheard processes by host that may spend earlier grants and have not told what they hold
  */
 public record RateAuthority(
         PMap<WorkspaceId, TokenBucket> buckets,
@@ -47,7 +56,8 @@
         PMap<HostId, PVector<SentGrant>> unconfirmed,
         long startNanos,
         long settledNanos,
-        long lastId) {
+        long lastId,
+        PMap<HostId, PSet<Inherited>> unheard) {
     /** Seconds of the rate that a new leader may have granted before earlier grants are void. */
     private static final double RESERVE_SECONDS = 0.05;
 
@@ -58,9 +68,20 @@
     public RateAuthority {
         Objects.requireNonNull(buckets, "buckets");
         Objects.requireNonNull(unconfirmed, "unconfirmed");
+        Objects.requireNonNull(unheard, "unheard");
         rates = Map.copyOf(rates);
     }
 
+    /** Names a process that held a lease when the leader began to lead. */
+    record Inherited(long incarnation, String linkAddress) {
+        /** Returns whether the process has ended, or is the one that tells what it holds. */
+        private boolean isOver(RegisteredHost host, boolean tells) {
+            return incarnation == host.incarnation()
+                    ? tells
+                    : host.proved() && linkAddress.equals(host.linkAddress());
+        }
+    }
+
     /** Is a grant as it was sent to a process. */
     record SentGrant(
             WorkspaceId workspace,
@@ -82,15 +103,31 @@
         }
     }
 
-    /** Creates the authority of a new leader. */
-    public static RateAuthority of(Configuration configuration, long nowNanos) {
+    /**
+     * Creates the authority of a new leader.
+     *
+     * @param configuration configuration in force
+     * @param holders processes that hold leases
+     * @param nowNanos time at which it began to lead
+     */
+    public static RateAuthority of(
+            Configuration configuration, Stream<Leaseholder> holders, long nowNanos) {
+        Map<HostId, PSet<Inherited>> unheard =
+                holders.collect(
+                        Collectors.groupingBy(
+                                Leaseholder::host,
+                                Collectors.mapping(
+                                        h -> new Inherited(h.incarnation(), h.linkAddress()),
+                                        Collectors.collectingAndThen(
+                                                Collectors.toSet(), HashTreePSet::from))));
         return new RateAuthority(
                 HashTreePMap.empty(),
                 ratesOf(configuration),
                 HashTreePMap.empty(),
                 nowNanos,
                 nowNanos + LeaseTimes.EXPIRY_NANOS,
-                0);
+                0,
+                HashTreePMap.from(unheard));
     }
 
     static RateAuthority startingAt(Configuration configuration, long startNanos) {
@@ -100,7 +137,8 @@
                 HashTreePMap.empty(),
                 startNanos,
                 startNanos,
-                0);
+                0,
+                HashTreePMap.empty());
     }
 
     /** Returns the grants to send to a host with an answer to its latest report. */
@@ -120,31 +158,71 @@
     /** Returns the authority under another configuration. */
     public RateAuthority with(Configuration configuration) {
         return new RateAuthority(
-                buckets, ratesOf(configuration), unconfirmed, startNanos, settledNanos, lastId);
+                buckets,
+                ratesOf(configuration),
+                unconfirmed,
+                startNanos,
+                settledNanos,
+                lastId,
+                unheard);
     }
 
     /**
      * Returns the authority after the latest report of a host, with new grants. The report must not
      * be passed twice.
+     *
+     * @param tellsHoldings whether the demands tell all tokens that the process holds of leaders
+     *     before this one
      */
-    public RateAuthority with(RegisteredHost host, List<TokenDemand> demands, long nowNanos) {
-        RateAuthority next = withConfirmed(host);
+    public RateAuthority with(
+            RegisteredHost host, List<TokenDemand> demands, boolean tellsHoldings, long nowNanos) {
+        boolean adopts =
+                tellsHoldings
+                        && host.proved()
+                        && demands.stream().noneMatch(d -> hasLedger(host, d.workspace()));
+        RateAuthority next = withConfirmed(host).withHeard(host, adopts);
         for (TokenDemand demand : demands) {
             RateLimit rate = rates.get(demand.workspace());
-            next = rate == null ? next : next.with(host, demand, rate, nowNanos);
+            next = rate == null ? next : next.with(host, demand, rate, adopts, nowNanos);
         }
         return next;
     }
 
+    private boolean hasLedger(RegisteredHost host, WorkspaceId workspace) {
+        TokenBucket bucket = buckets.get(workspace);
+        return bucket != null && bucket.ledgers().containsKey(TokenBucket.Process.of(host));
+    }
+
+    private RateAuthority withHeard(RegisteredHost host, boolean adopts) {
+        PSet<Inherited> known = unheard.get(host.id());
+        if (known == null) {
+            return this;
+        }
+        PSet<Inherited> left =
+                known.minusAll(known.stream().filter(p -> p.isOver(host, adopts)).toList());
+        return new RateAuthority(
+                buckets,
+                rates,
+                unconfirmed,
+                startNanos,
+                settledNanos,
+                lastId,
+                left.isEmpty() ? unheard.minus(host.id()) : unheard.plus(host.id(), left));
+    }
+
     private RateAuthority with(
-            RegisteredHost host, TokenDemand demand, RateLimit rate, long nowNanos) {
+            RegisteredHost host,
+            TokenDemand demand,
+            RateLimit rate,
+            boolean adopts,
+            long nowNanos) {
         if (nowNanos - startNanos < 0) {
             return this;
         }
         TokenBucket bucket =
                 buckets.getOrDefault(demand.workspace(), TokenBucket.of(startNanos))
                         .at(rate, limit(rate, nowNanos), nowNanos)
-                        .withDemand(host, demand, limit(rate, nowNanos));
+                        .withDemand(host, demand, adopts, limit(rate, nowNanos));
         long tokens = bucket.grantable(host, demand, rate, nowNanos);
         long id = tokens > 0 ? lastId + 1 : lastId;
         PMap<HostId, PVector<SentGrant>> sent =
@@ -168,13 +246,15 @@
                 sent,
                 startNanos,
                 settledNanos,
-                id);
+                id,
+                unheard);
     }
 
     /** Returns the tokens that may be granted and unsettled together. */
     private double limit(RateLimit rate, long nowNanos) {
         long reserve = Math.round(Math.min(rate.burst() / 2.0, rate.perSecond() * RESERVE_SECONDS));
-        return nowNanos - settledNanos < 0 ? reserve : rate.burst() - reserve;
+        boolean settled = unheard.isEmpty() || nowNanos - settledNanos >= 0;
+        return settled ? rate.burst() - reserve : reserve;
     }
 
     private RateAuthority withConfirmed(RegisteredHost host) {
@@ -191,7 +271,8 @@
                         : unconfirmed.plus(host.id(), TreePVector.from(useful)),
                 startNanos,
                 settledNanos,
-                lastId);
+                lastId,
+                unheard);
     }
 
     private static Map<WorkspaceId, RateLimit> ratesOf(Configuration configuration) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenBucket.java
@@ -22,6 +22,9 @@
  */
 record TokenBucket(
         double level, long filledNanos, long safeNanos, Map<Process, TokenLedger> ledgers) {
+    /** Number of the grants of earlier leaders; this leader's numbers begin with 1. */
+    private static final long ADOPTED = 0;
+
     /** Names one process of an entry host. */
     record Process(HostId host, long incarnation) {
         static Process of(RegisteredHost host) {
@@ -58,21 +61,15 @@
 
     /**
      * Returns the bucket after a host's report, settled but without a new grant. A process gets an
-     * account once all earlier grants to it are void and their spending is known.
+     * account once all earlier grants to it are void or told, and their spending is known.
+     *
+     * @param adopts whether the tokens that the process holds count as granted by this leader
      */
-    TokenBucket withDemand(RegisteredHost host, TokenDemand demand, double limit) {
+    TokenBucket withDemand(RegisteredHost host, TokenDemand demand, boolean adopts, double limit) {
         TokenLedger known = ledgers.get(Process.of(host));
         if (known == null) {
-            return host.proved() && host.sentAfterNanos() - safeNanos >= 0
-                    ? withLedger(
-                            host,
-                            new TokenLedger(
-                                    demand.spentTotal(),
-                                    0,
-                                    host.reportNanos(),
-                                    host.reportNanos(),
-                                    List.of()))
-                    : this;
+            boolean safe = host.proved() && host.sentAfterNanos() - safeNanos >= 0;
+            return safe ? withNewLedger(host, demand, adopts, limit) : this;
         }
         TokenLedger spent = known.withSpent(demand.spentTotal(), host.reportNanos());
         long refund = spent.refund(host.sentAfterNanos());
@@ -83,6 +80,33 @@
                 Math.min(level + refund, cap), filledNanos, safeNanos, next.ledgers());
     }
 
+    private TokenBucket withNewLedger(
+            RegisteredHost host, TokenDemand demand, boolean adopts, double limit) {
+        // The report came after the grants that it tells, so they are void no later than it says.
+        List<OutstandingGrant> held =
+                adopts && demand.held() > 0
+                        ? List.of(
+                                new OutstandingGrant(
+                                        ADOPTED,
+                                        demand.held(),
+                                        demand.held(),
+                                        host.sequence(),
+                                        host.reportNanos(),
+                                        false))
+                        : List.of();
+        TokenBucket next =
+                withLedger(
+                        host,
+                        new TokenLedger(
+                                demand.spentTotal(),
+                                0,
+                                host.reportNanos(),
+                                host.reportNanos(),
+                                held));
+        return new TokenBucket(
+                Math.min(level, limit - next.counted()), filledNanos, safeNanos, next.ledgers());
+    }
+
     /**
      * Returns how many tokens a host gets now: its need, but no more than its share. Each demanding
      * host has a claim to an equal part of what the rate brought since its last grant, and to an
--- a/core/src/test/java/org/crocusturn/core/controlhosts/TokenAllowanceTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/TokenAllowanceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.Optional;
+import org.crocusturn.core.operators.RateLimit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -32,8 +33,12 @@
         assertEquals(expected, allowance.spentTotal());
     }
 
+    /**
+     * Guards against refusals while the control leader changes: what was fetched before lasts for a
+     * report interval and an election, 0.8 s.
+     */
     @ParameterizedTest
-    @CsvSource({"0, 7, 7, 7", "10, 0, 25, 35", "10, 5, 30, 40", "50, 0, 4, 8"})
+    @CsvSource({"0, 7, 7, 7", "10, 0, 75, 85", "10, 5, 80, 90", "50, 0, 14, 18"})
     void wantsTokensAheadOfDemand(long periodMillis, int waiting, long least, long most) {
         TokenAllowance allowance = TokenAllowance.empty();
         long now = 0;
@@ -45,4 +50,14 @@
         assertEquals(true, wanted >= least && wanted <= most, "wanted " + wanted);
         assertEquals(waiting, allowance.wanted(waiting, now + 60_000 * MILLI));
     }
+
+    /**
+     * Guards against hosts that hold the whole burst of a workspace whose rate was lowered, while
+     * its calls at another host are refused.
+     */
+    @ParameterizedTest
+    @CsvSource({"88, 3", "30, 3", "20, 2", "9, 0", "1, 0"})
+    void holdsLittleOfASmallBurst(long burst, long expected) {
+        assertEquals(expected, TokenAllowance.least(new RateLimit(burst, burst)));
+    }
 }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
@@ -93,7 +93,11 @@
         mWaiting.forEach(
                 (w, q) ->
                         demands.add(
-                                new TokenDemand(w, wanted(w, now), mSpent.getOrDefault(w, 0L))));
+                                new TokenDemand(
+                                        w,
+                                        wanted(w, now),
+                                        mSpent.getOrDefault(w, 0L),
+                                        available(w, now))));
         return new EntryReport(
                 mId,
                 mIncarnation,
@@ -105,7 +109,15 @@
                 demands,
                 Set.of(),
                 false,
-                mAnswered);
+                mAnswered,
+                mLeaderTerm);
+    }
+
+    private long available(WorkspaceId workspace, long now) {
+        return mTokens.getOrDefault(workspace, List.of()).stream()
+                .filter(t -> mClock.at(now) < t.mUntil)
+                .mapToLong(t -> t.mLeft)
+                .sum();
     }
 
     // Only the holder of the workspace's group asks for tokens, some of them ahead of need.
@@ -163,6 +175,9 @@
             }
         }
         mHeld.entrySet().removeIf(e -> !granted.contains(e.getKey()));
+        if (mHeld.isEmpty()) {
+            mTokens.clear();
+        }
         return urgent;
     }
 
--- a/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/RateAuthorityTest.java
@@ -9,6 +9,7 @@
 import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
@@ -16,6 +17,7 @@
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.controlhosts.TokenGrant;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Leaseholder;
 import org.crocusturn.core.operators.RateLimit;
 import org.crocusturn.core.operators.Workspace;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,6 +36,11 @@
 
     private List<TokenGrant> report(
             String name, long atMillis, long wanted, long spent, long answered) {
+        return report(name, atMillis, new TokenDemand(W, wanted, spent), answered, false);
+    }
+
+    private List<TokenGrant> report(
+            String name, long atMillis, TokenDemand demand, long answered, boolean tells) {
         HostId id = HostId.of(name);
         long sequence = mSequences.merge(id, 1L, Long::sum);
         EntryReport report =
@@ -45,13 +52,13 @@
                         sequence,
                         0,
                         List.of(),
-                        List.of(new TokenDemand(W, wanted, spent)),
+                        List.of(demand),
                         Set.of(),
                         false,
                         answered);
         mRegistry = mRegistry.with(report, atMillis * MS);
         RegisteredHost host = mRegistry.host(id).orElseThrow();
-        mRates = mRates.with(host, report.demands(), atMillis * MS);
+        mRates = mRates.with(host, report.demands(), tells, atMillis * MS);
         return mRates.grantsFor(host);
     }
 
@@ -120,7 +127,7 @@
     @ParameterizedTest
     @ValueSource(longs = {20, 200, 600, 1_000})
     void grantsTheReserveUntilEarlierGrantsAreVoid(long atMillis) {
-        mRates = RateAuthority.of(configuration(100, 50), 0);
+        mRates = RateAuthority.of(configuration(100, 50), Stream.of(holder("other", 1)), 0);
         report("h", 1, 0, 0, 0);
         report("h", 5, 0, 0, 1);
         long first = sum(report("h", atMillis, 40, 0, 2));
@@ -128,6 +135,48 @@
         assertTrue(first <= 5, "granted " + first + " of a reserve of 5");
     }
 
+    /**
+     * Guards against a workspace that lives on the reserve for a second after a change of the
+     * leader, although all holders have told what they hold, and against tokens that are granted
+     * although a holder keeps them: rate and burst are 40, the reserve is 2, the bucket is empty at
+     * time 0, and a holder has spent nothing when it reports.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // process that held a lease, whether it tells, tokens it holds, time, most, least granted
+        "1, true, 0, 500, 20, 19",
+        "1, true, 30, 900, 8, 7",
+        "1, true, 38, 900, 0, 0",
+        "1, false, 0, 500, 2, 1",
+        "9, true, 0, 500, 20, 19",
+        "9, false, 0, 500, 20, 19"
+    })
+    void countsWhatHoldersTell(
+            long process, boolean tells, long held, long atMillis, long most, long least) {
+        mRates = RateAuthority.of(configuration(40, 40), Stream.of(holder("h", process)), 0);
+        report("h", 1, new TokenDemand(W, 0, 0, held), 0, tells);
+        report("h", 5, new TokenDemand(W, 0, 0, held), 1, tells);
+        long granted = sum(report("h", atMillis, new TokenDemand(W, 40 + held, 0, held), 2, tells));
+        assertTrue(granted >= least && granted <= most, "granted " + granted);
+    }
+
+    /** Guards against early grants while another holder may still spend earlier ones. */
+    @ParameterizedTest
+    @CsvSource({"500, 2", "1100, 38"})
+    void waitsForAHolderThatIsSilent(long atMillis, long most) {
+        mRates =
+                RateAuthority.of(
+                        configuration(40, 40), Stream.of(holder("h", 1), holder("silent", 1)), 0);
+        report("h", 1, new TokenDemand(W, 0, 0, 0), 0, true);
+        report("h", 5, new TokenDemand(W, 0, 0, 0), 1, true);
+        long granted = sum(report("h", atMillis, new TokenDemand(W, 40, 0, 0), 2, true));
+        assertTrue(granted >= 1 && granted <= most, "granted " + granted);
+    }
+
+    private static Leaseholder holder(String host, long process) {
+        return new Leaseholder(HostId.of(host), "127.0.0.1:1", process, 1);
+    }
+
     private static Configuration configuration(double rate, long burst) {
         RateLimit limit = new RateLimit(rate, burst);
         return new Configuration(
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -342,7 +342,7 @@
         @Override
         public void reportChanged(
                 List<HeldLease> leases, List<TokenDemand> demands, boolean urgent) {
-            mControl.offer(new ControlLinkEvent.ReportChanged(leases, demands, urgent));
+            mControl.offer(new ControlLinkEvent.ReportChanged(leases, demands, 0, urgent));
         }
 
         @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -57,6 +57,7 @@
 import org.crocusturn.daemon.net.SharedSecret;
 import org.crocusturn.daemon.platform.LifecycleDuty;
 import org.crocusturn.daemon.platform.LifecycleEvent;
+import org.crocusturn.daemon.platform.Metrics;
 import org.crocusturn.daemon.settings.SessionEntrySettings;
 
 /** Is an entry host that serves sessions; its front end brings {@link SessionEvent}s. */
@@ -96,7 +97,8 @@
             SessionEntrySettings settings,
             NetThreads threads,
             EndpointConnector connector,
-            PromotionService promotions) {
+            PromotionService promotions,
+            Metrics metrics) {
         mSettings = settings;
         mThreads = threads;
         mSecret = SharedSecret.of(settings.linkSecret().bytes());
@@ -136,7 +138,8 @@
                                 connector,
                                 promotions,
                                 this::offerToGroups,
-                                new FromGroups()));
+                                new FromGroups(),
+                                metrics));
         mSessions =
                 start(
                         "sessions",
@@ -145,7 +148,8 @@
                                 empty,
                                 new Dispatcher(),
                                 busy -> noteBusy("sessions", busy),
-                                this::inTouch));
+                                this::inTouch,
+                                metrics));
         connect(settings.controlLinks());
     }
 
@@ -156,17 +160,20 @@
      * @param threads I/O threads; closed with the daemon
      * @param connector opens connections to endpoints
      * @param promotions orders promotions
+     * @param metrics metrics of the process
      */
     public static SessionEntryDaemon start(
             SessionEntrySettings settings,
             NetThreads threads,
             EndpointConnector connector,
-            PromotionService promotions) {
+            PromotionService promotions,
+            Metrics metrics) {
         return new SessionEntryDaemon(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(threads, "threads"),
                 Objects.requireNonNull(connector, "connector"),
-                Objects.requireNonNull(promotions, "promotions"));
+                Objects.requireNonNull(promotions, "promotions"),
+                Objects.requireNonNull(metrics, "metrics"));
     }
 
     /** Takes an event of the front end; false if too many wait. */
@@ -361,8 +368,12 @@
 
         @Override
         public void reportChanged(
-                List<HeldLease> leases, List<TokenDemand> demands, boolean urgent) {
-            mControl.offer(new ControlLinkEvent.ReportChanged(leases, demands, urgent));
+                List<HeldLease> leases,
+                List<TokenDemand> demands,
+                long holdingsTerm,
+                boolean urgent) {
+            mControl.offer(
+                    new ControlLinkEvent.ReportChanged(leases, demands, holdingsTerm, urgent));
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -48,6 +48,7 @@
     private Optional<HostId> mLeader = Optional.empty();
     private List<HeldLease> mLeases = List.of();
     private List<TokenDemand> mDemands = List.of();
+    private long mHoldingsTerm;
     private boolean mLeaving;
     private boolean mUrgent;
     private int mNextTry;
@@ -105,6 +106,7 @@
         } else if (event instanceof ControlLinkEvent.ReportChanged changed) {
             mLeases = changed.leases();
             mDemands = changed.demands();
+            mHoldingsTerm = changed.holdingsTerm();
             mUrgent |= changed.urgent();
         } else if (event instanceof ControlLinkEvent.Suspected suspected) {
             mUrgent |= mSuspects.add(suspected.endpoint());
@@ -142,7 +144,8 @@
             return;
         }
         EntryReport report =
-                mView.nextReport(mSelf, mLeases, mDemands, Set.copyOf(mSuspects), mLeaving);
+                mView.nextReport(
+                        mSelf, mLeases, mDemands, mHoldingsTerm, Set.copyOf(mSuspects), mLeaving);
         // The sending time is noted before the report leaves, so that leases can only be shorter.
         mView = mView.withReportSent(report.sequence(), SteadyClock.nanoTime());
         if (mSender.test(target.get(), report) && mLeader.isPresent()) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkEvent.java
@@ -35,8 +35,17 @@
         }
     }
 
-    /** What the next report has to say changed. */
-    record ReportChanged(List<HeldLease> leases, List<TokenDemand> demands, boolean urgent)
+    /**
+     * What the next report has to say changed.
+     *
+     * @param leases group leases that the host holds or released
+     * @param demands rate tokens that it needs
+     * @param holdingsTerm term of the leader up to which the demands tell all tokens that it holds;
+     *     0 if they do not
+     * @param urgent whether the report should leave at once
+     */
+    record ReportChanged(
+            List<HeldLease> leases, List<TokenDemand> demands, long holdingsTerm, boolean urgent)
             implements ControlLinkEvent {
         /** Copies the lists. */
         public ReportChanged {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupPorts.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupPorts.java
@@ -18,6 +18,9 @@
     /** Returns whether a workspace has a rate token left. */
     boolean hasToken(WorkspaceId workspace);
 
+    /** Notes how long a call waited for a token and a slot, in nanoseconds. */
+    void waited(long nanos);
+
     /** Takes a rate token of a workspace. */
     void takeToken(WorkspaceId workspace);
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
@@ -224,6 +224,7 @@
         CopyPool pool = run.copy();
         if (!run.isPaid()) {
             mPorts.takeToken(run.call().workspace());
+            mPorts.waited(mPorts.nowNanos() - run.arrivedNanos());
             run.setPaid();
         }
         mRunning.add(run);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -35,14 +35,12 @@
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.DecisionLog;
+import org.crocusturn.daemon.platform.Metrics;
 
 /** Runs the statements of sessions for the groups whose leases this host holds. */
 public final class SessionGroupsDuty implements DutyHandler<SessionGroupsEvent> {
     private static final Logger LOG = LogManager.getLogger(SessionGroupsDuty.class);
 
-    /** Tokens that a host holds of each workspace, so that its first calls need not wait. */
-    private static final long LEAST_TOKENS = 3;
-
     /** Time between ticks while a group has work; bounds the delay of a time limit. */
     private static final long BUSY_TICK_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -52,12 +50,15 @@
     /** Time between regular notes for the next report. */
     private static final long REPORT_NANOS = Duration.ofMillis(100).toNanos();
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final HostId mSelf;
     private final DataCentreId mDataCentre;
     private final EndpointConnector mConnector;
     private final PromotionService mPromotions;
     private final Predicate<SessionGroupsEvent> mOwnRing;
     private final SessionGroupsListener mListener;
+    private final Metrics mMetrics;
     private final DecisionLog mLog = DecisionLog.create(LOG, "endpoints");
     private final Map<GroupId, HeldGroup> mGroups = new TreeMap<>();
     private final Map<Long, PooledSession> mSessions = new HashMap<>();
@@ -77,8 +78,10 @@
             EndpointConnector connector,
             PromotionService promotions,
             Predicate<SessionGroupsEvent> ownRing,
-            SessionGroupsListener listener) {
+            SessionGroupsListener listener,
+            Metrics metrics) {
         mSelf = self;
+        mMetrics = metrics;
         mDataCentre = dataCentre;
         mView = view;
         mConnector = connector;
@@ -97,6 +100,7 @@
      * @param promotions orders promotions
      * @param ownRing offers an event to the ring of this duty
      * @param listener hears answers and reports
+     * @param metrics metrics of the process
      */
     public static SessionGroupsDuty create(
             HostId self,
@@ -105,7 +109,8 @@
             EndpointConnector connector,
             PromotionService promotions,
             Predicate<SessionGroupsEvent> ownRing,
-            SessionGroupsListener listener) {
+            SessionGroupsListener listener,
+            Metrics metrics) {
         return new SessionGroupsDuty(
                 Objects.requireNonNull(self, "self"),
                 Objects.requireNonNull(dataCentre, "dataCentre"),
@@ -113,7 +118,8 @@
                 Objects.requireNonNull(connector, "connector"),
                 Objects.requireNonNull(promotions, "promotions"),
                 Objects.requireNonNull(ownRing, "ownRing"),
-                Objects.requireNonNull(listener, "listener"));
+                Objects.requireNonNull(listener, "listener"),
+                Objects.requireNonNull(metrics, "metrics"));
     }
 
     @Override
@@ -227,8 +233,14 @@
 
     private void changeView(ControlView view) {
         boolean stateChanged = mView.state() != view.state();
+        // A new leader counts the tokens that its predecessors granted once it knows them.
+        mTokensNeeded |= mView.leaderTerm() != view.leaderTerm();
         mView = view;
         List.copyOf(mGroups.keySet()).forEach(this::closeUnleased);
+        if (mGroups.isEmpty()) {
+            // The leader relies on it that only holders of leases spend what others granted.
+            mTokens.replaceAll((workspace, tokens) -> tokens.withoutGrants());
+        }
         view.leases()
                 .forEach(
                         (id, lease) -> {
@@ -245,6 +257,8 @@
                     .forEach(g -> g.update(settings(g.id())));
         }
         long now = SteadyClock.nanoTime();
+        mMetrics.leases(mGroups.size());
+        mMetrics.versions(view.state().configuration().version(), view.state().version());
         view.newTokens().forEach(this::grant);
         mGroups.values().forEach(HeldGroup::dispatch);
         mNextTickNanos = Math.min(mNextTickNanos, now + BUSY_TICK_NANOS);
@@ -281,6 +295,7 @@
     }
 
     private void grant(GrantedTokens granted) {
+        mMetrics.granted(granted.workspace().value(), granted.tokens());
         mTokens.put(
                 granted.workspace(),
                 tokens(granted.workspace()).withGrant(granted.tokens(), granted.expiresNanos()));
@@ -301,8 +316,7 @@
                 mGroups.isEmpty()
                         ? List.of()
                         : mView.state().configuration().workspaces().stream()
-                                .map(Workspace::id)
-                                .map(id -> demand(id, waiting.getOrDefault(id, 0L), nowNanos))
+                                .map(w -> demand(w, waiting.getOrDefault(w.id(), 0L), nowNanos))
                                 .toList();
         boolean released =
                 !held.stream()
@@ -314,15 +328,18 @@
                                         .filter(HeldLease::released)
                                         .map(HeldLease::group)
                                         .toList());
-        mListener.reportChanged(held, demands, mTokensNeeded || released);
+        mListener.reportChanged(held, demands, mView.leaderTerm(), mTokensNeeded || released);
         mLastHeld = held;
         mTokensNeeded = false;
     }
 
-    private TokenDemand demand(WorkspaceId workspace, long waiting, long nowNanos) {
-        TokenAllowance tokens = tokens(workspace);
+    private TokenDemand demand(Workspace workspace, long waiting, long nowNanos) {
+        TokenAllowance tokens = tokens(workspace.id());
         return new TokenDemand(
-                workspace, LEAST_TOKENS + tokens.wanted(waiting, nowNanos), tokens.spentTotal());
+                workspace.id(),
+                TokenAllowance.least(workspace.rate()) + tokens.wanted(waiting, nowNanos),
+                tokens.spentTotal(),
+                tokens.available(nowNanos));
     }
 
     /** Hears of one connection on I/O threads and passes it on. */
@@ -372,6 +389,11 @@
             return !isLimited(workspace) || tokens(workspace).available(SteadyClock.nanoTime()) > 0;
         }
 
+        @Override
+        public void waited(long nanos) {
+            mMetrics.queued(nanos / NANOS_PER_SECOND);
+        }
+
         @Override
         public void takeToken(WorkspaceId workspace) {
             tokens(workspace)
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsListener.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsListener.java
@@ -11,6 +11,14 @@
     /** Takes the answer to a call. */
     void replied(HostId origin, SessionReply reply);
 
-    /** Takes what the next report to the control leader has to say. */
-    void reportChanged(List<HeldLease> leases, List<TokenDemand> demands, boolean urgent);
+    /**
+     * Takes what the next report to the control leader has to say.
+     *
+     * @param leases leases that this host holds or released
+     * @param demands rate tokens that it needs and holds
+     * @param holdingsTerm term of the leader up to which the demands tell all tokens that it holds
+     * @param urgent whether the report should leave at once
+     */
+    void reportChanged(
+            List<HeldLease> leases, List<TokenDemand> demands, long holdingsTerm, boolean urgent);
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -27,7 +27,8 @@
                         .setSequence(value.sequence())
                         .setKnownVersion(value.knownVersion())
                         .setLeaving(value.leaving())
-                        .setAnswered(value.answered());
+                        .setAnswered(value.answered())
+                        .setHoldingsTerm(value.holdingsTerm());
         value.leases().forEach(l -> builder.addLeases(encode(l)));
         value.demands().forEach(d -> builder.addDemands(encode(d)));
         value.suspects().stream().sorted().forEach(s -> builder.addSuspects(s.value()));
@@ -46,7 +47,8 @@
                 value.getDemandsList().stream().map(ReportMapper::decode).toList(),
                 value.getSuspectsList().stream().map(EndpointId::of).collect(Collectors.toSet()),
                 value.getLeaving(),
-                value.getAnswered());
+                value.getAnswered(),
+                value.getHoldingsTerm());
     }
 
     static ControlHostsProto.NotLeader encode(NotLeader value) {
@@ -86,11 +88,15 @@
                 .setWorkspace(value.workspace().value())
                 .setWanted(value.wanted())
                 .setSpentTotal(value.spentTotal())
+                .setHeld(value.held())
                 .build();
     }
 
     private static TokenDemand decode(ControlHostsProto.TokenDemand value) {
         return new TokenDemand(
-                WorkspaceId.of(value.getWorkspace()), value.getWanted(), value.getSpentTotal());
+                WorkspaceId.of(value.getWorkspace()),
+                value.getWanted(),
+                value.getSpentTotal(),
+                value.getHeld());
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -0,0 +1,156 @@
+package org.crocusturn.daemon.callers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.crocusturn.core.Failure;
+import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.callers.SessionState;
+import org.crocusturn.core.callers.SessionStatement;
+import org.crocusturn.core.controlhosts.ControlUpdate;
+import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.entryhosts.SessionEnd;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Consistency;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.ControlStateMachine;
+import org.crocusturn.core.operators.Leaseholder;
+import org.crocusturn.core.operators.PromotionMode;
+import org.crocusturn.core.operators.Route;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.SessionLimits;
+import org.crocusturn.core.ring.SteadyClock;
+import org.crocusturn.daemon.platform.Metrics;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against callers that are turned away while a restarted host waits for its configuration,
+ * and against sessions that wait for it without end.
+ */
+class SessionsDutyTest {
+    private static final long MS = 1_000_000;
+
+    private final List<String> mHeard = new ArrayList<>();
+    private final ControlView mEmpty = ControlView.empty((state, command) -> state);
+    private final SessionsDuty mDuty =
+            SessionsDuty.create(
+                    mEmpty, new NoDispatcher(), busy -> {}, () -> true, Metrics.create());
+
+    @ParameterizedTest
+    @CsvSource({
+        // milliseconds until the configuration comes, whether the caller leaves, what it hears
+        "0, false, accepted",
+        "300, false, accepted",
+        "500, false, refused UNAVAILABLE",
+        "300, true, ''"
+    })
+    void holdsNewSessionsUntilTheConfigurationComes(
+            long delayMillis, boolean leaves, String expected) {
+        long start = SteadyClock.nanoTime();
+        mDuty.onEvent(new SessionEvent.Opened(1, new Channel(), "db", ""));
+        if (leaves) {
+            mDuty.onEvent(new SessionEvent.Left(1));
+        }
+        mDuty.onTimer(start + delayMillis * MS);
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        assertEquals(expected, String.join(" ", mHeard));
+    }
+
+    private ControlView configured() {
+        Configuration configuration =
+                new Configuration(
+                        1,
+                        List.of(),
+                        List.of(),
+                        List.of(
+                                new Service(
+                                        "s",
+                                        List.of(Service.WHOLE),
+                                        3,
+                                        1,
+                                        16,
+                                        AcknowledgeMode.DURABLE,
+                                        false,
+                                        PromotionMode.LEASEHOLDER)),
+                        List.of(),
+                        Map.of(),
+                        List.of(),
+                        List.of(
+                                new Route(
+                                        "r",
+                                        "db",
+                                        "s",
+                                        Consistency.PRIMARY,
+                                        Duration.ZERO,
+                                        Duration.ofSeconds(1),
+                                        Duration.ofSeconds(1),
+                                        1,
+                                        true)),
+                        SessionLimits.DEFAULT,
+                        "");
+        ControlState state =
+                ControlStateMachine.apply(
+                                ControlState.EMPTY,
+                                1,
+                                new ControlCommand.ReplaceConfiguration("first", configuration))
+                        .state();
+        long now = SteadyClock.nanoTime();
+        return mEmpty.withReportSent(1, now)
+                .withUpdate(
+                        new ControlUpdate(
+                                1,
+                                1,
+                                1,
+                                new StateUpdate.Replacement(state),
+                                1_500,
+                                List.of(),
+                                List.of(),
+                                List.of()),
+                        now);
+    }
+
+    /** Notes what the caller hears. */
+    private final class Channel implements SessionChannel {
+        @Override
+        public void accept() {
+            mHeard.add("accepted");
+        }
+
+        @Override
+        public void refuse(Failure failure) {
+            mHeard.add("refused " + failure.code());
+        }
+
+        @Override
+        public void answer(
+                SessionStatement statement, SessionOutcome outcome, SessionState.Phase phase) {
+            mHeard.add("answered");
+        }
+
+        @Override
+        public void close() {
+            mHeard.add("closed");
+        }
+    }
+
+    /** Reaches no leaseholder. */
+    private static final class NoDispatcher implements SessionDispatcher {
+        @Override
+        public boolean call(Leaseholder holder, SessionCall call) {
+            return false;
+        }
+
+        @Override
+        public void end(Leaseholder holder, SessionEnd end) {
+            // No transaction is open.
+        }
+    }
+}
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupPorts.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupPorts.java
@@ -52,6 +52,11 @@
         return mToken;
     }
 
+    @Override
+    public void waited(long nanos) {
+        // Nothing reads the metrics.
+    }
+
     @Override
     public void takeToken(WorkspaceId workspace) {
         // Tokens do not run out here.
