Close a leaseholder's connections once its lease has ended

Ruled out: slots, and the successor's own pool.

Change: 200 ms after the end of its lease a group closes its connections and refuses what waits; it asks for the roles of the copies again if the same epoch is renewed. Without a lease nothing is probed. A lease of a replaced process goes to the host that placement chooses, so that a single restarted host is not the first choice.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.GroupId;
-import org.crocusturn.core.HostId;
 import org.crocusturn.core.endpoints.FailoverPhase;
 import org.crocusturn.core.operators.ControlCommand.AssignLease;
 import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
@@ -52,7 +51,7 @@
         if (lease.released()) {
             assign(record, lease, holder.host() + " gave it back");
         } else if (isSuperseded(holder)) {
-            resume(record, lease, holder);
+            assign(record, lease, holder.host() + " runs as another process");
         } else if (lease.isOver(mTurn.mNow) && (lease.closed() || !live)) {
             assign(record, lease, "the lease of " + holder.host() + " ran out");
         } else if (live && !lease.moving() && !lease.closed()) {
@@ -77,27 +76,12 @@
                 .isPresent();
     }
 
-    /** Assigns a lease to the process that took the holder's place, if it may have leases. */
-    private void resume(GroupRecord record, GroupLease lease, Leaseholder holder) {
-        Optional<RegisteredHost> same =
-                mTurn.eligible().stream().filter(h -> h.id().equals(holder.host())).findFirst();
-        assign(
-                record,
-                lease,
-                same.or(() -> choose(record)),
-                holder.host() + " runs as another process");
-    }
-
     private boolean isProposed(GroupLease lease) {
         return lease.proposed() && mTurn.mNow - lease.proposedNanos() < PROPOSAL_REPEAT_NANOS;
     }
 
     private void assign(GroupRecord record, GroupLease lease, String reason) {
-        assign(record, lease, choose(record), reason);
-    }
-
-    private void assign(
-            GroupRecord record, GroupLease lease, Optional<RegisteredHost> next, String reason) {
+        Optional<RegisteredHost> next = choose(record);
         if (next.isEmpty() && lease.holder().isEmpty()) {
             return;
         }
@@ -201,13 +185,16 @@
                 record.primary()
                         .map(e -> mTurn.mState.control().endpoints().get(e))
                         .map(EndpointRecord::dataCentre);
-        Optional<HostId> holder = record.leaseholder().map(Leaseholder::host);
         return mTurn.mPlacement.choose(
                 record.id(),
                 primary,
-                mTurn.eligible().stream()
-                        .map(h -> option(h, holder.filter(h.id()::equals).isPresent()))
-                        .toList());
+                mTurn.eligible().stream().map(h -> option(h, isHolder(h, record))).toList());
+    }
+
+    private static boolean isHolder(RegisteredHost host, GroupRecord record) {
+        return record.leaseholder()
+                .filter(l -> l.host().equals(host.id()) && l.incarnation() == host.incarnation())
+                .isPresent();
     }
 
     private PlacementPolicy.Option option(RegisteredHost host, boolean holder) {
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -36,6 +38,7 @@
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.DecisionLog;
+import org.crocusturn.daemon.platform.Metrics;
 
 /** Owns the sessions of this entry host and brings their statements to leaseholders. */
 public final class SessionsDuty implements DutyHandler<SessionEvent> {
@@ -48,9 +51,14 @@
     /** Time between looks at calls that wait for a leaseholder or an answer. */
     private static final long TICK_NANOS = Duration.ofMillis(20).toNanos();
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private static final long IDLE_NANOS = Duration.ofMillis(500).toNanos();
 
-    /** Time for which a call waits for a leaseholder; a lease moves within about 1.2 s. */
+    /**
+     * Time for which a call waits for a leaseholder, or a new session for the first configuration;
+     * a lease moves within about 1.2 s.
+     */
     private static final long HOLD_NANOS = Duration.ofMillis(400).toNanos();
 
     /** When callers should come back while a group has no leaseholder. */
@@ -59,10 +67,12 @@
     private final SessionDispatcher mDispatcher;
     private final IntConsumer mOnBusy;
     private final BooleanSupplier mInTouch;
+    private final Metrics mMetrics;
     private final DecisionLog mLog =
             DecisionLog.create(LogManager.getLogger(SessionsDuty.class), "callers");
     private final Map<Long, Session> mSessions = new HashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
+    private final Map<Long, Opening> mOpening = new LinkedHashMap<>();
     private ControlView mView;
     private Phase mPhase = Phase.STARTING;
     private long mNextCall = 1;
@@ -72,13 +82,18 @@
             ControlView view,
             SessionDispatcher dispatcher,
             IntConsumer onBusy,
-            BooleanSupplier inTouch) {
+            BooleanSupplier inTouch,
+            Metrics metrics) {
         mInTouch = inTouch;
+        mMetrics = metrics;
         mView = view;
         mDispatcher = dispatcher;
         mOnBusy = onBusy;
     }
 
+    /** Is a session that was asked for before this host knew a configuration. */
+    private record Opening(SessionEvent.Opened opened, long holdUntilNanos) {}
+
     /** Is a session; its state is replaced, never changed. */
     private static final class Session {
         private final long mNumber;
@@ -103,15 +118,18 @@
     /** Is a statement on its way. */
     private static final class Call {
         private final Session mSession;
+        private final long mStartNanos;
         private final long mDeadlineNanos;
         private final long mHoldUntilNanos;
         private SessionCall mMessage;
         private Optional<Leaseholder> mSentTo = Optional.empty();
         private long mAvoidedEpoch;
 
-        private Call(Session session, SessionCall message, long deadline, long holdUntil) {
+        private Call(
+                Session session, SessionCall message, long start, long deadline, long holdUntil) {
             mSession = session;
             mMessage = message;
+            mStartNanos = start;
             mDeadlineNanos = deadline;
             mHoldUntilNanos = holdUntil;
         }
@@ -124,17 +142,20 @@
      * @param dispatcher brings calls to leaseholders
      * @param onBusy told the number of open sessions while the process stops
      * @param inTouch tells whether the control leader has answered lately
+     * @param metrics metrics of the process
      */
     public static SessionsDuty create(
             ControlView view,
             SessionDispatcher dispatcher,
             IntConsumer onBusy,
-            BooleanSupplier inTouch) {
+            BooleanSupplier inTouch,
+            Metrics metrics) {
         return new SessionsDuty(
                 Objects.requireNonNull(view, "view"),
                 Objects.requireNonNull(dispatcher, "dispatcher"),
                 Objects.requireNonNull(onBusy, "onBusy"),
-                Objects.requireNonNull(inTouch, "inTouch"));
+                Objects.requireNonNull(inTouch, "inTouch"),
+                Objects.requireNonNull(metrics, "metrics"));
     }
 
     @Override
@@ -149,6 +170,7 @@
             leave(left.session());
         } else if (event instanceof SessionEvent.ViewChanged changed) {
             mView = changed.view();
+            openHeld();
             List.copyOf(mCalls.values()).forEach(this::follow);
         } else if (event instanceof SessionEvent.LinkLost lost) {
             List.copyOf(mCalls.values()).stream()
@@ -164,30 +186,57 @@
     public long onTimer(long nowNanos) {
         if (mNextTickNanos - nowNanos <= 0) {
             List.copyOf(mCalls.values()).forEach(c -> check(c, nowNanos));
+            refuseHeld(nowNanos);
             closeIdle();
             mNextTickNanos = nowNanos + TICK_NANOS;
         }
-        boolean idle = mCalls.isEmpty() && mPhase == Phase.SERVING;
+        boolean idle = mCalls.isEmpty() && mOpening.isEmpty() && mPhase == Phase.SERVING;
         return idle ? nowNanos + IDLE_NANOS : mNextTickNanos;
     }
 
     private void open(SessionEvent.Opened opened) {
         RouteCheck check = RouteCheck.of(mView.state(), opened.database(), opened.keyHash());
-        boolean unknown = mView.state().configuration().version() == 0;
-        Optional<Failure> refusal =
-                unknown
-                        ? Optional.of(unavailable("this host knows no configuration yet"))
-                        : mSessions.size() >= MAX_SESSIONS
-                                ? Optional.of(unavailable("this host has too many sessions"))
-                                : check.failure();
-        if (refusal.isPresent()) {
-            log("session " + opened.session() + " is refused: " + refusal.get().message());
-            opened.channel().refuse(refusal.get());
-            return;
+        if (mSessions.size() + mOpening.size() >= MAX_SESSIONS) {
+            refuse(opened, unavailable("this host has too many sessions"));
+        } else if (!knowsConfiguration()) {
+            // After a restart the configuration comes within a second, sooner than a caller's
+            // retry.
+            long now = SteadyClock.nanoTime();
+            mOpening.put(opened.session(), new Opening(opened, now + HOLD_NANOS));
+            mNextTickNanos = Math.min(mNextTickNanos, now + TICK_NANOS);
+        } else if (check.failure().isPresent()) {
+            refuse(opened, check.failure().get());
+        } else {
+            mSessions.put(
+                    opened.session(),
+                    new Session(opened, check.workspace().orElse(RouteCheck.ANYONE)));
+            opened.channel().accept();
         }
-        mSessions.put(
-                opened.session(), new Session(opened, check.workspace().orElse(RouteCheck.ANYONE)));
-        opened.channel().accept();
+    }
+
+    private boolean knowsConfiguration() {
+        return mView.state().configuration().version() > 0;
+    }
+
+    private void openHeld() {
+        if (knowsConfiguration() && !mOpening.isEmpty()) {
+            List<Opening> held = List.copyOf(mOpening.values());
+            mOpening.clear();
+            held.forEach(o -> open(o.opened()));
+        }
+    }
+
+    private void refuseHeld(long now) {
+        List<Opening> late =
+                mOpening.values().stream().filter(o -> now - o.holdUntilNanos() >= 0).toList();
+        late.forEach(o -> mOpening.remove(o.opened().session()));
+        late.forEach(o -> refuse(o.opened(), unavailable("this host knows no configuration yet")));
+    }
+
+    private void refuse(SessionEvent.Opened opened, Failure failure) {
+        mMetrics.refusal(failure.code().name());
+        log("session " + opened.session() + " is refused: " + failure.message());
+        opened.channel().refuse(failure);
     }
 
     private static Failure unavailable(String message) {
@@ -274,7 +323,12 @@
                         session.mState.ownPosition());
         long timeout = route.timeout().toNanos();
         Call call =
-                new Call(session, message, now + timeout, now + Math.min(HOLD_NANOS, timeout / 2));
+                new Call(
+                        session,
+                        message,
+                        now,
+                        now + timeout,
+                        now + Math.min(HOLD_NANOS, timeout / 2));
         session.mCall = Optional.of(call);
         mCalls.put(message.id(), call);
         transmit(call);
@@ -328,6 +382,7 @@
         mCalls.remove(call.mMessage.id());
         Session session = call.mSession;
         session.mCall = Optional.empty();
+        count(call, outcome);
         if (!mSessions.containsKey(session.mNumber)) {
             if (call.mMessage.step() != TransactionStep.NONE) {
                 endTransaction(session);
@@ -353,7 +408,19 @@
         next(session);
     }
 
+    private void count(Call call, SessionOutcome outcome) {
+        Verdict verdict = outcome.failure().map(Failure::verdict).orElse(Verdict.RAN);
+        mMetrics.request(
+                call.mMessage.workspace().value(),
+                verdict.wireName(),
+                call.mMessage.terms().consistency().name().toLowerCase(Locale.ROOT),
+                call.mMessage.writes() ? "write" : "read",
+                (SteadyClock.nanoTime() - call.mStartNanos) / NANOS_PER_SECOND);
+        outcome.failure().ifPresent(f -> mMetrics.refusal(f.code().name()));
+    }
+
     private void leave(long number) {
+        mOpening.remove(number);
         Session session = mSessions.remove(number);
         if (session != null && session.mState.begun()) {
             endTransaction(session);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -8,6 +8,7 @@
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.endpoints.CopyProgress;
+import org.crocusturn.core.endpoints.PositionHistory;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.operators.EndpointRecord;
 
@@ -62,8 +63,14 @@
         return mProgress;
     }
 
-    void setProgress(CopyProgress progress) {
-        mProgress = progress;
+    /** Takes the position that an answer of the copy told. */
+    void told(LogPosition position, PositionHistory history, long nowNanos) {
+        mProgress = mProgress.with(position, history, nowNanos);
+    }
+
+    /** Takes it that the copy said it lacks a position. */
+    void lacks(LogPosition needed, PositionHistory history, long nowNanos) {
+        mProgress = mProgress.withLacking(nowNanos - history.nanosOf(needed));
     }
 
     /** Returns what the copy told last when it was asked; it may have changed since. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/HeldGroup.java
@@ -51,6 +51,7 @@
     private final StatementQueues mQueues = new StatementQueues();
     private final PrimaryKeeper mKeeper;
     private final CopyRouting mRouting;
+    private final LeaseWatch mLease;
     private GroupSettings mSettings;
     private Optional<PositionHistory> mHistory = Optional.empty();
     private Optional<Long> mMovingSinceNanos = Optional.empty();
@@ -61,6 +62,7 @@
         mEpoch = epoch;
         mPorts = ports;
         mSettings = settings;
+        mLease = LeaseWatch.startingAt(ports.nowNanos());
         mKeeper = new PrimaryKeeper(this, ports);
         mRouting = new CopyRouting(this, ports);
         mTransactions = new OpenTransactions(this, ports);
@@ -267,13 +269,7 @@
     private void observe(CopyPool pool, SessionResult result) {
         long now = mPorts.nowNanos();
         result.position()
-                .ifPresent(
-                        position ->
-                                mHistory.ifPresent(
-                                        history ->
-                                                pool.setProgress(
-                                                        pool.progress()
-                                                                .with(position, history, now))));
+                .ifPresent(told -> mHistory.ifPresent(history -> pool.told(told, history, now)));
     }
 
     private void react(StatementRun run, StatementReaction reaction, SessionResult result) {
@@ -301,25 +297,14 @@
     }
 
     private void retry(StatementRun run, SessionResult result) {
-        boolean lagging = result.error().filter(e -> e == EndpointError.LAGGING).isPresent();
-        if (lagging) {
-            lacks(run);
+        if (result.error().filter(e -> e == EndpointError.LAGGING).isPresent()) {
+            long now = mPorts.nowNanos();
+            mHistory.ifPresent(history -> run.copy().lacks(run.needed(), history, now));
         }
         boolean overloaded = result.error().filter(e -> e == EndpointError.OVERLOADED).isPresent();
         requeue(run, overloaded ? OVERLOAD_PAUSE_NANOS : 0);
     }
 
-    private void lacks(StatementRun run) {
-        long now = mPorts.nowNanos();
-        mHistory.ifPresent(
-                history ->
-                        run.copy()
-                                .setProgress(
-                                        run.copy()
-                                                .progress()
-                                                .withLacking(now - history.nanosOf(run.needed()))));
-    }
-
     private void requeue(StatementRun run, long pauseNanos) {
         long now = mPorts.nowNanos();
         run.backToQueue(now + pauseNanos, true);
@@ -512,6 +497,7 @@
 
     /** Looks after time limits. */
     void tick(long now) {
+        checkLease(now);
         mQueues.expire(now).forEach(this::expire);
         List.copyOf(mRunning).stream()
                 .filter(run -> now - run.deadlineNanos() >= 0)
@@ -526,6 +512,31 @@
         dispatch();
     }
 
+    private void checkLease(long now) {
+        LeaseWatch.Change change = mLease.observe(leaseValid(), now);
+        if (change == LeaseWatch.Change.RENEWED) {
+            mKeeper.rediscover("the lease is valid again");
+        } else if (change == LeaseWatch.Change.ENDED && !mReleased) {
+            mPorts.note(
+                    "group " + mId + " epoch " + mEpoch + " closes its connections: lease ended");
+            closeConnections();
+            refuseWaiting("the lease has ended");
+        }
+    }
+
+    private void refuseWaiting(String reason) {
+        mQueues.all().forEach(run -> refuse(run, ErrorCode.MOVED, reason));
+        mQueues.clear();
+    }
+
+    private void closeConnections() {
+        mCopies.values()
+                .forEach(
+                        pool ->
+                                List.copyOf(pool.sessions())
+                                        .forEach(s -> loseSession(s, ConnectionLoss.CLOSED)));
+    }
+
     private void expire(StatementRun run) {
         boolean limited = !run.isPaid() && !mPorts.hasToken(run.call().workspace());
         refuse(
@@ -547,8 +558,7 @@
     void beginMove() {
         if (mMovingSinceNanos.isEmpty()) {
             mMovingSinceNanos = Optional.of(mPorts.nowNanos());
-            mQueues.all().forEach(run -> refuse(run, ErrorCode.MOVED, "the lease moves"));
-            mQueues.clear();
+            refuseWaiting("the lease moves");
         }
     }
 
@@ -575,12 +585,7 @@
     /** Closes all connections; the group takes nothing from then on. */
     void close() {
         mReleased = true;
-        mQueues.all().forEach(run -> refuse(run, ErrorCode.MOVED, "the lease has ended"));
-        mQueues.clear();
-        mCopies.values()
-                .forEach(
-                        pool ->
-                                List.copyOf(pool.sessions())
-                                        .forEach(s -> loseSession(s, ConnectionLoss.CLOSED)));
+        refuseWaiting("the lease has ended");
+        closeConnections();
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PrimaryKeeper.java
@@ -104,7 +104,7 @@
     void doubt(CopyPool pool) {
         ControlProbe probe = probe(pool);
         if (mGroup.pool(pool.record().id()).isPresent()
-                && !mGroup.isReleased()
+                && mGroup.leaseValid()
                 && !probe.isAsking()) {
             probe.ask(new SessionCommand.AskStatus(), result -> told(pool, result));
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
@@ -23,8 +23,8 @@
     private final Counter mRequests =
             Counter.builder()
                     .name("crocusturn_requests")
-                    .help("Requests by workspace, verdict and role of the serving copy")
-                    .labelNames("workspace", "verdict", "role")
+                    .help("Requests by workspace, verdict, and role or consistency")
+                    .labelNames("workspace", "verdict", "route")
                     .register(mRegistry);
     private final Counter mRefusals =
             Counter.builder()
@@ -87,10 +87,18 @@
         return new Metrics();
     }
 
-    /** Counts a request and its latency in seconds. */
+    /**
+     * Counts a request.
+     *
+     * @param workspace workspace of the caller
+     * @param verdict whether the request ran
+     * @param route role of the copy that served it, or the consistency that its session asks for
+     * @param access read or write
+     * @param seconds time from the whole request to its answer
+     */
     public void request(
-            String workspace, String verdict, String role, String access, double seconds) {
-        mRequests.labelValues(workspace, verdict, role).inc();
+            String workspace, String verdict, String route, String access, double seconds) {
+        mRequests.labelValues(workspace, verdict, route).inc();
         mLatency.labelValues(access).observe(seconds);
     }
 
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/HeldGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/HeldGroupTest.java
@@ -37,6 +37,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards the statements of a group against wrong connections, lost commits and stale reads. */
@@ -290,4 +291,20 @@
                         .noneMatch(s -> s.endpoint().equals("p")),
                 what);
     }
+
+    /**
+     * Guards against a successor that gets no connections: a leaseholder that was cut off from the
+     * control hosts, but not from the endpoints, kept its own until the partition healed.
+     */
+    @ParameterizedTest
+    @CsvSource({"5, true, true", "11, false, true", "30, false, true"})
+    void givesItsConnectionsUpWhenTheLeaseHasEnded(int ticks, boolean keeps, boolean servesAgain) {
+        call(TransactionStep.NONE, StatementKind.READ, Consistency.PRIMARY);
+        mPorts.mLease = false;
+        ticks(ticks);
+        assertEquals(keeps, mGroup.pools().stream().anyMatch(p -> !p.sessions().isEmpty()));
+        mPorts.mLease = true;
+        ticks(4);
+        assertEquals(servesAgain, mGroup.keeper().writable().isPresent());
+    }
 }
