--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FileLogStorageTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FileLogStorageTest.java
@@ -122,6 +122,46 @@
         storage.close();
     }
 
+    /**
+     * Guards against an answer before the data is synced: what was persisted has to be there after
+     * a loss of power at any time, with whatever else of the unsynced writes and names is kept.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void keepsWhatWasPersistedWhenThePowerIsLost(long seed) throws IOException {
+        Random random = new Random(seed);
+        UnsyncedDisk disk = new UnsyncedDisk(mFolder.resolve("disk"));
+        List<LogEntry> model = new ArrayList<>();
+        Snapshot base = snapshot(0);
+        try (FileLogStorage storage = FileLogStorage.open(disk.folder(), new FakeLogCodec())) {
+            storage.persist(List.of(new Persist(1, hard(0), Optional.of(base), 1, List.of())));
+            for (long n = 1; n <= 60; n++) {
+                long last = base.position().index() + model.size();
+                List<LogEntry> added = entries(last + 1, last + 2 + random.nextInt(3), n);
+                model.addAll(added);
+                boolean compacts = random.nextInt(10) == 0;
+                if (compacts) {
+                    base = new Snapshot(model.get(0).position(), MEMBERS, FakeLogCodec.state(n));
+                    model.remove(0);
+                }
+                storage.persist(
+                        List.of(
+                                new Persist(
+                                        n + 1,
+                                        hard(n / 7),
+                                        compacts ? Optional.of(base) : Optional.empty(),
+                                        compacts ? base.position().index() + 1 : last + 1,
+                                        compacts ? List.copyOf(model) : added)));
+                Path left = mFolder.resolve("left-" + n);
+                disk.losePower(left, random);
+                StoredLog expected = new StoredLog(hard(n / 7), base, model);
+                try (FileLogStorage after = FileLogStorage.open(left, new FakeLogCodec())) {
+                    assertEquals(Optional.of(expected), after.load(), "after change " + n);
+                }
+            }
+        }
+    }
+
     @Test
     void recoversFromACrashBetweenSnapshotAndLog() throws IOException {
         byte[] before = writeThree();
--- /dev/null
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/UnsyncedDisk.java
@@ -0,0 +1,418 @@
+package org.crocusturn.daemon.controlhosts;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SeekableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import java.nio.file.AccessMode;
+import java.nio.file.CopyOption;
+import java.nio.file.DirectoryStream;
+import java.nio.file.FileStore;
+import java.nio.file.FileSystem;
+import java.nio.file.Files;
+import java.nio.file.LinkOption;
+import java.nio.file.OpenOption;
+import java.nio.file.Path;
+import java.nio.file.PathMatcher;
+import java.nio.file.WatchService;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.nio.file.attribute.FileAttribute;
+import java.nio.file.attribute.FileAttributeView;
+import java.nio.file.attribute.UserPrincipalLookupService;
+import java.nio.file.spi.FileSystemProvider;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Is a folder that remembers what was synced, so that a test can see what a loss of power leaves.
+ *
+ * <p>A file keeps the bytes of its last sync and any part of what was written later. A name that
+ * was created or replaced is kept if its folder was synced since; otherwise the old or the new one
+ * is.
+ */
+final class UnsyncedDisk {
+    private final Path mFolder;
+    private final FileSystem mFiles = new DiskFiles();
+    private final Map<String, FileState> mNames = new HashMap<>();
+    private Map<String, FileState> mSyncedNames = new HashMap<>();
+
+    UnsyncedDisk(Path folder) {
+        mFolder = folder.toAbsolutePath();
+    }
+
+    /** Holds what is certain about one file, whatever its name is. */
+    private static final class FileState {
+        private byte[] mSynced = new byte[0];
+    }
+
+    /** Returns the folder as programs see it. */
+    Path folder() {
+        return wrap(mFolder);
+    }
+
+    /** Writes what a loss of power may leave now to another folder. */
+    void losePower(Path into, Random random) throws IOException {
+        Files.createDirectories(into);
+        Set<String> names = new TreeSet<>(mNames.keySet());
+        names.addAll(mSyncedNames.keySet());
+        for (String name : names) {
+            FileState live = mNames.get(name);
+            FileState synced = mSyncedNames.get(name);
+            FileState kept = random.nextBoolean() ? live : synced;
+            if (kept != null) {
+                byte[] written =
+                        kept == live ? Files.readAllBytes(mFolder.resolve(name)) : kept.mSynced;
+                Files.write(into.resolve(name), torn(kept.mSynced, written, random));
+            }
+        }
+    }
+
+    /** Appended bytes may be there in part; replaced ones count as lost. */
+    private static byte[] torn(byte[] synced, byte[] written, Random random) {
+        int common = synced.length;
+        boolean appended =
+                written.length > common && Arrays.equals(synced, Arrays.copyOf(written, common));
+        return appended
+                ? Arrays.copyOf(written, common + random.nextInt(written.length - common + 1))
+                : synced;
+    }
+
+    private Path wrap(Path path) {
+        return (Path)
+                Proxy.newProxyInstance(
+                        UnsyncedDisk.class.getClassLoader(),
+                        new Class<?>[] {Path.class},
+                        (proxy, method, arguments) -> {
+                            if (method.getName().equals("getFileSystem")) {
+                                return mFiles;
+                            }
+                            Object[] real =
+                                    arguments == null
+                                            ? null
+                                            : Arrays.stream(arguments)
+                                                    .map(UnsyncedDisk::unwrap)
+                                                    .toArray();
+                            if (method.getName().equals("equals")) {
+                                return path.equals(real[0]);
+                            }
+                            try {
+                                Object result = method.invoke(path, real);
+                                return result instanceof Path other ? wrap(other) : result;
+                            } catch (InvocationTargetException e) {
+                                throw e.getCause();
+                            }
+                        });
+    }
+
+    private static Object unwrap(Object value) {
+        return value instanceof Path path && Proxy.isProxyClass(path.getClass())
+                ? Path.of(path.toString())
+                : value;
+    }
+
+    private static Path real(Path path) {
+        return (Path) unwrap(path);
+    }
+
+    private FileState state(Path file) {
+        return mNames.computeIfAbsent(file.getFileName().toString(), name -> new FileState());
+    }
+
+    /** Notes the syncs of one channel. */
+    private final class Channel extends FileChannel {
+        private final Path mPath;
+        private final FileChannel mReal;
+
+        private Channel(Path path, FileChannel real) {
+            mPath = path;
+            mReal = real;
+            if (!Files.isDirectory(path)) {
+                state(path);
+            }
+        }
+
+        @Override
+        public void force(boolean metaData) throws IOException {
+            if (Files.isDirectory(mPath)) {
+                mSyncedNames = new HashMap<>(mNames);
+            } else {
+                state(mPath).mSynced = Files.readAllBytes(mPath);
+            }
+        }
+
+        @Override
+        public int read(ByteBuffer target) throws IOException {
+            return mReal.read(target);
+        }
+
+        @Override
+        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+            return mReal.read(targets, offset, length);
+        }
+
+        @Override
+        public int write(ByteBuffer source) throws IOException {
+            return mReal.write(source);
+        }
+
+        @Override
+        public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
+            return mReal.write(sources, offset, length);
+        }
+
+        @Override
+        public long position() throws IOException {
+            return mReal.position();
+        }
+
+        @Override
+        public FileChannel position(long value) throws IOException {
+            mReal.position(value);
+            return this;
+        }
+
+        @Override
+        public long size() throws IOException {
+            return mReal.size();
+        }
+
+        @Override
+        public FileChannel truncate(long size) throws IOException {
+            mReal.truncate(size);
+            return this;
+        }
+
+        @Override
+        public long transferTo(long position, long count, WritableByteChannel target)
+                throws IOException {
+            return mReal.transferTo(position, count, target);
+        }
+
+        @Override
+        public long transferFrom(ReadableByteChannel source, long position, long count)
+                throws IOException {
+            return mReal.transferFrom(source, position, count);
+        }
+
+        @Override
+        public int read(ByteBuffer target, long position) throws IOException {
+            return mReal.read(target, position);
+        }
+
+        @Override
+        public int write(ByteBuffer source, long position) throws IOException {
+            return mReal.write(source, position);
+        }
+
+        @Override
+        public MappedByteBuffer map(MapMode mode, long position, long size) throws IOException {
+            return mReal.map(mode, position, size);
+        }
+
+        @Override
+        public FileLock lock(long position, long size, boolean shared) throws IOException {
+            return mReal.lock(position, size, shared);
+        }
+
+        @Override
+        public FileLock tryLock(long position, long size, boolean shared) throws IOException {
+            return mReal.tryLock(position, size, shared);
+        }
+
+        @Override
+        protected void implCloseChannel() throws IOException {
+            mReal.close();
+        }
+    }
+
+    /** Brings calls on wrapped paths to the real files. */
+    private final class DiskProvider extends FileSystemProvider {
+        private final FileSystemProvider mReal = mFolder.getFileSystem().provider();
+
+        @Override
+        public String getScheme() {
+            return "unsynced";
+        }
+
+        @Override
+        public FileSystem newFileSystem(URI uri, Map<String, ?> environment) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public FileSystem getFileSystem(URI uri) {
+            return mFiles;
+        }
+
+        @Override
+        public Path getPath(URI uri) {
+            return wrap(Path.of(uri.getPath()));
+        }
+
+        @Override
+        public FileChannel newFileChannel(
+                Path path, Set<? extends OpenOption> options, FileAttribute<?>... attributes)
+                throws IOException {
+            Path file = real(path);
+            return new Channel(file, mReal.newFileChannel(file, options, attributes));
+        }
+
+        @Override
+        public SeekableByteChannel newByteChannel(
+                Path path, Set<? extends OpenOption> options, FileAttribute<?>... attributes)
+                throws IOException {
+            return newFileChannel(path, options, attributes);
+        }
+
+        @Override
+        public DirectoryStream<Path> newDirectoryStream(
+                Path path, DirectoryStream.Filter<? super Path> filter) throws IOException {
+            return mReal.newDirectoryStream(real(path), filter);
+        }
+
+        @Override
+        public void createDirectory(Path path, FileAttribute<?>... attributes) throws IOException {
+            mReal.createDirectory(real(path), attributes);
+        }
+
+        @Override
+        public void delete(Path path) throws IOException {
+            mReal.delete(real(path));
+            mNames.remove(path.getFileName().toString());
+        }
+
+        @Override
+        public void copy(Path source, Path target, CopyOption... options) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void move(Path source, Path target, CopyOption... options) throws IOException {
+            mReal.move(real(source), real(target), options);
+            mNames.put(
+                    target.getFileName().toString(),
+                    mNames.remove(source.getFileName().toString()));
+        }
+
+        @Override
+        public boolean isSameFile(Path one, Path other) throws IOException {
+            return mReal.isSameFile(real(one), real(other));
+        }
+
+        @Override
+        public boolean isHidden(Path path) throws IOException {
+            return mReal.isHidden(real(path));
+        }
+
+        @Override
+        public FileStore getFileStore(Path path) throws IOException {
+            return mReal.getFileStore(real(path));
+        }
+
+        @Override
+        public void checkAccess(Path path, AccessMode... modes) throws IOException {
+            mReal.checkAccess(real(path), modes);
+        }
+
+        @Override
+        public <V extends FileAttributeView> V getFileAttributeView(
+                Path path, Class<V> type, LinkOption... options) {
+            return mReal.getFileAttributeView(real(path), type, options);
+        }
+
+        @Override
+        public <A extends BasicFileAttributes> A readAttributes(
+                Path path, Class<A> type, LinkOption... options) throws IOException {
+            return mReal.readAttributes(real(path), type, options);
+        }
+
+        @Override
+        public Map<String, Object> readAttributes(
+                Path path, String attributes, LinkOption... options) throws IOException {
+            return mReal.readAttributes(real(path), attributes, options);
+        }
+
+        @Override
+        public void setAttribute(Path path, String attribute, Object value, LinkOption... options)
+                throws IOException {
+            mReal.setAttribute(real(path), attribute, value, options);
+        }
+    }
+
+    /** Is the file system of the wrapped paths. */
+    private final class DiskFiles extends FileSystem {
+        private FileSystemProvider mProvider;
+
+        @Override
+        public FileSystemProvider provider() {
+            mProvider = mProvider == null ? new DiskProvider() : mProvider;
+            return mProvider;
+        }
+
+        @Override
+        public void close() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+
+        @Override
+        public boolean isReadOnly() {
+            return false;
+        }
+
+        @Override
+        public String getSeparator() {
+            return "/";
+        }
+
+        @Override
+        public Iterable<Path> getRootDirectories() {
+            return mFolder.getFileSystem().getRootDirectories();
+        }
+
+        @Override
+        public Iterable<FileStore> getFileStores() {
+            return mFolder.getFileSystem().getFileStores();
+        }
+
+        @Override
+        public Set<String> supportedFileAttributeViews() {
+            return mFolder.getFileSystem().supportedFileAttributeViews();
+        }
+
+        @Override
+        public Path getPath(String first, String... more) {
+            return wrap(Path.of(first, more));
+        }
+
+        @Override
+        public PathMatcher getPathMatcher(String pattern) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public UserPrincipalLookupService getUserPrincipalLookupService() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public WatchService newWatchService() {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
