Let the estimate of a replica's lag fade

A replica that answers LAGGING to a read of an old position gets that age as its lag; with a lag above the age that reads accept it is never chosen, so it never tells that it has caught up, and the primary carries all reads. Ruled out: processor time of the leaseholder, connections, rate tokens and the change of the primary in second 15 (it took 0.8 s).

Change: the estimate halves with each 500 ms without an answer. Reads still carry the position that they need, so a copy that lags refuses them as before. The new cases of PositionHistoryTest fail without the change.

--- a/core/src/test/java/org/crocusturn/core/endpoints/PositionHistoryTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PositionHistoryTest.java
@@ -51,7 +51,7 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("progress")
     void predictsArrival(String what, long index, long lagMillis, long nowMillis, boolean reaches) {
-        CopyProgress copy = new CopyProgress(position(index), lagMillis * MS);
+        CopyProgress copy = new CopyProgress(position(index), lagMillis * MS, nowMillis * MS);
         assertEquals(reaches, copy.reaches(position(14), history(), nowMillis * MS), what);
     }
 
@@ -62,6 +62,23 @@
         assertTrue(copy.with(position(14), history(), 1_401 * MS).lagNanos() < 300 * MS);
     }
 
+    /**
+     * Guards against a replica that is left out for good after it lagged: on a day of Delft two
+     * replicas lagged for 6 s, and reads overloaded the primary for the 25 s after that.
+     */
+    @ParameterizedTest
+    @CsvSource({"3000, 100, false", "3000, 400, false", "3000, 1000, true", "12000, 2000, true"})
+    void triesACopyAgainThatLagged(long ageMillis, long laterMillis, boolean tried) {
+        long now = 20_000 + laterMillis;
+        PositionHistory history = PositionHistory.startingAt(position(1), 0);
+        for (long i = 2; i <= now / 100; i++) {
+            history = history.with(position(i), i * 100 * MS);
+        }
+        CopyProgress copy = CopyProgress.UNKNOWN.withLacking(ageMillis * MS, 20_000 * MS);
+        LogPosition needed = history.asOf((now - 1_500) * MS);
+        assertEquals(tried, copy.reaches(needed, history, now * MS));
+    }
+
     private static LogPosition position(long index) {
         return LogPosition.of(2, index);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -70,7 +70,7 @@
 
     /** Takes it that the copy said it lacks a position. */
     void lacks(LogPosition needed, PositionHistory history, long nowNanos) {
-        mProgress = mProgress.withLacking(nowNanos - history.nanosOf(needed));
+        mProgress = mProgress.withLacking(nowNanos - history.nanosOf(needed), nowNanos);
     }
 
     /** Returns what the copy told last when it was asked; it may have changed since. */
