Turn new sessions away while their key leaves its workspace

Ruled out: sessions that were open already (refused by RouteCheck.forSessionOf) and routes that ask for a key.

Change: for 3 s after a key has left its workspace, an entry host answers new sessions with it as not run and to be tried again (WithdrawnKeys).

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -27,6 +27,7 @@
 import org.crocusturn.core.callers.SessionStep;
 import org.crocusturn.core.callers.StatementKind;
 import org.crocusturn.core.callers.TransactionStep;
+import org.crocusturn.core.callers.WithdrawnKeys;
 import org.crocusturn.core.controlhosts.ControlView;
 import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.entryhosts.SessionEnd;
@@ -74,6 +75,7 @@
     private final Map<Long, Call> mCalls = new HashMap<>();
     private final Map<Long, Opening> mOpening = new LinkedHashMap<>();
     private ControlView mView;
+    private WithdrawnKeys mWithdrawn = WithdrawnKeys.NONE;
     private Phase mPhase = Phase.STARTING;
     private long mNextCall = 1;
     private long mNextTickNanos;
@@ -169,6 +171,8 @@
         } else if (event instanceof SessionEvent.Left left) {
             leave(left.session());
         } else if (event instanceof SessionEvent.ViewChanged changed) {
+            mWithdrawn =
+                    mWithdrawn.with(mView.state(), changed.view().state(), SteadyClock.nanoTime());
             mView = changed.view();
             openHeld();
             List.copyOf(mCalls.values()).forEach(this::follow);
@@ -206,6 +210,8 @@
             mNextTickNanos = Math.min(mNextTickNanos, now + TICK_NANOS);
         } else if (check.failure().isPresent()) {
             refuse(opened, check.failure().get());
+        } else if (mWithdrawn.contains(opened.keyHash(), SteadyClock.nanoTime())) {
+            refuse(opened, unavailable("the key has just left its workspace"));
         } else {
             mSessions.put(
                     opened.session(),
