--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/InheritedLeases.java
@@ -0,0 +1,52 @@
+package org.crocusturn.core.entryhosts;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.GroupId;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.operators.AcknowledgeMode;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.ControlStateMachine;
+import org.crocusturn.core.operators.Leaseholder;
+import org.crocusturn.core.operators.RateLimit;
+import org.crocusturn.core.operators.Service;
+import org.crocusturn.core.operators.Workspace;
+
+/** Builds the replicated state that a new control leader finds. */
+final class InheritedLeases {
+    static final String SERVICE = "s";
+    static final DataCentreId CENTRE = DataCentreId.of("north");
+
+    private InheritedLeases() {}
+
+    /** Returns a state in which one process holds the leases of the given databases' groups. */
+    static ControlState of(List<String> databases, Leaseholder holder) {
+        Workspace workspace =
+                new Workspace(
+                        WorkspaceId.of("w"), new RateLimit(10, 10), Set.of(SERVICE), Map.of());
+        Service service = new Service(SERVICE, databases, 3, 2, 16, AcknowledgeMode.DURABLE, true);
+        Configuration configuration =
+                new Configuration(
+                        1, List.of(CENTRE), List.of(workspace), List.of(service), List.of());
+        ControlState state =
+                ControlStateMachine.apply(
+                                ControlState.EMPTY,
+                                1,
+                                new ControlCommand.ApplyConfiguration("first", configuration))
+                        .state();
+        for (String database : databases) {
+            state =
+                    ControlStateMachine.apply(
+                                    state,
+                                    state.version() + 1,
+                                    new ControlCommand.AssignLease(
+                                            GroupId.of(SERVICE, database), holder))
+                            .state();
+        }
+        return state;
+    }
+}
--- a/core/src/test/java/org/crocusturn/core/entryhosts/LeaseMoveTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/LeaseMoveTest.java
@@ -4,25 +4,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
-import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
-import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.HeldLease;
-import org.crocusturn.core.operators.AcknowledgeMode;
-import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.ControlStateMachine;
 import org.crocusturn.core.operators.Leaseholder;
-import org.crocusturn.core.operators.RateLimit;
-import org.crocusturn.core.operators.Service;
-import org.crocusturn.core.operators.Workspace;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -32,11 +24,11 @@
  */
 class LeaseMoveTest {
     private static final long MS = 1_000_000;
-    private static final DataCentreId CENTRE = DataCentreId.of("north");
     private static final List<GroupId> GROUPS = List.of(GroupId.of("s", "a"), GroupId.of("s", "b"));
 
     private LeaderState mState = LeaderState.idle();
-    private ControlState mControl = inherited();
+    private ControlState mControl =
+            InheritedLeases.of(List.of("a", "b"), new Leaseholder(id(0), "127.0.0.1:0", 0, 1));
     private final List<String> mMoves = new ArrayList<>();
     private final List<String> mAssigned = new ArrayList<>();
 
@@ -92,7 +84,7 @@
         return new EntryReport(
                 id(host),
                 host,
-                CENTRE,
+                InheritedLeases.CENTRE,
                 "127.0.0.1:" + host,
                 sequence,
                 0,
@@ -106,30 +98,4 @@
     private static HostId id(int number) {
         return HostId.of("entry-" + number);
     }
-
-    private static ControlState inherited() {
-        Workspace workspace =
-                new Workspace(WorkspaceId.of("w"), new RateLimit(10, 10), Set.of("s"), Map.of());
-        Service service =
-                new Service("s", List.of("a", "b"), 3, 2, 16, AcknowledgeMode.DURABLE, true);
-        Configuration configuration =
-                new Configuration(
-                        1, List.of(CENTRE), List.of(workspace), List.of(service), List.of());
-        ControlState state =
-                ControlStateMachine.apply(
-                                ControlState.EMPTY,
-                                1,
-                                new ControlCommand.ApplyConfiguration("first", configuration))
-                        .state();
-        for (GroupId group : GROUPS) {
-            state =
-                    ControlStateMachine.apply(
-                                    state,
-                                    state.version() + 1,
-                                    new ControlCommand.AssignLease(
-                                            group, new Leaseholder(id(0), "127.0.0.1:0", 0, 1)))
-                            .state();
-        }
-        return state;
-    }
 }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/LeaseResumptionTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/LeaseResumptionTest.java
@@ -4,23 +4,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.Decision;
-import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
-import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.EntryReport;
-import org.crocusturn.core.operators.AcknowledgeMode;
-import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
-import org.crocusturn.core.operators.ControlStateMachine;
 import org.crocusturn.core.operators.Leaseholder;
-import org.crocusturn.core.operators.RateLimit;
-import org.crocusturn.core.operators.Service;
-import org.crocusturn.core.operators.Workspace;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -30,12 +20,13 @@
  */
 class LeaseResumptionTest {
     private static final long MS = 1_000_000;
-    private static final GroupId GROUP = GroupId.of("s", "a");
     private static final HostId HOST = HostId.of("entry-0");
-    private static final DataCentreId CENTRE = DataCentreId.of("north");
     private static final String ADDRESS = "127.0.0.1:1";
     private static final long OLD = 11;
 
+    private static final ControlState INHERITED =
+            InheritedLeases.of(List.of("a"), new Leaseholder(HOST, ADDRESS, OLD, 1));
+
     private LeaderState mState = LeaderState.idle();
     private final List<ControlCommand> mProposed = new ArrayList<>();
 
@@ -50,7 +41,7 @@
     })
     void resumesOnlyAfterTheHolderHasEnded(
             long process, String address, int reports, String expected) {
-        step(new LeaderInput.LeadershipGained(2, inherited()), 0);
+        step(new LeaderInput.LeadershipGained(2, INHERITED), 0);
         for (int i = 1; i <= reports; i++) {
             step(new LeaderInput.ReportReceived(report(process, address, i)), 50 * MS * i);
         }
@@ -75,7 +66,7 @@
         return new EntryReport(
                 HOST,
                 process,
-                CENTRE,
+                InheritedLeases.CENTRE,
                 address,
                 sequence,
                 0,
@@ -85,25 +76,4 @@
                 false,
                 sequence - 1);
     }
-
-    private static ControlState inherited() {
-        Workspace workspace =
-                new Workspace(WorkspaceId.of("w"), new RateLimit(10, 10), Set.of("s"), Map.of());
-        Service service = new Service("s", List.of("a"), 3, 2, 16, AcknowledgeMode.DURABLE, true);
-        Configuration configuration =
-                new Configuration(
-                        1, List.of(CENTRE), List.of(workspace), List.of(service), List.of());
-        ControlState state =
-                ControlStateMachine.apply(
-                                ControlState.EMPTY,
-                                1,
-                                new ControlCommand.ApplyConfiguration("first", configuration))
-                        .state();
-        return ControlStateMachine.apply(
-                        state,
-                        2,
-                        new ControlCommand.AssignLease(
-                                GROUP, new Leaseholder(HOST, ADDRESS, OLD, 1)))
-                .state();
-    }
 }
