Decide in one place that a process has ended; order a course by time

LeaseDecisions and RateAuthority each decided whether another process of a host proves that the earlier one has ended; RegisteredHost.hasReplaced now decides for both. RequestCourse read the time of a line back from the text that it had just written; it orders the lines themselves now. Behaviour stays as it is.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -65,19 +65,14 @@
     }
 
     /**
-     * Returns whether another process of the holder's host has taken the holder's place.
-     *
-     * <p>That process listens on the holder's link address and has confirmed an answer of this
-     * leader, so the holder had ended before. Its lease need not run out, which would cost 1 s
-     * after every loss of power.
+     * Returns whether another process of the holder's host has taken the holder's place. The lease
+     * need not run out then, which would cost 1 s after every loss of power.
      */
     private boolean isSuperseded(Leaseholder holder) {
         return mTurn.mState
                 .registry()
                 .host(holder.host())
-                .filter(RegisteredHost::proved)
-                .filter(h -> h.incarnation() != holder.incarnation())
-                .filter(h -> h.linkAddress().equals(holder.linkAddress()))
+                .filter(h -> h.hasReplaced(holder.incarnation(), holder.linkAddress()))
                 .isPresent();
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RateAuthority.java
@@ -78,7 +78,7 @@
         private boolean isOver(RegisteredHost host, boolean tells) {
             return incarnation == host.incarnation()
                     ? tells
-                    : host.proved() && linkAddress.equals(host.linkAddress());
+                    : host.hasReplaced(incarnation, linkAddress);
         }
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RegisteredHost.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RegisteredHost.java
@@ -88,6 +88,15 @@
                 proved || confirmed);
     }
 
+    /**
+     * Returns whether this process has taken the place of another one of the same host, which has
+     * ended then: this one listens on the other's link address and has confirmed an answer of the
+     * leader.
+     */
+    boolean hasReplaced(long otherIncarnation, String otherLinkAddress) {
+        return proved && incarnation != otherIncarnation && linkAddress.equals(otherLinkAddress);
+    }
+
     /** Returns the host after its link closed. */
     RegisteredHost withoutLink() {
         return new RegisteredHost(
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/RequestCourse.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/RequestCourse.java
@@ -48,6 +48,20 @@
 
     private RequestCourse() {}
 
+    /** Is a line of a log with what it tells about the request. */
+    private record Entry(String what, LogLine line) {
+        private String text(Instant start) {
+            double seconds = Duration.between(start, line.time()).toNanos() / 1e9;
+            return String.format(
+                    Locale.ROOT,
+                    "%+9.3f s %s %s %s",
+                    seconds,
+                    what,
+                    line.process(),
+                    line.message());
+        }
+    }
+
     /**
      * Returns the lines of the course in order of time, empty if no line names the request.
      *
@@ -75,11 +89,12 @@
         Stream<LogLine> changed =
                 beliefs.stream().filter(l -> !l.time().isBefore(change) && !l.time().isAfter(end));
         return Stream.of(
-                        known.distinct().map(l -> text("known  ", l, start)),
-                        changed.map(l -> text("changed", l, start)),
-                        own.stream().map(l -> text("request", l, start)))
+                        known.distinct().map(l -> new Entry("known  ", l)),
+                        changed.map(l -> new Entry("changed", l)),
+                        own.stream().map(l -> new Entry("request", l)))
                 .flatMap(s -> s)
-                .sorted(Comparator.comparingDouble(RequestCourse::seconds))
+                .sorted(Comparator.comparing(e -> e.line().time()))
+                .map(e -> e.text(start))
                 .toList();
     }
 
@@ -100,14 +115,4 @@
                 .filter(l -> kind.matcher(l.message()).find())
                 .reduce((first, second) -> second);
     }
-
-    private static String text(String what, LogLine line, Instant start) {
-        double seconds = Duration.between(start, line.time()).toNanos() / 1e9;
-        return String.format(
-                Locale.ROOT, "%+9.3f s %s %s %s", seconds, what, line.process(), line.message());
-    }
-
-    private static double seconds(String text) {
-        return Double.parseDouble(text.substring(0, text.indexOf(" s ")).strip());
-    }
 }
