Send promotion orders only while their lease is valid

Cause: the lease was checked before the connection to the platform was opened, which may take 1 s, and a connection without an answer was closed gracefully after 2.5 s. A leaseholder that was cut off could so deliver an order after its successor's, which a platform that does not check fencing numbers carries out. A response without an end was buffered up to 64 MB.

Change: an order carries the end of its lease. It is not sent in the last 100 ms of the lease, and its connection is reset at the end of the lease, so that bytes held back by a partition are discarded. Responses are limited to 4 KiB. The settings tell whether numbers are checked.

--- a/core/src/main/java/org/crocusturn/core/endpoints/SessionCommand.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/SessionCommand.java
@@ -55,6 +55,9 @@
     /** Stops a replica from receiving log entries; the term must be higher than its newest one. */
     record PauseReplication(long term) implements SessionCommand {}
 
+    /** Makes a primary of a lower term a replica. */
+    record StepDown(long term) implements SessionCommand {}
+
     /** Lets a replica receive log entries again. */
     record ResumeReplication() implements SessionCommand {}
 }
--- /dev/null
+++ b/core/src/main/java/org/crocusturn/core/endpoints/UncheckedFencing.java
@@ -0,0 +1,28 @@
+package org.crocusturn.core.endpoints;
+
+import java.time.Duration;
+import org.crocusturn.core.EndpointId;
+
+/**
+ * For platforms that carry out every order, whatever its fencing number.
+ *
+ * <p>A new epoch invalidates nothing there, so an order without an answer binds the group to its
+ * target until it can no longer be carried out. An order that confirms the present primary would
+ * only be one more order that may arrive late.
+ */
+public final class UncheckedFencing implements PromotionFencing {
+    /** Platforms carry out orders up to 12 s late; the rest covers the way there. */
+    private static final long MAX_DELAY_NANOS = Duration.ofSeconds(13).toNanos();
+
+    @Override
+    public boolean registersEpoch() {
+        return false;
+    }
+
+    @Override
+    public Step decide(EndpointId endpoint, PromotionOrders orders, long nowNanos) {
+        return orders.conflictWith(endpoint) && !orders.lostLongerThan(nowNanos, MAX_DELAY_NANOS)
+                ? Step.WAIT
+                : Step.PROCEED;
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupContext.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupContext.java
@@ -7,6 +7,7 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.endpoints.PromotionFencing;
 
 /** Services that a duty provides to its groups; called only from the thread of the duty. */
 interface GroupContext {
@@ -46,6 +47,9 @@
      */
     void promote(GroupId group, EndpointId endpoint, long fence);
 
+    /** Returns how the platform treats the fencing numbers of promotions. */
+    PromotionFencing fencing();
+
     /**
      * Returns the lease of a group to the control leader. The platform accepts no promotion under
      * its epoch any more, so the group needs a new one.
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PromotionService.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PromotionService.java
@@ -1,7 +1,8 @@
 package org.crocusturn.daemon.endpoints;
 
 import java.util.concurrent.CompletableFuture;
-import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.endpoints.CheckedFencing;
+import org.crocusturn.core.endpoints.PromotionFencing;
 
 /** Requests promotions from the platform, the only component that can change a primary. */
 public interface PromotionService {
@@ -11,7 +12,7 @@
         ACCEPTED,
         /** A higher fencing number was used before, or the endpoint is not running. */
         REFUSED,
-        /** The platform refused the request because of too many calls; it had no effect. */
+        /** The request was not sent, or refused because of too many calls; it had no effect. */
         LATER,
         /** No answer arrived; the request may still be carried out, even much later. */
         UNKNOWN
@@ -20,10 +21,13 @@
     /**
      * Requests the promotion of an endpoint to primary of a service.
      *
-     * @param service the service
-     * @param endpoint the endpoint
-     * @param fence fencing number, which increases with each change of the leaseholder
+     * @param order the order, which is not sent after its lease has ended
      * @return the answer; the future never fails
      */
-    CompletableFuture<Answer> promote(String service, EndpointId endpoint, long fence);
+    CompletableFuture<Answer> promote(PromotionOrder order);
+
+    /** Returns how the platform treats the fencing numbers of orders. */
+    default PromotionFencing fencing() {
+        return new CheckedFencing();
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -30,6 +30,7 @@
 import org.crocusturn.core.controlhosts.TokenAllowance;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.endpoints.ConnectionLoss;
+import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.SessionResult;
 import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.entryhosts.SessionReply;
@@ -509,8 +510,12 @@
 
         @Override
         public void promote(GroupId group, EndpointId endpoint, long fence) {
+            long expires =
+                    mView.lease(group)
+                            .map(ControlView.GrantedLease::expiresNanos)
+                            .orElseGet(this::nowNanos);
             mPromotions
-                    .promote(group.service(), endpoint, fence)
+                    .promote(new PromotionOrder(group.service(), endpoint, fence, expires))
                     .thenAccept(
                             answer ->
                                     offer(
@@ -518,6 +523,11 @@
                                                     group, fence, endpoint, answer)));
         }
 
+        @Override
+        public PromotionFencing fencing() {
+            return mPromotions.fencing();
+        }
+
         @Override
         public void returnLease(GroupId group) {
             Optional.ofNullable(mGroups.get(group)).ifPresent(LeasedGroup::close);
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -47,6 +47,15 @@
     /** Opens a connection; the future fails with verdict "not run" if connecting fails. */
     public static CompletableFuture<HttpClientConnection> connect(
             NetThreads threads, InetSocketAddress address, Duration timeout) {
+        return connect(threads, address, timeout, MAX_RESPONSE_BYTES);
+    }
+
+    /**
+     * Opens a connection that accepts only small responses; the future fails with verdict "not run"
+     * if connecting fails.
+     */
+    public static CompletableFuture<HttpClientConnection> connect(
+            NetThreads threads, InetSocketAddress address, Duration timeout, int maxResponseBytes) {
         ResponseHandler handler = new ResponseHandler();
         CompletableFuture<HttpClientConnection> result = new CompletableFuture<>();
         new Bootstrap()
@@ -54,7 +63,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
-                .handler(initializer(handler))
+                .handler(initializer(handler, maxResponseBytes))
                 .connect(address)
                 .addListener(
                         (io.netty.channel.ChannelFuture done) -> {
@@ -71,7 +80,7 @@
      * Sends a request.
      *
      * @param request request to send
-     * @param timeout timeout for the complete response, after which the connection is closed
+     * @param timeout timeout for the complete response, after which the connection is reset
      * @return the response; the future fails with a {@link CrocusturnException} that has the
      *     verdict
      */
@@ -96,6 +105,14 @@
         mChannel.close();
     }
 
+    /** Closes the connection and discards what the peer has not received yet. */
+    public void reset() {
+        if (mChannel.isOpen()) {
+            mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+            mChannel.close();
+        }
+    }
+
     private void sendInEventLoop(
             HttpRequest request, Duration timeout, CompletableFuture<HttpResponse> result) {
         if (!mChannel.isActive() || !mHandler.begin(result)) {
@@ -107,7 +124,10 @@
         var timer =
                 mChannel.eventLoop()
                         .schedule(
-                                () -> mHandler.closeAndFail(mChannel, "the request timed out"),
+                                () -> {
+                                    reset();
+                                    mHandler.closeAndFail(mChannel, "the request timed out");
+                                },
                                 timeout.toNanos(),
                                 TimeUnit.NANOSECONDS);
         result.whenComplete((response, error) -> timer.cancel(false));
@@ -143,13 +163,14 @@
                 cause);
     }
 
-    private static ChannelInitializer<SocketChannel> initializer(ResponseHandler handler) {
+    private static ChannelInitializer<SocketChannel> initializer(
+            ResponseHandler handler, int maxResponseBytes) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
                         .addLast(new HttpClientCodec())
-                        .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                        .addLast(new HttpObjectAggregator(maxResponseBytes))
                         .addLast(handler);
             }
         };
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
@@ -12,7 +12,9 @@
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.endpoints.CheckedFencing;
 import org.crocusturn.core.endpoints.EndpointError;
+import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
 import org.crocusturn.core.endpoints.SessionResult;
@@ -30,10 +32,12 @@
     private final List<PooledSession> mOpening = new ArrayList<>();
     final Map<Long, SessionOutcome> mReplies = new HashMap<>();
     final List<String> mPromotions = new ArrayList<>();
+    final List<String> mDemotions = new ArrayList<>();
     final Map<String, ReplicationStatus> mStatuses = new HashMap<>();
     long mNowNanos = 1_000_000_000L;
     boolean mLeaseValid = true;
     boolean mTokenAvailable = true;
+    PromotionFencing mFencing = new CheckedFencing();
     int mLeasesGivenBack;
     private long mLastId;
 
@@ -103,6 +107,11 @@
         mPromotions.add(endpoint + " " + fence);
     }
 
+    @Override
+    public PromotionFencing fencing() {
+        return mFencing;
+    }
+
     @Override
     public void returnLease(GroupId group) {
         mLeasesGivenBack++;
@@ -129,7 +138,8 @@
                                                 || s.command()
                                                         instanceof SessionCommand.PauseReplication
                                                 || s.command()
-                                                        instanceof SessionCommand.ResumeReplication)
+                                                        instanceof SessionCommand.ResumeReplication
+                                                || s.command() instanceof SessionCommand.StepDown)
                         .toList();
         mSent.removeAll(outstanding);
         outstanding.forEach(
@@ -198,7 +208,11 @@
 
         @Override
         public void send(SessionCommand command) {
-            mSent.add(new Sent(mSession, command));
+            Sent sent = new Sent(mSession, command);
+            mSent.add(sent);
+            if (command instanceof SessionCommand.StepDown stepDown) {
+                mDemotions.add(sent.endpoint() + " " + stepDown.term());
+            }
         }
 
         @Override
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/TokenReportVolumeTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/TokenReportVolumeTest.java
@@ -132,7 +132,7 @@
                             listener.onOpened();
                             return new AnsweringSession(listener);
                         },
-                        (service, endpoint, fence) ->
+                        order ->
                                 CompletableFuture.completedFuture(PromotionService.Answer.ACCEPTED),
                         mRing::add,
                         new Reports(),
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/UnknownWorkspaceRateTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/UnknownWorkspaceRateTest.java
@@ -56,7 +56,7 @@
                     (endpoint, workspace, timeout, listener) -> {
                         throw new AssertionError("there is no endpoint");
                     },
-                    (service, endpoint, fence) -> new CompletableFuture<>(),
+                    order -> new CompletableFuture<>(),
                     event -> true,
                     new RecordingListener(),
                     Metrics.create());
