Keep commits and promotions apart until an order is resolved

Found by reading for the sites whose platform carries out every order. An answered repetition made the group forget the lost order. - On a platform that does not check numbers, a new leaseholder confirmed the present primary, one more order that may arrive late; another target was tried under a new epoch, which invalidates nothing there; a primary of an earlier term was never told to step down, and was accepted although a replica knew a later term.

Change: FailoverController acknowledges only for the primary and only until it orders another one. PromotionFencing decides what an open order means: a new epoch where numbers are checked, otherwise the same target until 13 s have passed. Primaries of earlier terms are sent STEPDOWN.

Open: a new leaseholder does not know the open order of one that died; on an unchecked platform that order may still be carried out late.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -10,6 +10,8 @@
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.PositionHistory;
+import org.crocusturn.core.endpoints.PromotionFencing;
+import org.crocusturn.core.endpoints.PromotionOrders;
 import org.crocusturn.core.endpoints.PromotionPlan;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
@@ -18,9 +20,8 @@
 /**
  * Tracks the primary of a group and performs its failover and planned switchover.
  *
- * <p>A promotion request that the platform has not answered may still be carried out later. Until
- * it is answered, no other copy is promoted with the same fencing number: the lease is returned in
- * exchange for a new epoch, which makes the platform refuse the late request.
+ * <p>A promotion request that the platform has not answered may still be carried out later. What
+ * happens to other copies until then is up to {@link PromotionFencing}.
  *
  * <p>Not thread-safe: used only by the thread of the group.
  */
@@ -57,7 +58,8 @@
     private long mNextSwitchoverNanos;
     private Optional<EndpointId> mPrimary = Optional.empty();
     private Optional<EndpointId> mTarget = Optional.empty();
-    private Optional<EndpointId> mUnansweredTarget = Optional.empty();
+    private PromotionOrders mOrders = PromotionOrders.none();
+    private boolean mReplacingPrimary;
     private long mTerm;
     private boolean mFenceRegistered;
 
@@ -89,6 +91,14 @@
                 && mPrimary.filter(pool.record().id()::equals).isPresent();
     }
 
+    /**
+     * Returns whether a commit that a copy reports now may be acknowledged. After another copy was
+     * ordered to take over, its log need not have the commit.
+     */
+    boolean mayAcknowledge(CopyPool pool) {
+        return mPrimary.filter(pool.record().id()::equals).isPresent() && !mReplacingPrimary;
+    }
+
     /** Requests the roles of all copies again because the known primary may be wrong. */
     void rediscover(String reason) {
         if (mPhase == Phase.SERVING) {
@@ -156,7 +166,9 @@
         pool.setStatus(result.status());
         boolean newer = status.primary() && status.term() > mTerm;
         if (newer && mPhase != Phase.DISCOVERING && mGroup.leaseValid()) {
-            acceptPrimary(pool, status);
+            considerPrimary(pool, status);
+        } else if (mPhase == Phase.SERVING && isOutdatedPrimary(pool)) {
+            demote(pool);
         }
         mGroup.dispatch();
     }
@@ -215,15 +227,50 @@
                         .filter(p -> p.health() == CopyPool.Health.UP)
                         .filter(p -> p.status().filter(ReplicationStatus::primary).isPresent())
                         .max(Comparator.comparingLong(p -> p.status().orElseThrow().term()));
-        if (primary.isPresent()) {
-            acceptPrimary(primary.get(), primary.get().status().orElseThrow());
-        } else if (mGroup.pools().stream().anyMatch(p -> p.status().isPresent())) {
-            startFencing("no copy reports the primary role");
+        // A copy that knows a later term has followed a primary that does not answer now.
+        boolean current =
+                primary.filter(p -> p.status().orElseThrow().term() >= newestTerm()).isPresent();
+        if (current) {
+            considerPrimary(primary.get(), primary.get().status().orElseThrow());
+        } else if (mGroup.pools().stream().anyMatch(p -> p.status().isPresent())
+                && (late || primary.isEmpty())) {
+            startFencing("no copy reports the primary role in the newest term");
+        }
+    }
+
+    private long newestTerm() {
+        return mGroup.pools().stream()
+                .flatMap(p -> p.status().stream())
+                .mapToLong(ReplicationStatus::term)
+                .max()
+                .orElse(0);
+    }
+
+    /** Serves with a primary unless an order may still be carried out that names another copy. */
+    private void considerPrimary(CopyPool pool, ReplicationStatus status) {
+        EndpointId id = pool.record().id();
+        switch (mContext.fencing().decide(id, mOrders, mContext.nowNanos())) {
+            case PROCEED -> acceptPrimary(pool, status);
+            case RETURN_LEASE -> returnLease(describeUnanswered());
+            default -> repeatOrder();
         }
     }
 
+    private String describeUnanswered() {
+        return "the promotion of " + mOrders.target().orElseThrow() + " is unanswered";
+    }
+
+    /** Orders the copy again that an unanswered order may promote at any time. */
+    private void repeatOrder() {
+        mOrders.target()
+                .flatMap(mGroup::pool)
+                .filter(p -> p.health() == CopyPool.Health.UP && p.status().isPresent())
+                .ifPresent(p -> promote(p.record().id()));
+    }
+
     private void acceptPrimary(CopyPool pool, ReplicationStatus status) {
         long nowNanos = mContext.nowNanos();
+        mReplacingPrimary = false;
         mPrimary = Optional.of(pool.record().id());
         mTerm = Math.max(mTerm, status.term());
         mTarget = Optional.empty();
@@ -250,7 +297,12 @@
 
     /** Registers the fencing number of this epoch, so that the platform refuses older ones. */
     private void registerFence() {
-        if (!mFenceRegistered && mGroup.epoch() > 1 && mUnansweredTarget.isEmpty()) {
+        boolean needed =
+                mContext.fencing().registersEpoch()
+                        && !mFenceRegistered
+                        && mGroup.epoch() > 1
+                        && mOrders.target().isEmpty();
+        if (needed) {
             mFenceRegistered = true;
             requestPromotion(mPrimary.orElseThrow());
         }
@@ -266,6 +318,37 @@
                                                 new SessionCommand.ResumeReplication(),
                                                 result -> onResumed(p, result)));
         mFencedPositions.clear();
+        mGroup.pools().stream().filter(this::isOutdatedPrimary).forEach(this::demote);
+    }
+
+    private boolean isOutdatedPrimary(CopyPool pool) {
+        return pool.health() == CopyPool.Health.UP
+                && !isPrimary(pool)
+                && pool.status().filter(s -> s.primary() && s.term() < mTerm).isPresent();
+    }
+
+    /** Makes a copy a replica that was cut off while another one was promoted. */
+    private void demote(CopyPool pool) {
+        mContext.logEvent(
+                "group "
+                        + mGroup.id()
+                        + " demotes "
+                        + pool.record().id()
+                        + ", a primary of term "
+                        + pool.status().orElseThrow().term());
+        probe(pool)
+                .send(
+                        new SessionCommand.StepDown(mTerm),
+                        result -> {
+                            if (result.status().isPresent()) {
+                                pool.setStatus(result.status());
+                            } else {
+                                mContext.logEvent(
+                                        pool.record().id()
+                                                + " did not step down: "
+                                                + result.text());
+                            }
+                        });
     }
 
     private void onResumed(CopyPool pool, SessionResult result) {
@@ -331,14 +414,7 @@
 
     private void startFencing(String reason) {
         mContext.logEvent("group " + mGroup.id() + " needs another primary: " + reason);
-        mTerm =
-                Math.max(
-                        mTerm,
-                        mGroup.pools().stream()
-                                .flatMap(p -> p.status().stream())
-                                .mapToLong(ReplicationStatus::term)
-                                .max()
-                                .orElse(0));
+        mTerm = Math.max(mTerm, newestTerm());
         mFencedPositions.clear();
         enterPhase(Phase.FENCING);
         fence(mPhaseStartNanos);
@@ -360,6 +436,7 @@
             PromotionPlan.choose(
                             mGroup.pools().stream().map(this::candidate).toList(),
                             mGroup.history().map(PositionHistory::latest))
+                    .map(this::unansweredTargetOr)
                     .ifPresent(this::promote);
         }
         if (mPhase == Phase.FENCING && nowNanos - mPhaseStartNanos >= PROMOTION_TIMEOUT_NANOS) {
@@ -367,6 +444,15 @@
         }
     }
 
+    /** Prefers the target of an unanswered order to a copy whose log is not longer. */
+    private EndpointId unansweredTargetOr(EndpointId best) {
+        return mOrders.target()
+                .filter(mFencedPositions::containsKey)
+                .filter(id -> mGroup.pool(id).filter(mGroup::isServing).isPresent())
+                .filter(id -> mFencedPositions.get(id).compareTo(mFencedPositions.get(best)) >= 0)
+                .orElse(best);
+    }
+
     private List<CopyPool> replicas() {
         return mGroup.pools().stream()
                 .filter(p -> mPrimary.filter(p.record().id()::equals).isEmpty())
@@ -399,20 +485,24 @@
         if (mPhase == Phase.CONFIRMING || mPhase == Phase.GIVEN_BACK) {
             return;
         }
-        if (mUnansweredTarget.filter(id -> !id.equals(target)).isPresent()) {
-            returnLease("the promotion of " + mUnansweredTarget.get() + " is unanswered");
-            return;
+        PromotionFencing.Step step =
+                mContext.fencing().decide(target, mOrders, mContext.nowNanos());
+        if (step == PromotionFencing.Step.RETURN_LEASE) {
+            returnLease(describeUnanswered());
+        } else if (step == PromotionFencing.Step.PROCEED) {
+            mTarget = Optional.of(target);
+            mReplacingPrimary |= mPrimary.filter(target::equals).isEmpty();
+            enterPhase(Phase.CONFIRMING);
+            requestPromotion(target);
         }
-        mTarget = Optional.of(target);
-        enterPhase(Phase.CONFIRMING);
-        requestPromotion(target);
     }
 
     private void requestPromotion(EndpointId target) {
         if (!mGroup.leaseValid()) {
             return;
         }
-        mUnansweredTarget = Optional.of(target);
+        mOrders =
+                (mOrders.conflictWith(target) ? PromotionOrders.none() : mOrders).withSent(target);
         mContext.logEvent(
                 "group "
                         + mGroup.id()
@@ -426,13 +516,23 @@
     /** Handles the answer of the platform to a promotion request. */
     void onPromotionAnswer(EndpointId target, PromotionService.Answer answer) {
         mContext.logEvent("group " + mGroup.id() + " ordered " + target + ": " + answer);
-        if (answer == PromotionService.Answer.ACCEPTED) {
-            mUnansweredTarget = Optional.empty();
+        mOrders =
+                answer == PromotionService.Answer.UNKNOWN
+                        ? mOrders.withLostAnswer(mContext.nowNanos())
+                        : mOrders.withAnswer();
+        if (answer == PromotionService.Answer.LATER) {
+            mFenceRegistered = false;
         } else if (answer == PromotionService.Answer.REFUSED) {
+            onPromotionRefused();
+        }
+    }
+
+    private void onPromotionRefused() {
+        if (mContext.fencing().registersEpoch()) {
             returnLease("the platform refused the fencing number");
-        } else if (answer == PromotionService.Answer.LATER) {
-            mUnansweredTarget = Optional.empty();
-            mFenceRegistered = false;
+        } else if (mPhase == Phase.CONFIRMING) {
+            mContext.logEvent("group " + mGroup.id() + ": the ordered endpoint is not running");
+            restartDiscovery();
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -390,11 +390,12 @@
         if (!wrote) {
             return SessionOutcome.answered(result.rows(), result.signature());
         }
-        // The next leaseholder may already serve reads without this commit, so it must not be
-        // acknowledged.
-        if (!leaseValid() || result.position().isEmpty()) {
+        // The next leaseholder or the next primary may already serve reads without this commit, so
+        // it must not be acknowledged.
+        if (!leaseValid() || !mFailover.mayAcknowledge(run.copy()) || result.position().isEmpty()) {
             return SessionOutcome.failed(
-                    Failure.mayHaveRun("the lease ended before the commit was acknowledged"),
+                    Failure.mayHaveRun(
+                            "the lease or the term ended before the commit was acknowledged"),
                     false);
         }
         LogPosition position = result.position().get();
