Serve sessions only with a state that the leader confirmed

Cause: an entry host counted any answer of the control leader as proof of a current state, although the leader answers without a freshness duration while changes are on their way, and counted answers of a deposed leader too, which also made that leader its leader again.

Change: sessions and the ready probe go by the freshness of the view (1.5 s from a report and 0.5 s of grace, 2 s as before). Updates of older terms are ignored. An update without a duration confirms nothing.

Result: SessionEntryDaemonTest failed in 2 of 3 cases (ready for more than 4 s with a state that nobody confirmed), passes now.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -200,23 +200,33 @@
         return new ControlView(builder);
     }
 
+    /**
+     * Returns whether an update belongs to an older leader term, an earlier report or no report, so
+     * that it grants and changes nothing and does not show who leads.
+     */
+    public boolean isOutdated(ControlUpdate update) {
+        return !mReportSentNanos.containsKey(update.sequence())
+                || update.leaderTerm() < mLeaderTerm
+                || update.leaderTerm() == mLeaderTerm && update.sequence() < mAnsweredSequence;
+    }
+
     /** Returns a copy after an update; an outdated update grants and changes nothing. */
     public ControlView withUpdate(ControlUpdate update, long nowNanos) {
-        Long sent = mReportSentNanos.get(update.sequence());
-        boolean outdated =
-                update.leaderTerm() < mLeaderTerm
-                        || update.leaderTerm() == mLeaderTerm
-                                && update.sequence() < mAnsweredSequence;
         Builder builder = toBuilder();
-        if (sent == null || outdated) {
+        if (isOutdated(update)) {
             return new ControlView(builder);
         }
+        long sent = mReportSentNanos.get(update.sequence());
         builder.mLeaderTerm = update.leaderTerm();
         builder.mAnsweredSequence = Math.max(mAnsweredSequence, update.sequence());
         builder.mState = applyUpdate(update.state());
-        long freshUntil = sent + update.freshnessMillis() * 1_000_000;
-        builder.mFreshUntilNanos =
-                Optional.of(mFreshUntilNanos.map(f -> Math.max(f, freshUntil)).orElse(freshUntil));
+        // Without a duration the update does not confirm that the state is current.
+        if (update.freshnessMillis() > 0) {
+            long freshUntil = sent + update.freshnessMillis() * 1_000_000;
+            builder.mFreshUntilNanos =
+                    Optional.of(
+                            mFreshUntilNanos.map(f -> Math.max(f, freshUntil)).orElse(freshUntil));
+        }
         builder.mLeases = updatedLeases(update, sent);
         collectNewTokens(builder, update, sent, nowNanos);
         return new ControlView(builder);
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -70,10 +70,10 @@
     private static final int MAX_QUEUED_EVENTS = 16_384;
 
     /**
-     * Maximum age of the latest answer of the control leader while the host counts as ready; a
-     * change of the leader takes about 1 s.
+     * Time for which the host serves sessions after its state ceased to be fresh. Both together are
+     * 2 s; a change of the control leader takes about 1 s.
      */
-    private static final Duration MAX_ANSWER_AGE = Duration.ofMillis(2_000);
+    private static final Duration STATE_GRACE = Duration.ofMillis(500);
 
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(1);
 
@@ -90,7 +90,6 @@
     private final Duty<SessionEvent> mSessionsDuty;
     private final Duty<SessionGroupsEvent> mGroupsDuty;
     private final Duty<ControlLinkEvent> mControlLinkDuty;
-    private volatile long mLastAnswerNanos;
     private volatile Phase mPhase = Phase.STARTING;
 
     private SessionEntryDaemon(
@@ -153,7 +152,7 @@
                                 empty,
                                 new Dispatcher(),
                                 remaining -> reportRemainingWork("sessions", remaining),
-                                this::hasRecentAnswer,
+                                this::hasCurrentState,
                                 metrics));
         connect(settings.controlLinks());
     }
@@ -188,11 +187,11 @@
 
     /** Returns whether the host accepts new sessions. */
     public boolean isReady() {
-        return mPhase == Phase.SERVING && hasRecentAnswer();
+        return mPhase == Phase.SERVING && hasCurrentState();
     }
 
-    private boolean hasRecentAnswer() {
-        return SteadyClock.nanoTime() - mLastAnswerNanos < MAX_ANSWER_AGE.toNanos();
+    private boolean hasCurrentState() {
+        return mView.get().isFresh(SteadyClock.nanoTime() - STATE_GRACE.toNanos());
     }
 
     /** Opens links to the control hosts that have none yet. */
@@ -271,7 +270,6 @@
     }
 
     private void onViewChanged(ControlView view) {
-        mLastAnswerNanos = SteadyClock.nanoTime();
         ControlView previous = mView.getAndSet(view);
         mGroupsDuty.offer(new SessionGroupsEvent.ViewChanged(view));
         if (previous.state() != view.state()) {
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -66,7 +66,7 @@
 
     private final SessionDispatcher mDispatcher;
     private final IntConsumer mSessionCountListener;
-    private final BooleanSupplier mControlReachable;
+    private final BooleanSupplier mCurrentState;
     private final Metrics mMetrics;
     private final SessionLog mLog = new SessionLog();
     private final Map<Long, Session> mSessions = new HashMap<>();
@@ -82,9 +82,9 @@
             ControlView view,
             SessionDispatcher dispatcher,
             IntConsumer sessionCountListener,
-            BooleanSupplier controlReachable,
+            BooleanSupplier currentState,
             Metrics metrics) {
-        mControlReachable = controlReachable;
+        mCurrentState = currentState;
         mMetrics = metrics;
         mView = view;
         mDispatcher = dispatcher;
@@ -147,20 +147,20 @@
      * @param view initial view, without any replicated state
      * @param dispatcher sends calls to leaseholders
      * @param sessionCountListener receives the number of open sessions while the process stops
-     * @param controlReachable returns whether the control leader has replied recently
+     * @param currentState returns whether the replicated state of this host is current
      * @param metrics metrics of the process
      */
     public static SessionsDuty create(
             ControlView view,
             SessionDispatcher dispatcher,
             IntConsumer sessionCountListener,
-            BooleanSupplier controlReachable,
+            BooleanSupplier currentState,
             Metrics metrics) {
         return new SessionsDuty(
                 Objects.requireNonNull(view, "view"),
                 Objects.requireNonNull(dispatcher, "dispatcher"),
                 Objects.requireNonNull(sessionCountListener, "sessionCountListener"),
-                Objects.requireNonNull(controlReachable, "controlReachable"),
+                Objects.requireNonNull(currentState, "currentState"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
@@ -228,7 +228,7 @@
             mPendingOpens.put(
                     request.session(), new PendingOpen(request, now + HOLD_TIMEOUT_NANOS));
             mNextTickNanos = Math.min(mNextTickNanos, now + TICK_NANOS);
-        } else if (!mControlReachable.getAsBoolean()) {
+        } else if (!mCurrentState.getAsBoolean()) {
             refuse(request, outdated());
         } else if (check.failure().isPresent()) {
             refuse(request, check.failure().get());
@@ -324,7 +324,7 @@
     }
 
     private RouteCheck check(Session session) {
-        if (!mControlReachable.getAsBoolean()) {
+        if (!mCurrentState.getAsBoolean()) {
             return new RouteCheck(Optional.empty(), Optional.of(outdated()), false);
         }
         // A key that was issued after the session was opened may have given it another workspace.
@@ -578,7 +578,7 @@
      * callers connect to a host that can serve them.
      */
     private void closeIdleSessions() {
-        boolean isolated = mPhase == Phase.SERVING && !mControlReachable.getAsBoolean();
+        boolean isolated = mPhase == Phase.SERVING && !mCurrentState.getAsBoolean();
         if (mPhase != Phase.DRAINING && !isolated) {
             return;
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -251,10 +251,10 @@
     }
 
     private void applyUpdate(HostId host, ControlUpdate update) {
-        ControlView next = mView.withUpdate(update, SteadyClock.nanoTime());
-        if (next == mView) {
+        if (mView.isOutdated(update)) {
             return;
         }
+        ControlView next = mView.withUpdate(update, SteadyClock.nanoTime());
         if (!mLeader.equals(Optional.of(host))) {
             LOG.info("controlhosts: {} leads in term {}", host, update.leaderTerm());
         }
