Send heartbeats on links with messages only, and few on idle links

Cause: every link carried a heartbeat each 200 ms in both directions. On the large site an entry host has links to 6 control hosts and up to 15 leaseholders, so that an idle host sent and received about 200 frames a second, and each control host and leaseholder about 1,000, with a MAC and a wake-up each. On a native run with 30 entry hosts and nothing else to do, the I/O threads of the three control hosts used 0.05 to 0.07 cores.

Change: a process that sent a message expects bytes within 1 s, as before; one that received a message sends a heartbeat within 200 ms unless it sends something else. Idle links get a heartbeat each 700 ms and are closed after 3 s without bytes. 700 ms, because processes of earlier versions close a link after 1 s.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkLimits.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkLimits.java
@@ -25,14 +25,26 @@
     /** Time within which the handshake must complete. */
     static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(2);
 
-    /** Time without a sent frame after which a heartbeat is sent. */
+    /** Time after a received message within which a heartbeat is sent, if nothing else is. */
     static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(200);
 
-    /** Time without a received byte after which a link is closed. */
+    /** Time after a sent message without a received byte after which a link is closed. */
     static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
 
+    /**
+     * Interval of heartbeats on a link without messages. Processes of earlier versions close a link
+     * after 1 s without a byte.
+     */
+    static final Duration IDLE_HEARTBEAT_INTERVAL = Duration.ofMillis(700);
+
+    /** Time without a received byte after which a link without messages is closed. */
+    static final Duration IDLE_READ_TIMEOUT = Duration.ofSeconds(3);
+
     /** Size of the length field of a frame. */
     static final int LENGTH_FIELD_BYTES = 4;
 
+    /** Size of a frame with an empty payload. */
+    static final int HEARTBEAT_BYTES = LENGTH_FIELD_BYTES + FrameAuthenticator.OVERHEAD_BYTES;
+
     private LinkLimits() {}
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkPipeline.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkPipeline.java
@@ -5,8 +5,6 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
-import io.netty.handler.timeout.IdleStateHandler;
-import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.HostId;
 
 /** Configures the channel pipeline of a link for its handshake and for its messages. */
@@ -34,12 +32,7 @@
             FrameAuthenticator inbound,
             PeerLinkHandler handler) {
         ChannelPipeline pipeline = channel.pipeline();
-        pipeline.addFirst(
-                new IdleStateHandler(
-                        LinkLimits.READ_TIMEOUT.toMillis(),
-                        LinkLimits.HEARTBEAT_INTERVAL.toMillis(),
-                        0,
-                        TimeUnit.MILLISECONDS));
+        pipeline.addFirst(new LinkWatchdog());
         pipeline.addFirst(new FlushConsolidationHandler(MAX_FRAMES_PER_FLUSH, true));
         LinkMessageHandler messageHandler =
                 new LinkMessageHandler(NettyPeerLink.of(channel, peer), outbound, inbound, handler);
