Send a changed state to many hosts without repeating work

Cause: the control leader encoded a configuration again for each host, and sent it again each 500 ms to a host that had not confirmed it. At a hundred hosts with 2 Mbit/s links a new leader, which has no history and sends the whole state, needs longer than that, so that repetitions crowd out reports and leases. All hosts without a leader tried another control host each 50 ms, 2,000 reports a second during an election.

Change: one instance of the state is shared by all hosts and its encoded form kept (EncodingCache). Repetitions follow after 0.5, 1, 2 and then each 4 s. Hosts without leases search each 200 ms. Hosts without leases do not report their empty list of leases each 100 ms to their own link duty.

Result: SentChangesTest and EncodingCacheTest; before, 20 repetitions in 10 s instead of 4.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
@@ -18,40 +18,48 @@
  *
  * @param baseVersion version before the first command in the history
  * @param commands commands, oldest first
+ * @param replacement state after the latest command; one instance for all hosts, so that it is
+ *     encoded only once
  */
-public record CommandHistory(long baseVersion, PVector<VersionedCommand> commands) {
+public record CommandHistory(
+        long baseVersion, PVector<VersionedCommand> commands, StateUpdate.Replacement replacement) {
     /** Maximum number of commands; a host that is further behind receives the whole state. */
     public static final int MAX_COMMANDS = 1_000;
 
-    /** Checks that the commands are not null. */
+    /** Checks that no part is null. */
     public CommandHistory {
         Objects.requireNonNull(commands, "commands");
+        Objects.requireNonNull(replacement, "replacement");
     }
 
     /** Creates the history of a new leader, which contains no commands. */
-    public static CommandHistory of(long version) {
-        return new CommandHistory(version, TreePVector.empty());
+    public static CommandHistory of(ControlState state) {
+        return new CommandHistory(state.version(), TreePVector.empty(), replacement(state));
     }
 
-    /** Returns the history with the latest applied command. */
-    public CommandHistory plus(long version, ControlCommand command) {
+    private static StateUpdate.Replacement replacement(ControlState state) {
+        return new StateUpdate.Replacement(state.withoutDocument());
+    }
+
+    /** Returns the history with the latest applied command, which led to a state. */
+    public CommandHistory plus(long version, ControlCommand command, ControlState state) {
         ControlCommand stored =
                 command instanceof ControlCommand.ReplaceConfiguration replace
                         ? replace.withoutDocument()
                         : command;
         PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, stored));
         return next.size() <= MAX_COMMANDS
-                ? new CommandHistory(baseVersion, next)
-                : new CommandHistory(next.get(0).version(), next.minus(0));
+                ? new CommandHistory(baseVersion, next, replacement(state))
+                : new CommandHistory(next.get(0).version(), next.minus(0), replacement(state));
     }
 
-    /** Returns the update that takes a host from a version to a state. */
-    public StateUpdate since(long knownVersion, ControlState state) {
-        if (knownVersion >= state.version()) {
+    /** Returns the update that takes a host from a version to the latest state. */
+    public StateUpdate since(long knownVersion) {
+        if (knownVersion >= replacement.state().version()) {
             return new StateUpdate.Unchanged();
         }
         if (knownVersion < baseVersion) {
-            return new StateUpdate.Replacement(state.withoutDocument());
+            return replacement;
         }
         Deque<VersionedCommand> missing = new ArrayDeque<>();
         for (int i = commands.size() - 1; i >= 0; i--) {
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
@@ -59,7 +59,7 @@
                 nowNanos,
                 nowNanos,
                 control,
-                CommandHistory.of(control.version()),
+                CommandHistory.of(control),
                 EntryRegistry.of(nowNanos),
                 LeaseTable.inherited(control, nowNanos),
                 TokenAllocator.of(
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
@@ -181,7 +181,7 @@
                 .filter(lease -> lease.isRenewable(host.incarnation()))
                 .forEach(lease -> grants.add(grant(host, lease)));
         long version = mState.control().version();
-        StateUpdate missing = mState.history().since(host.knownVersion(), mState.control());
+        StateUpdate missing = mState.history().since(host.knownVersion());
         boolean complete = missing instanceof StateUpdate.Unchanged;
         boolean repeats = !complete && mState.sentChanges().contains(host, version, mNowNanos);
         if (!complete && !repeats) {
--- a/core/src/test/java/org/crocusturn/core/entryhosts/SentChangesTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/SentChangesTest.java
@@ -1,11 +1,13 @@
 package org.crocusturn.core.entryhosts;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.HostId;
@@ -16,6 +18,7 @@
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.ControlStateMachine;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -43,10 +46,7 @@
     })
     void repeatsChangesOnlyWhenTheyMayBeLost(
             long millis, long knownVersion, boolean linkClosed, boolean repeated) {
-        Configuration configuration =
-                new Configuration(
-                        7, List.of(), List.of(), List.of(), List.of(), Map.of(), List.of());
-        ControlCommand command = new ControlCommand.ReplaceConfiguration("c", configuration);
+        ControlCommand command = command();
         ControlState control = ControlStateMachine.apply(ControlState.EMPTY, 1, command).state();
         step(new LeaderInput.LeadershipGained(1, ControlState.EMPTY), 0);
         step(new LeaderInput.CommandApplied(1, command, control), 0);
@@ -60,6 +60,40 @@
         assertEquals(upToDate, second.freshnessMillis() > 0, "only a current state is fresh");
     }
 
+    /**
+     * Guards against a new leader that sends a configuration to a hundred hosts again and again
+     * while they receive it, and so does nothing else.
+     */
+    @ParameterizedTest
+    @CsvSource({"400, 1", "1400, 2", "3400, 3", "7400, 4", "10000, 5"})
+    void repeatsUnconfirmedChangesLessAndLessOften(long millis, long expected) {
+        step(
+                new LeaderInput.LeadershipGained(
+                        1, ControlStateMachine.apply(ControlState.EMPTY, 1, command()).state()),
+                0);
+        long sent =
+                LongStream.iterate(0, at -> at <= millis, at -> at + 20)
+                        .filter(at -> hasChanges(report(0, 1_000 + at).orElseThrow()))
+                        .count();
+        assertEquals(expected, sent);
+    }
+
+    /** Guards against a state that is encoded once for each host. */
+    @Test
+    void sendsOneInstanceToAllHosts() {
+        CommandHistory history =
+                CommandHistory.of(
+                        ControlStateMachine.apply(ControlState.EMPTY, 1, command()).state());
+        assertSame(history.since(0), history.since(0));
+    }
+
+    private static ControlCommand command() {
+        return new ControlCommand.ReplaceConfiguration(
+                "c",
+                new Configuration(
+                        7, List.of(), List.of(), List.of(), List.of(), Map.of(), List.of()));
+    }
+
     private static boolean hasChanges(ControlUpdate update) {
         return !(update.state() instanceof StateUpdate.Unchanged);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -56,6 +56,12 @@
     /** Interval of reports while the leader is unknown, each to another host, in nanoseconds. */
     private static final long SEARCH_INTERVAL_NANOS = 50_000_000;
 
+    /**
+     * The same for a host without leases, which can wait longer. A hundred hosts that search more
+     * often keep the control hosts from electing a leader.
+     */
+    private static final long IDLE_SEARCH_INTERVAL_NANOS = 200_000_000;
+
     private final EntryHost mSelf;
     private final BiPredicate<HostId, EntryReport> mSender;
     private final Consumer<ControlView> mOnView;
@@ -161,7 +167,11 @@
             return mLastReportNanos + MIN_REPORT_INTERVAL_NANOS;
         }
         return mLastFullReportNanos
-                + (mLeader.isPresent() ? reportIntervalNanos() : SEARCH_INTERVAL_NANOS);
+                + (mLeader.isPresent() ? reportIntervalNanos() : searchIntervalNanos());
+    }
+
+    private long searchIntervalNanos() {
+        return mLeases.isEmpty() ? IDLE_SEARCH_INTERVAL_NANOS : SEARCH_INTERVAL_NANOS;
     }
 
     private long reportIntervalNanos() {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -182,7 +182,9 @@
             mNextTickNanos =
                     nowNanos + (busy ? BUSY_TICK_INTERVAL_NANOS : IDLE_TICK_INTERVAL_NANOS);
         }
-        if (mReportUrgent || mNextReportNanos - nowNanos <= 0) {
+        // A host without leases has nothing to report but the term of a new leader.
+        boolean hasLeases = !mGroups.isEmpty() || !mLastHeld.isEmpty();
+        if (mReportUrgent || hasLeases && mNextReportNanos - nowNanos <= 0) {
             report(nowNanos);
         }
         if (!mWithoutTokens.isEmpty() && mNextTokenRequestNanos - nowNanos <= 0) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
@@ -10,6 +10,16 @@
 
 /** Converts the updates that the control leader sends to and from Protobuf. */
 final class UpdateMapper {
+    /** Latest changes and states of each kind, which the leader sends to all hosts. */
+    private static final int CACHED_VALUES = 8;
+
+    private static final EncodingCache<StateUpdate, ControlHostsProto.StateUpdate> REPLACEMENTS =
+            EncodingCache.ofSize(CACHED_VALUES, UpdateMapper::encodeUncached);
+
+    private static final EncodingCache<
+                    StateUpdate.VersionedCommand, ControlHostsProto.VersionedCommand>
+            COMMANDS = EncodingCache.ofSize(CACHED_VALUES, UpdateMapper::encodeUncached);
+
     private UpdateMapper() {}
 
     static ControlHostsProto.ControlUpdate encode(ControlUpdate value) {
@@ -38,10 +48,17 @@
                 LogMapper.decodeMembers(value.getMembersList()));
     }
 
-    private static ControlHostsProto.StateUpdate encode(StateUpdate value) {
+    static ControlHostsProto.StateUpdate encode(StateUpdate value) {
+        return value instanceof StateUpdate.Replacement
+                ? REPLACEMENTS.encode(value)
+                : encodeUncached(value);
+    }
+
+    private static ControlHostsProto.StateUpdate encodeUncached(StateUpdate value) {
         ControlHostsProto.StateUpdate.Builder builder = ControlHostsProto.StateUpdate.newBuilder();
         if (value instanceof StateUpdate.Changes changes) {
-            changes.commands().forEach(c -> builder.getChangesBuilder().addCommands(encode(c)));
+            changes.commands()
+                    .forEach(c -> builder.getChangesBuilder().addCommands(COMMANDS.encode(c)));
             if (changes.commands().isEmpty()) {
                 builder.setChanges(ControlHostsProto.Changes.getDefaultInstance());
             }
@@ -67,7 +84,8 @@
         };
     }
 
-    private static ControlHostsProto.VersionedCommand encode(StateUpdate.VersionedCommand value) {
+    private static ControlHostsProto.VersionedCommand encodeUncached(
+            StateUpdate.VersionedCommand value) {
         return ControlHostsProto.VersionedCommand.newBuilder()
                 .setVersion(value.version())
                 .setCommand(CommandMapper.encode(value.command()))
