Stop all entry hosts together without waiting for a successor

Cause: a stopping host waits until its leases have moved. Hosts that stop take no leases, so that with all hosts stopping each waited for the end of its grace period (10 s in a local deployment); LocalDeployment then waited 20 s more for each host's view to lose its leases, which a stopped host keeps.

Change: 300 ms after it began to stop, a host waits only for leases that the leader asked it to release and for groups with running requests or open transactions (LeaseDrain, used by both entry daemons). LocalDeployment waits for the stop itself.

--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.EndpointId;
@@ -23,6 +24,7 @@
 import org.crocusturn.core.controlhosts.EntryHost;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.LeaseDrain;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.entryhosts.CallerRequest;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
@@ -75,6 +77,7 @@
     private final NetThreads mThreads;
     private final Metrics mMetrics = Metrics.create();
     private final AtomicReference<ControlView> mView;
+    private final AtomicReference<LeaseDrain> mDrain = new AtomicReference<>(LeaseDrain.NONE);
     private final AtomicBoolean mStateReceived = new AtomicBoolean();
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private final Map<HostId, LinkClient> mControlLinks = new ConcurrentHashMap<>();
@@ -161,6 +164,11 @@
         mLifecycleDuty.offer(new LifecycleEvent.StopRequested());
     }
 
+    /** Returns whether the host has stopped. */
+    public boolean isStopped() {
+        return mStopped.getCount() == 0;
+    }
+
     /** Waits until the host has stopped. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
@@ -282,16 +290,21 @@
         if (previous.state() != view.state()) {
             mEntryLinks.updateLinks(view.state().leaseholderLinkAddresses(mSettings.host()));
         }
-        mLifecycleDuty.offer(
-                new LifecycleEvent.RemainingWorkChanged("leases", view.leases().size()));
+        updateDrain(drain -> drain.withView(view));
         if (mStateReceived.compareAndSet(false, true)) {
             mLifecycleDuty.offer(new LifecycleEvent.StateReceived());
         }
     }
 
+    private void updateDrain(UnaryOperator<LeaseDrain> change) {
+        int remaining = mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime());
+        mLifecycleDuty.offer(new LifecycleEvent.RemainingWorkChanged("leases", remaining));
+    }
+
     private void onPhaseChanged(Phase phase) {
         mIngressDuty.offer(new IngressEvent.PhaseChanged(phase));
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
+            updateDrain(drain -> drain.withStopping(SteadyClock.nanoTime()));
             mControlLinkDuty.offer(new ControlLinkEvent.HostStopping());
         }
         if (phase == Phase.DRAINING) {
@@ -360,6 +373,7 @@
         @Override
         public void reportChanged(
                 List<HeldLease> leases, List<TokenDemand> demands, boolean urgent) {
+            updateDrain(drain -> drain.withWork(leases));
             mControlLinkDuty.offer(new ControlLinkEvent.ReportChanged(leases, demands, 0, urgent));
         }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,6 +27,7 @@
 import org.crocusturn.core.controlhosts.EntryHost;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.HeldLease;
+import org.crocusturn.core.controlhosts.LeaseDrain;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.entryhosts.ForwardedRequest;
@@ -81,6 +83,7 @@
     private final NetThreads mThreads;
     private final SharedSecret mSecret;
     private final AtomicReference<ControlView> mView;
+    private final AtomicReference<LeaseDrain> mDrain = new AtomicReference<>(LeaseDrain.NONE);
     private final AtomicBoolean mStateReceived = new AtomicBoolean();
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private final Map<InetSocketAddress, LinkClient> mControlLinks = new ConcurrentHashMap<>();
@@ -276,17 +279,23 @@
             mSessionsDuty.offer(new SessionEvent.ViewChanged(view));
             mEntryLinks.updateLinks(view.state().leaseholderLinkAddresses(mSettings.host()));
         }
-        reportRemainingWork("leases", view.leases().size());
+        updateDrain(drain -> drain.withView(view));
         boolean hasConfiguration = view.state().configuration().version() > 0;
         if (hasConfiguration && mStateReceived.compareAndSet(false, true)) {
             mLifecycleDuty.offer(new LifecycleEvent.StateReceived());
         }
     }
 
+    private void updateDrain(UnaryOperator<LeaseDrain> change) {
+        reportRemainingWork(
+                "leases", mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime()));
+    }
+
     private void onPhaseChanged(Phase phase) {
         mPhase = phase;
         mSessionsDuty.offer(new SessionEvent.PhaseChanged(phase));
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
+            updateDrain(drain -> drain.withStopping(SteadyClock.nanoTime()));
             mControlLinkDuty.offer(new ControlLinkEvent.HostStopping());
         }
         if (phase == Phase.STOPPED) {
@@ -384,6 +393,7 @@
                 List<TokenDemand> demands,
                 long holdingsTerm,
                 boolean urgent) {
+            updateDrain(drain -> drain.withWork(leases));
             mControlLinkDuty.offer(
                     new ControlLinkEvent.ReportChanged(leases, demands, holdingsTerm, urgent));
         }
--- a/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
+++ b/standin/src/main/java/org/crocusturn/standin/local/LocalDeployment.java
@@ -170,8 +170,7 @@
      */
     public void stop() {
         mEntryHosts.forEach(EntryDaemon::requestStop);
-        mEntryHosts.forEach(
-                e -> await(STOP_TIMEOUT, () -> e.view().leases().isEmpty() || !e.isReady()));
+        mEntryHosts.forEach(e -> await(STOP_TIMEOUT, e::isStopped));
         close();
     }
 
