Answer statements that were read before a session was closed

One of the operators' points: at a planned stop, a request that had just been accepted was cut off without an answer. It can happen here: idle sessions are closed by the sessions duty, while a statement that the connection has read may still wait in the ring; the statement was dropped.

Change: the connection counts the statements that it has read, and closes only if the duty has handled as many. The session stays until its connection has ended.

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionChannel.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionChannel.java
@@ -16,6 +16,14 @@
     /** Answers a statement; the phase is that of the session after the statement. */
     void answer(SessionStatement statement, SessionOutcome outcome, SessionState.Phase phase);
 
+    /**
+     * Closes the connection if it has read no more statements than were handled. Otherwise a
+     * statement is on its way to the duty, which answers it.
+     *
+     * @param handled number of statements of this session that the duty has received
+     */
+    void closeIfIdle(long handled);
+
     /** Closes the connection. */
     void close();
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -105,6 +105,7 @@
         private final WorkspaceId mWorkspace;
         private final Deque<SessionStatement> mQueuedStatements = new ArrayDeque<>();
         private SessionState mState = SessionState.NEW;
+        private long mStatements;
         private Optional<Call> mCall = Optional.empty();
         private Optional<Leaseholder> mLeaseholder = Optional.empty();
 
@@ -296,6 +297,7 @@
         if (session == null) {
             return;
         }
+        session.mStatements++;
         if (session.mQueuedStatements.size() >= MAX_QUEUED_STATEMENTS) {
             mLog.closed(session.mNumber, "too many statements are queued");
             session.mChannel.close();
@@ -585,11 +587,7 @@
         List.copyOf(mSessions.values()).stream()
                 .filter(session -> session.mState.phase() == SessionState.Phase.IDLE)
                 .filter(session -> session.mCall.isEmpty() && session.mQueuedStatements.isEmpty())
-                .forEach(
-                        session -> {
-                            mSessions.remove(session.mNumber);
-                            session.mChannel.close();
-                        });
+                .forEach(session -> session.mChannel.closeIfIdle(session.mStatements));
         mSessionCountListener.accept(mSessions.size());
     }
 }
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -10,6 +10,7 @@
 import org.crocusturn.core.callers.SessionOutcome;
 import org.crocusturn.core.callers.SessionState;
 import org.crocusturn.core.callers.SessionStatement;
+import org.crocusturn.core.callers.StatementKind;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.ControlView;
 import org.crocusturn.core.controlhosts.StateUpdate;
@@ -26,6 +27,7 @@
 import org.crocusturn.core.operators.Route;
 import org.crocusturn.core.operators.Service;
 import org.crocusturn.core.operators.SessionLimits;
+import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.Metrics;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -68,6 +70,36 @@
         assertEquals(expected, String.join(" ", mChannelEvents));
     }
 
+    /**
+     * Guards against a statement that is cut off without an answer: the connection had read it, and
+     * it waited in the ring while the duty closed idle sessions at a planned stop.
+     */
+    @ParameterizedTest
+    @CsvSource({"0", "1", "3"})
+    void answersStatementsThatWereReadBeforeStop(int earlier) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        for (int i = 0; i < earlier; i++) {
+            mDuty.onEvent(set());
+        }
+        mChannelEvents.clear();
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        assertEquals(List.of("closed if " + earlier), mChannelEvents);
+        mDuty.onEvent(set());
+        assertEquals("answered", mChannelEvents.get(mChannelEvents.size() - 1));
+        mDuty.onEvent(new SessionEvent.SessionEnded(1));
+        mChannelEvents.clear();
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        assertEquals(List.of(), mChannelEvents);
+    }
+
+    private static SessionEvent set() {
+        return new SessionEvent.StatementReceived(
+                1,
+                new SessionStatement(
+                        "id", StatementKind.SET_VALUE, "name", "value", "SET name value"));
+    }
+
     private ControlView configured() {
         Configuration configuration =
                 new Configuration(
@@ -140,6 +172,11 @@
             mChannelEvents.add("answered");
         }
 
+        @Override
+        public void closeIfIdle(long handled) {
+            mChannelEvents.add("closed if " + handled);
+        }
+
         @Override
         public void close() {
             mChannelEvents.add("closed");
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
@@ -294,6 +294,11 @@
             mAnswers.add(outcome.failure().map(f -> f.code() + " " + phase).orElse("done"));
         }
 
+        @Override
+        public void closeIfIdle(long handled) {
+            // No test of this class stops the host.
+        }
+
         @Override
         public void close() {
             mAnswers.add("closed");
