--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -54,6 +54,9 @@
     /** Tick interval while all groups are idle. */
     private static final long IDLE_TICK_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
 
+    /** Tick interval without leases, when only events give the duty something to do. */
+    private static final long UNUSED_TICK_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+
     /** Interval between regular updates of the next report. */
     private static final long REPORT_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -190,8 +193,8 @@
         if (!mWithoutTokens.isEmpty() && mNextTokenRequestNanos - nowNanos <= 0) {
             requestTokens(nowNanos);
         }
-        if (mGroups.isEmpty()) {
-            return nowNanos + IDLE_TICK_INTERVAL_NANOS;
+        if (!hasLeases) {
+            return nowNanos + UNUSED_TICK_INTERVAL_NANOS;
         }
         long next = Math.min(mNextTickNanos, mNextReportNanos);
         return mWithoutTokens.isEmpty() ? next : Math.min(next, mNextTokenRequestNanos);
