Keep hosts that search a leader from storming a new one

Cause: a host that answered "not the leader" and named a leader got, or made its sender send, the next report at once, with 5 ms between two. A leader that cannot prove its lease yet names itself, so that each host sent it 200 reports a second until it led; a hundred hosts sent 20,000, which kept it from leading. Each answer also wrote a log line.

Change: after such an answer the next report follows after the search interval (50 ms, 200 ms without leases), and one more at once to another host that was named. Only the loss of a confirmed leader is logged.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -70,6 +70,8 @@
     private final Set<EndpointId> mSuspects = new HashSet<>();
     private ControlView mView;
     private Optional<HostId> mLeader = Optional.empty();
+    private long mLastHintNanos;
+    private boolean mLeaderConfirmed;
     private List<HeldLease> mLeases = List.of();
     private List<TokenDemand> mDemands = List.of();
     private final Map<WorkspaceId, TokenDemand> mNeeded = new LinkedHashMap<>();
@@ -97,6 +99,7 @@
         mLastReportNanos = SteadyClock.nanoTime() - REPORT_INTERVAL_NANOS;
         mLastFullReportNanos = mLastReportNanos;
         mLastUpdateNanos = SteadyClock.nanoTime();
+        mLastHintNanos = mLastReportNanos;
     }
 
     /**
@@ -167,7 +170,7 @@
             return mLastReportNanos + MIN_REPORT_INTERVAL_NANOS;
         }
         return mLastFullReportNanos
-                + (mLeader.isPresent() ? reportIntervalNanos() : searchIntervalNanos());
+                + (mLeaderConfirmed ? reportIntervalNanos() : searchIntervalNanos());
     }
 
     private long searchIntervalNanos() {
@@ -261,13 +264,32 @@
             if (!notLeader.members().isEmpty()) {
                 mOnMembers.accept(notLeader.members());
             }
-            clearLeader(received.host(), "it has answered that it is not the leader");
-            if (mLeader.isEmpty()
-                    && notLeader.leader().filter(mConnectedHosts::contains).isPresent()) {
-                mLeader = notLeader.leader();
-                mLastUpdateNanos = SteadyClock.nanoTime();
-                mUrgent = true;
-            }
+            onNotLeader(received.host(), notLeader.leader());
+        }
+    }
+
+    /**
+     * Handles the answer of a host that does not lead, or cannot prove yet that it does. Another
+     * host that it names gets a report at once, but only once in a search interval. If each of a
+     * hundred hosts reported again at each answer, a new leader would have no time to begin.
+     */
+    private void onNotLeader(HostId host, Optional<HostId> hint) {
+        if (mLeaderConfirmed && !mLeader.equals(Optional.of(host))) {
+            return;
+        }
+        if (mLeaderConfirmed) {
+            LOG.info(
+                    "controlhosts: {} is not the leader any more: it has answered that it is not"
+                            + " the leader",
+                    host);
+        }
+        mLeaderConfirmed = false;
+        mLeader = hint.filter(mConnectedHosts::contains);
+        mLastUpdateNanos = SteadyClock.nanoTime();
+        boolean paced = mLastUpdateNanos - mLastHintNanos < searchIntervalNanos();
+        if (mLeader.isPresent() && !mLeader.equals(Optional.of(host)) && !paced) {
+            mLastHintNanos = mLastUpdateNanos;
+            mUrgent = true;
         }
     }
 
@@ -280,6 +302,7 @@
             LOG.info("controlhosts: {} leads in term {}", host, update.leaderTerm());
         }
         mLeader = Optional.of(host);
+        mLeaderConfirmed = true;
         mLastUpdateNanos = SteadyClock.nanoTime();
         mView = next;
         if (!update.members().isEmpty()) {
@@ -292,6 +315,7 @@
         if (mLeader.equals(Optional.of(host))) {
             LOG.info("controlhosts: {} is not the leader any more: {}", host, reason);
             mLeader = Optional.empty();
+            mLeaderConfirmed = false;
             mUrgent = true;
         }
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
@@ -1,22 +1,29 @@
 package org.crocusturn.daemon.controlhosts;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
+import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.ControlView;
 import org.crocusturn.core.controlhosts.EntryHost;
+import org.crocusturn.core.controlhosts.HeldLease;
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.StateUpdate;
 import org.crocusturn.core.ring.SteadyClock;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -24,6 +31,7 @@
  * power loss of all machines, such entry hosts stayed without a leader and served no requests.
  */
 class ControlLinkDutyTest {
+    private static final Duration OBSERVED = Duration.ofSeconds(1);
     private static final List<Member> MEMBERS =
             List.of(
                     new Member(HostId.of("c1"), "127.0.0.1:7001", true),
@@ -60,4 +68,62 @@
         duty.onEvent(new ControlLinkEvent.MessageReceived(HostId.of("c1"), message));
         assertEquals(MEMBERS, learned);
     }
+
+    /** A host may report once in a search interval, and once more to a host that was named. */
+    static Stream<Arguments> hints() {
+        return Stream.of(
+                Arguments.of("none", 0, 7),
+                Arguments.of("none", 1, 25),
+                Arguments.of("itself", 0, 7),
+                Arguments.of("itself", 1, 25),
+                Arguments.of("other", 0, 12),
+                Arguments.of("other", 1, 42));
+    }
+
+    /**
+     * Guards against hosts that answer each "not the leader" with another report at once. At 60
+     * hosts these reports kept a new leader busy for 5 s, so that it could not lead.
+     */
+    @ParameterizedTest(name = "hint {0}, {1} leases")
+    @MethodSource("hints")
+    void reportsAtSearchIntervalUntilSomeoneLeads(String hint, int leases, int maximum) {
+        List<HostId> sent = new ArrayList<>();
+        ControlLinkDuty duty =
+                ControlLinkDuty.create(
+                        new EntryHost(
+                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
+                        ControlView.empty((state, command) -> state),
+                        (host, report) -> sent.add(host),
+                        view -> {},
+                        members -> {});
+        duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c1")));
+        duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c4")));
+        duty.onEvent(
+                new ControlLinkEvent.ReportChanged(
+                        Collections.nCopies(
+                                leases, new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
+                        List.of(),
+                        0,
+                        false));
+        long start = SteadyClock.nanoTime();
+        int answered = 0;
+        while (SteadyClock.nanoTime() - start < OBSERVED.toNanos()) {
+            LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+            duty.onTimer(SteadyClock.nanoTime());
+            while (answered < sent.size()) {
+                HostId host = sent.get(answered++);
+                HostId other = HostId.of(host.value().equals("c1") ? "c4" : "c1");
+                Optional<HostId> leader =
+                        switch (hint) {
+                            case "itself" -> Optional.of(host);
+                            case "other" -> Optional.of(other);
+                            default -> Optional.empty();
+                        };
+                duty.onEvent(
+                        new ControlLinkEvent.MessageReceived(host, new NotLeader(leader, MEMBERS)));
+            }
+        }
+        assertTrue(sent.size() <= maximum, "reports: " + sent.size());
+        assertTrue(sent.size() >= 4, "reports: " + sent.size());
+    }
 }
