--- a/review/standin/org/review/Env.java
+++ b/review/standin/org/review/Env.java
@@ -42,6 +42,8 @@
     final Map<String, Process> processes = new LinkedHashMap<>();
     final List<Service> services = new ArrayList<>();
     final Path folder;
+    volatile int ownEnds;
+    volatile boolean closing;
     private final BufferedWriter record;
     private HttpServer platform;
     volatile OrderHandler orders = (service, id, fence) -> service.promote(id, fence);
@@ -155,6 +157,45 @@
         record("started " + role + " " + name + " at " + ip + ", process " + process.pid());
     }
 
+    /** Starts again what has ended, after a short delay, as the platform does. */
+    void restartEnded() {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            while (!closing) {
+                                sleep(200);
+                                for (String name : List.copyOf(processes.keySet())) {
+                                    restartIfEnded(name);
+                                }
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private synchronized void restartIfEnded(String name) {
+        Process process = processes.get(name);
+        if (closing || process.isAlive()) {
+            return;
+        }
+        record("process " + name + " has ended by itself with " + process.exitValue());
+        ownEnds++;
+        sleep(500);
+        String[] parts = name.split("/");
+        int number = Integer.parseInt(parts[0].substring(parts[0].indexOf('-') + 1));
+        boolean entry = parts[1].equals("entry");
+        try {
+            startProcess(
+                    parts[1],
+                    parts[0],
+                    entry ? entryIp(number) : controlIp(number),
+                    ZONES[(number - 1) % 3],
+                    false);
+        } catch (IOException e) {
+            record("restart of " + name + ": " + e);
+        }
+    }
+
     private static String command(String role) throws IOException {
         String deploy = Files.readString(Path.of("deploy/system.toml"));
         Matcher m =
@@ -306,6 +347,40 @@
         return -1;
     }
 
+    /** Returns the version of the configuration that any control host returns, or -1. */
+    long readVersion() {
+        for (int i = 1; i <= 3; i++) {
+            String url = "http://" + controlIp(i) + ":" + controlPort + "/config";
+            for (int hop = 0; hop < 3; hop++) {
+                try {
+                    HttpURLConnection c =
+                            (HttpURLConnection) URI.create(url).toURL().openConnection();
+                    c.setInstanceFollowRedirects(false);
+                    c.setConnectTimeout(1_000);
+                    c.setReadTimeout(2_000);
+                    int status = c.getResponseCode();
+                    if (status == 307) {
+                        url = c.getHeaderField("Location");
+                        continue;
+                    }
+                    if (status != 200) {
+                        break;
+                    }
+                    String body =
+                            new String(c.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    Matcher m = Pattern.compile("\"version\":(\\d+)").matcher(body);
+                    if (m.find()) {
+                        return Long.parseLong(m.group(1));
+                    }
+                    break;
+                } catch (IOException e) {
+                    break;
+                }
+            }
+        }
+        return -1;
+    }
+
     /** Sends a call to one host after the other until it is acknowledged. */
     boolean callUntilAcknowledged(String method, String path, String body, long timeoutMillis)
             throws InterruptedException {
@@ -436,11 +511,13 @@
     }
 
     private void killAll() {
+        closing = true;
         processes.values().forEach(Process::destroyForcibly);
     }
 
     @Override
     public void close() throws IOException {
+        closing = true;
         processes.forEach(
                 (name, p) -> {
                     if (!p.isAlive()) {
