--- a/review/standin/org/review/Db.java
+++ b/review/standin/org/review/Db.java
@@ -31,6 +31,7 @@
     volatile boolean draining;
     volatile boolean drainAcked;
     volatile long drainAckedAt;
+    volatile long lastBeat;
     boolean primary;
     long term = 1;
     long knownTerm = 1;
--- a/review/standin/org/review/Env.java
+++ b/review/standin/org/review/Env.java
@@ -19,7 +19,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -44,10 +46,15 @@
     final Path folder;
     volatile int ownEnds;
     volatile boolean closing;
+    final Queue<Order> ordersSeen = new ConcurrentLinkedQueue<>();
+    volatile String lastHolder = "";
     private final BufferedWriter record;
     private HttpServer platform;
     volatile OrderHandler orders = (service, id, fence) -> service.promote(id, fence);
 
+    /** One call of a holder to the platform. */
+    record Order(String service, String id, String holder, long token) {}
+
     /** Handles one POST /promotion; 0 means that no answer is sent. */
     interface OrderHandler {
         int handle(Service service, String id, long fence);
@@ -292,6 +299,8 @@
                                     + holder
                                     + " token "
                                     + fence);
+                    lastHolder = holder;
+                    ordersSeen.add(new Order(name, id, holder, fence));
                     Service service =
                             services.stream()
                                     .filter(s -> s.name.equals(name))
@@ -477,6 +486,7 @@
                                 + "}";
             }
             host = (host - 1 + 3) % 3 + 1;
+            db.lastBeat = System.nanoTime();
             int status = call(controlIp(host), "PUT", "/instances/" + db.id, body);
             if (status / 100 != 2) {
                 host = host % 3 + 1;
@@ -488,8 +498,10 @@
                 db.drainAckedAt = System.nanoTime();
                 record(db.id + " draining is acknowledged");
             }
-            for (int i = 0; i < 60 && db.running && db.draining == draining; i++) {
-                sleep(20);
+            while (db.running
+                    && db.draining == draining
+                    && System.nanoTime() - db.lastBeat < 1_200_000_000L) {
+                sleep(10);
             }
         }
     }
