--- a/review/standin/org/review/Env.java
+++ b/review/standin/org/review/Env.java
@@ -131,6 +131,21 @@
         return service;
     }
 
+    /** Adds a database to a service; it is not started. */
+    Db addDatabase(Service service, int number) {
+        Db db =
+                new Db(
+                        service,
+                        "i-" + service.name + "-" + (char) ('a' + number - 1),
+                        ip(10 + services.indexOf(service), number),
+                        databasePort,
+                        ZONES[(number - 1) % 3]);
+        synchronized (service) {
+            service.dbs.add(db);
+        }
+        return db;
+    }
+
     String zone(int i) {
         return ZONES[i];
     }
@@ -459,32 +474,35 @@
         thread.start();
     }
 
+    /** Returns the body of the next heartbeat of a database. */
+    String heartbeat(Db db) {
+        synchronized (db.service) {
+            return "{\"service\":\""
+                    + db.service.name
+                    + "\",\"address\":\""
+                    + db.ip
+                    + ":"
+                    + db.port
+                    + "\",\"zone\":\""
+                    + db.zone
+                    + "\",\"version\":\"v1\",\"slots\":2,\"state\":\""
+                    + (db.draining ? "draining" : "ready")
+                    + "\",\"cold-remaining-ms\":0,\"db-role\":\""
+                    + (db.primary ? "primary" : "replica")
+                    + "\",\"seq-no\":"
+                    + ++db.seq
+                    + ",\"born\":"
+                    + db.born
+                    + "}";
+        }
+    }
+
     private void beat(Db db) {
         int host = 1 + db.id.hashCode() % 3;
         boolean lastDraining = false;
         while (db.running) {
             boolean draining = db.draining;
-            String body;
-            synchronized (db.service) {
-                body =
-                        "{\"service\":\""
-                                + db.service.name
-                                + "\",\"address\":\""
-                                + db.ip
-                                + ":"
-                                + db.port
-                                + "\",\"zone\":\""
-                                + db.zone
-                                + "\",\"version\":\"v1\",\"slots\":2,\"state\":\""
-                                + (draining ? "draining" : "ready")
-                                + "\",\"cold-remaining-ms\":0,\"db-role\":\""
-                                + (db.primary ? "primary" : "replica")
-                                + "\",\"seq-no\":"
-                                + ++db.seq
-                                + ",\"born\":"
-                                + db.born
-                                + "}";
-            }
+            String body = heartbeat(db);
             host = (host - 1 + 3) % 3 + 1;
             db.lastBeat = System.nanoTime();
             int status = call(controlIp(host), "PUT", "/instances/" + db.id, body);
