--- a/review/standin/org/review/CaseLateHeartbeat.java
+++ b/review/standin/org/review/CaseLateHeartbeat.java
@@ -22,7 +22,6 @@
 
     private static int run(Env env) throws Exception {
         Service service = env.addService("huvo11a");
-        Db p = service.dbs.get(0);
         Db b = service.dbs.get(2);
         env.startPlatform();
         env.startSystem(2);
@@ -70,12 +69,10 @@
         Env.sleep(3_000);
         int rateBefore = (acknowledged.size() - before) / 3;
         Db primary = service.primary();
-        env.record("== " + primary.id + " is lost for good, all processes are killed");
+        env.record("== all processes are killed, " + primary.id + " is lost for good");
+        env.processes.values().forEach(Process::destroyForcibly);
         primary.stop();
         env.restartEnded();
-        for (String name : List.copyOf(env.processes.keySet())) {
-            env.signal(name, "KILL");
-        }
         // recovery-s is 12; the processes are back after about 1 s.
         Env.sleep(14_000);
         before = acknowledged.size();
--- a/review/standin/org/review/CaseLateOrder.java
+++ b/review/standin/org/review/CaseLateOrder.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -23,13 +24,16 @@
 
     private static int run(Env env) throws Exception {
         Service service = env.addService("huvo11a");
-        Db p = service.dbs.get(0);
         AtomicInteger lateOrders = new AtomicInteger();
+        AtomicBoolean started = new AtomicBoolean();
         long[] firstLate = {0};
         String[] target = {""};
         if (env.trouble) {
             env.orders =
                     (s, id, fence) -> {
+                        if (!started.get()) {
+                            return s.promote(id, fence);
+                        }
                         boolean window =
                                 firstLate[0] == 0
                                         || System.nanoTime() - firstLate[0] < 5_500_000_000L;
@@ -70,6 +74,9 @@
             return 2;
         }
         Env.sleep(1_000);
+        // The system may have promoted another database while it started.
+        Db p = service.primary();
+        started.set(true);
         env.record("== " + p.id + " crashes");
         p.stop();
         if (env.trouble) {
--- a/review/standin/org/review/CaseLeavingReplica.java
+++ b/review/standin/org/review/CaseLeavingReplica.java
@@ -22,9 +22,6 @@
 
     private static int run(Env env) throws Exception {
         Service service = env.addService("huvo11a");
-        Db p = service.dbs.get(0);
-        Db a = service.dbs.get(1);
-        Db b = service.dbs.get(2);
         env.startPlatform();
         env.startSystem(2);
         if (!env.callUntilAcknowledged("PUT", "/config", env.configuration(7), 20_000)) {
@@ -47,6 +44,11 @@
             return 2;
         }
         Env.sleep(2_000);
+        // The system may have promoted another database while it started.
+        Db p = service.primary();
+        List<Db> replicas = service.dbs.stream().filter(d -> d != p).toList();
+        Db a = replicas.get(0);
+        Db b = replicas.get(1);
 
         env.record("== " + b.id + " announces that it leaves");
         b.draining = true;
