--- a/review/standin/org/review/Env.java
+++ b/review/standin/org/review/Env.java
@@ -117,16 +117,19 @@
     Service addService(String name) {
         Service service = new Service(this, name);
         int group = 10 + services.size();
-        for (int i = 0; i < 3; i++) {
-            service.dbs.add(
-                    new Db(
-                            service,
-                            "i-" + name + "-" + (char) ('a' + i),
-                            ip(group, i + 1),
-                            databasePort,
-                            ZONES[i]));
+        // The replication thread of the service reads the list already.
+        synchronized (service) {
+            for (int i = 0; i < 3; i++) {
+                service.dbs.add(
+                        new Db(
+                                service,
+                                "i-" + name + "-" + (char) ('a' + i),
+                                ip(group, i + 1),
+                                databasePort,
+                                ZONES[i]));
+            }
+            service.dbs.get(0).primary = true;
         }
-        service.dbs.get(0).primary = true;
         services.add(service);
         return service;
     }
