--- a/review/standin/org/review/Env.java
+++ b/review/standin/org/review/Env.java
@@ -32,7 +32,8 @@
     static final String KEY = "u6wsjnbanfqasnmgkcuy";
     private static final String[] ZONES = {"abdali", "marka", "tlaa-ali"};
 
-    final int octet = 20 + new java.util.Random().nextInt(200);
+    final int octet;
+    private final ServerSocket blockLock;
     final int linkPort;
     final int controlPort;
     final int frontendPort;
@@ -63,6 +64,15 @@
     Env(Path recordFile) throws IOException {
         record = Files.newBufferedWriter(recordFile);
         folder = Files.createTempDirectory("crocusturn-review");
+        // The metrics ports are fixed, so each run needs a block of addresses of its own.
+        int free = 0;
+        ServerSocket lock = null;
+        while (lock == null) {
+            free = 20 + new java.util.Random().nextInt(200);
+            lock = lockBlock(free);
+        }
+        octet = free;
+        blockLock = lock;
         linkPort = freePair();
         controlPort = freePort();
         frontendPort = freePort();
@@ -72,6 +82,15 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
 
+    /** Takes a block of addresses until this process ends; returns null if it is in use. */
+    private static ServerSocket lockBlock(int octet) {
+        try {
+            return new ServerSocket(9464, 1, InetAddress.getByName("127." + octet + ".3.9"));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     synchronized void record(String line) {
         String text = String.format("%9.3f %s", (System.nanoTime() - startNanos) / 1e9, line);
         try {
@@ -575,6 +594,7 @@
         } else {
             System.out.println("logs in " + folder);
         }
+        blockLock.close();
         synchronized (this) {
             record.close();
         }
