Count lost replicas before a promotion, so that acknowledged commits survive

Cause: PromotionPlan took a replica for safe if all registered copies but one were known. The copy that had received the commits was not registered any more, so nothing showed that the silent primary was the only one left with them.

ReplicaCoverage keeps up to which position the primary may be the only copy. A replica behind it is not promoted while a copy is silent. A primary that returns while the replicas are paused is accepted at once.

--- a/core/src/main/java/org/crocusturn/core/endpoints/PromotionPlan.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/PromotionPlan.java
@@ -10,9 +10,12 @@
 /**
  * Chooses the copy to promote so that no acknowledged commit is lost.
  *
- * <p>A commit is acknowledged once a replica has received it, so at least two copies have it. A
- * candidate is safe if it has received all positions that the leaseholder knows to be acknowledged,
- * or if the positions of all copies but one are known and none of them is ahead of the candidate.
+ * <p>A commit is acknowledged once a replica has received it, so at least two copies have it,
+ * unless one of them has left since ({@link ReplicaCoverage}). A candidate is safe if it has
+ * received all positions that the leaseholder knows to be acknowledged. It is also safe if the
+ * positions of all copies but one are known, none of them is ahead of the candidate, and the
+ * candidate has what the remaining copy may be the only one to have. If the positions of all copies
+ * are known, waiting could not preserve more, and the newest copy is promoted.
  */
 public final class PromotionPlan {
     private PromotionPlan() {}
@@ -46,25 +49,30 @@
      *
      * @param copies all copies, including the old primary without a position
      * @param acknowledged newest position that may have been acknowledged, if known
+     * @param coverage what the old primary may be the only copy to have
      */
     public static Optional<EndpointId> choose(
-            List<Candidate> copies, Optional<LogPosition> acknowledged) {
+            List<Candidate> copies, Optional<LogPosition> acknowledged, ReplicaCoverage coverage) {
         Comparator<Candidate> best =
                 Comparator.<Candidate, Boolean>comparing(c -> !c.terminating())
                         .thenComparing(Candidate::position)
                         .thenComparing(Candidate::endpoint, Comparator.reverseOrder());
         return copies.stream()
                 .filter(c -> c.received().isPresent() && !c.drained())
-                .filter(c -> isSafe(c, copies, acknowledged))
+                .filter(c -> isSafe(c, copies, acknowledged, coverage))
                 .max(best)
                 .map(Candidate::endpoint);
     }
 
     private static boolean isSafe(
-            Candidate candidate, List<Candidate> copies, Optional<LogPosition> acknowledged) {
+            Candidate candidate,
+            List<Candidate> copies,
+            Optional<LogPosition> acknowledged,
+            ReplicaCoverage coverage) {
         boolean hasAcknowledged =
                 acknowledged.filter(p -> candidate.position().compareTo(p) >= 0).isPresent();
-        boolean othersKnown = copies.stream().filter(c -> c.received().isEmpty()).count() <= 1;
+        long unknown = copies.stream().filter(c -> c.received().isEmpty()).count();
+        boolean othersKnown = unknown == 0 || unknown == 1 && coverage.covers(candidate.position());
         boolean isNewest =
                 copies.stream().allMatch(c -> c.position().compareTo(candidate.position()) <= 0);
         return hasAcknowledged || othersKnown && isNewest;
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -126,9 +126,7 @@
         } else if (input instanceof LeaderInput.AnnouncementReceived announcement) {
             handleAnnouncement(step, announcement.endpoint());
         } else if (input instanceof LeaderInput.DepartureReceived departure) {
-            if (step.mState.control().endpoints().containsKey(departure.endpoint())) {
-                step.propose(new RemoveEndpoint(departure.endpoint()));
-            }
+            handleDeparture(step, departure.endpoint());
         } else {
             handleTick(step);
         }
@@ -314,6 +312,18 @@
         }
     }
 
+    /**
+     * Keeps the record of a departed endpoint until {@link #REMOVAL_DELAY_NANOS} have passed. It
+     * may be the only replica that had received a commit, and a leaseholder that does not know it
+     * would promote another one.
+     */
+    private static void handleDeparture(LeaderStep step, EndpointId id) {
+        EndpointRecord endpoint = step.mState.control().endpoints().get(id);
+        if (endpoint != null && !endpoint.leaving()) {
+            step.propose(new RegisterEndpoint(endpoint.withLeaving(true)));
+        }
+    }
+
     private static void handleTick(LeaderStep step) {
         step.mState =
                 step.mState.withRegistry(step.mState.registry().withoutSilentHosts(step.mNowNanos));
--- a/core/src/test/java/org/crocusturn/core/endpoints/PromotionPlanTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PromotionPlanTest.java
@@ -60,6 +60,30 @@
                         List.of(drained("a", 8), copyAt("b", 7), unknown("p")),
                         UNKNOWN,
                         ""),
+                plan(
+                        "the primary may be the only copy with a commit of a replica that left",
+                        List.of(copyAt("a", 5), unknown("p")),
+                        known(7),
+                        exposed(7),
+                        ""),
+                plan(
+                        "a commit after the departure is on a registered replica",
+                        List.of(copyAt("a", 8), copyAt("b", 5), unknown("p")),
+                        known(9),
+                        exposed(7),
+                        "a"),
+                plan(
+                        "a copy ahead of the lost replica has all of its commits",
+                        List.of(copyAt("a", 7), copyAt("b", 5), unknown("p")),
+                        UNKNOWN,
+                        exposed(7),
+                        "a"),
+                plan(
+                        "no copy is left that could have a newer commit",
+                        List.of(copyAt("a", 5), copyAt("b", 4)),
+                        known(7),
+                        exposed(7),
+                        "a"),
                 plan(
                         "no copy has reported a position",
                         List.of(unknown("a"), unknown("b"), unknown("p")),
@@ -72,7 +96,20 @@
             List<PromotionPlan.Candidate> copies,
             Optional<LogPosition> acknowledged,
             String chosen) {
-        return Arguments.of(description, copies, acknowledged, chosen);
+        return plan(description, copies, acknowledged, ReplicaCoverage.complete(), chosen);
+    }
+
+    private static Arguments plan(
+            String description,
+            List<PromotionPlan.Candidate> copies,
+            Optional<LogPosition> acknowledged,
+            ReplicaCoverage coverage,
+            String chosen) {
+        return Arguments.of(description, copies, acknowledged, coverage, chosen);
+    }
+
+    private static ReplicaCoverage exposed(long index) {
+        return ReplicaCoverage.behindPrimary(LogPosition.of(3, index));
     }
 
     @ParameterizedTest(name = "{0}")
@@ -81,10 +118,13 @@
             String description,
             List<PromotionPlan.Candidate> copies,
             Optional<LogPosition> acknowledged,
+            ReplicaCoverage coverage,
             String chosen) {
         assertEquals(
                 chosen,
-                PromotionPlan.choose(copies, acknowledged).map(EndpointId::value).orElse(""),
+                PromotionPlan.choose(copies, acknowledged, coverage)
+                        .map(EndpointId::value)
+                        .orElse(""),
                 description);
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -13,6 +13,7 @@
 import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.PromotionOrders;
 import org.crocusturn.core.endpoints.PromotionPlan;
+import org.crocusturn.core.endpoints.ReplicaCoverage;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
 import org.crocusturn.core.endpoints.SessionResult;
@@ -59,6 +60,7 @@
     private Optional<EndpointId> mPrimary = Optional.empty();
     private Optional<EndpointId> mTarget = Optional.empty();
     private PromotionOrders mOrders = PromotionOrders.none();
+    private ReplicaCoverage mCoverage = ReplicaCoverage.complete();
     private boolean mReplacingPrimary;
     private long mTerm;
     private boolean mFenceRegistered;
@@ -126,6 +128,10 @@
         mProbes.remove(pool.record().id());
         mNextProbeNanos.remove(pool.record().id());
         mFencedPositions.remove(pool.record().id());
+        boolean replica = mPrimary.filter(pool.record().id()::equals).isEmpty();
+        if (replica && mGroup.settings().durable()) {
+            mGroup.history().ifPresent(h -> mCoverage = mCoverage.withReplicaLost(h.latest()));
+        }
     }
 
     private ReplicationProbe probe(CopyPool pool) {
@@ -165,7 +171,12 @@
         }
         pool.setStatus(result.status());
         boolean newer = status.primary() && status.term() > mTerm;
-        if (newer && mPhase != Phase.DISCOVERING && mGroup.leaseValid()) {
+        boolean returned =
+                mPhase == Phase.FENCING
+                        && isPrimary(pool)
+                        && status.primary()
+                        && status.term() >= mTerm;
+        if ((newer && mPhase != Phase.DISCOVERING || returned) && mGroup.leaseValid()) {
             considerPrimary(pool, status);
         } else if (mPhase == Phase.SERVING && isOutdatedPrimary(pool)) {
             demote(pool);
@@ -179,6 +190,7 @@
             return;
         }
         List.copyOf(mProbes.values()).forEach(probe -> probe.tick(nowNanos));
+        replicas().forEach(p -> mCoverage = mCoverage.withReplicaAt(p.newestPosition()));
         // Another host may hold the lease by now and may have paused the replicas for a failover.
         if (!mGroup.leaseValid()) {
             return;
@@ -271,6 +283,11 @@
     private void acceptPrimary(CopyPool pool, ReplicationStatus status) {
         long nowNanos = mContext.nowNanos();
         mReplacingPrimary = false;
+        boolean changed = mPrimary.filter(pool.record().id()::equals).isEmpty();
+        if (changed && mGroup.settings().durable()) {
+            // Neither a new leaseholder nor a promotion knows which copies were lost before.
+            mCoverage = ReplicaCoverage.behindPrimary(status.received());
+        }
         mPrimary = Optional.of(pool.record().id());
         mTerm = Math.max(mTerm, status.term());
         mTarget = Optional.empty();
@@ -370,6 +387,12 @@
             startFencing("the primary is down");
             return;
         }
+        if (mCoverage.exposed().isPresent() && nowNanos - mNextAttemptNanos >= 0) {
+            mNextAttemptNanos = nowNanos + RETRY_INTERVAL_NANOS;
+            replicas().stream()
+                    .filter(p -> p.health() == CopyPool.Health.UP)
+                    .forEach(this::requestStatus);
+        }
         boolean mustMove = !mGroup.isServing(primary.get());
         if (mustMove && nowNanos - mNextSwitchoverNanos >= 0 && successor().isPresent()) {
             mNextSwitchoverNanos = nowNanos + SWITCHOVER_INTERVAL_NANOS;
@@ -435,7 +458,8 @@
         if (allPaused || nowNanos - mPhaseStartNanos >= FENCING_TIMEOUT_NANOS) {
             PromotionPlan.choose(
                             mGroup.pools().stream().map(this::candidate).toList(),
-                            mGroup.history().map(PositionHistory::latest))
+                            mGroup.history().map(PositionHistory::latest),
+                            mCoverage)
                     .map(this::unansweredTargetOr)
                     .ifPresent(this::promote);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
@@ -17,6 +17,7 @@
  * @param idleTransaction idle time after which a transaction is rolled back
  * @param dataCentre data centre of the leaseholder
  * @param workspaces workspaces that may send statements
+ * @param durable whether a commit is acknowledged only after a replica has received it
  */
 record GroupSettings(
         List<EndpointRecord> endpoints,
@@ -24,7 +25,8 @@
         int connections,
         Duration idleTransaction,
         DataCentreId dataCentre,
-        List<WorkspaceId> workspaces) {
+        List<WorkspaceId> workspaces,
+        boolean durable) {
     GroupSettings {
         endpoints = List.copyOf(endpoints);
         drained = Set.copyOf(drained);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -34,6 +34,7 @@
 import org.crocusturn.core.endpoints.SessionResult;
 import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.entryhosts.SessionReply;
+import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.Leaseholder;
@@ -327,7 +328,11 @@
                 state.configuration().service(id.service()).map(Service::connections).orElse(1),
                 state.configuration().sessionLimits().idleTransaction(),
                 mDataCentre,
-                state.configuration().workspaces().stream().map(Workspace::id).toList());
+                state.configuration().workspaces().stream().map(Workspace::id).toList(),
+                state.configuration()
+                        .service(id.service())
+                        .filter(s -> s.acknowledge() == AcknowledgeMode.DURABLE)
+                        .isPresent());
     }
 
     private void grant(GrantedTokens granted) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
@@ -96,7 +96,8 @@
                 16,
                 Duration.ofSeconds(3),
                 MARKA,
-                List.of());
+                List.of(),
+                true);
     }
 
     private long call(TransactionStep step, StatementKind kind, Consistency consistency) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/OverlappingTransactionsTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/OverlappingTransactionsTest.java
@@ -80,7 +80,8 @@
                                 16,
                                 Duration.ofSeconds(3),
                                 DataCentreId.of("dc"),
-                                List.of()),
+                                List.of(),
+                                true),
                         mContext);
         for (int i = 0; i < 3; i++) {
             mContext.mNowNanos += 20_000_000;
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
@@ -83,7 +83,8 @@
                 16,
                 Duration.ofSeconds(3),
                 DataCentreId.of("dc"),
-                List.of());
+                List.of(),
+                true);
     }
 
     private void tick(int count) {
