Serve writes only once the platform refuses the orders of earlier epochs

Cause: the fencing number of an epoch counted as registered when the order was sent. An order without an answer registers nothing until it is carried out, which may be after the order of the earlier epoch.

Reads are not held back.

createGroup of PromotionSafetyTest now answers the order of an epoch after the first one, and checks that there are no writes before.

--- a/core/src/main/java/org/crocusturn/core/endpoints/PromotionFencing.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/PromotionFencing.java
@@ -1,9 +1,13 @@
 package org.crocusturn.core.endpoints;
 
+import java.time.Duration;
 import org.crocusturn.core.EndpointId;
 
 /** How orders that may be carried out late are kept from undoing a later promotion. */
 public interface PromotionFencing {
+    /** Platforms carry out orders up to 12 s late; the rest covers the way there. */
+    long MAX_ORDER_DELAY_NANOS = Duration.ofSeconds(13).toNanos();
+
     /** What a leaseholder does before another endpoint becomes the primary. */
     enum Step {
         /** No earlier order can interfere. */
--- a/core/src/main/java/org/crocusturn/core/endpoints/UncheckedFencing.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/UncheckedFencing.java
@@ -1,6 +1,5 @@
 package org.crocusturn.core.endpoints;
 
-import java.time.Duration;
 import org.crocusturn.core.EndpointId;
 
 /**
@@ -11,9 +10,6 @@
  * only be one more order that may arrive late.
  */
 public final class UncheckedFencing implements PromotionFencing {
-    /** Platforms carry out orders up to 12 s late; the rest covers the way there. */
-    private static final long MAX_DELAY_NANOS = Duration.ofSeconds(13).toNanos();
-
     @Override
     public boolean registersEpoch() {
         return false;
@@ -21,7 +17,8 @@
 
     @Override
     public Step decide(EndpointId endpoint, PromotionOrders orders, long nowNanos) {
-        return orders.conflictWith(endpoint) && !orders.lostLongerThan(nowNanos, MAX_DELAY_NANOS)
+        return orders.conflictWith(endpoint)
+                        && !orders.lostLongerThan(nowNanos, MAX_ORDER_DELAY_NANOS)
                 ? Step.WAIT
                 : Step.PROCEED;
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -9,6 +9,7 @@
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.endpoints.ConnectionLoss;
+import org.crocusturn.core.endpoints.FenceRegistration;
 import org.crocusturn.core.endpoints.PositionHistory;
 import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.PromotionOrders;
@@ -63,7 +64,7 @@
     private ReplicaCoverage mCoverage = ReplicaCoverage.complete();
     private boolean mReplacingPrimary;
     private long mTerm;
-    private boolean mFenceRegistered;
+    private FenceRegistration mRegistration;
 
     /** State of the primary and of its replacement. */
     private enum Phase {
@@ -79,11 +80,12 @@
         mGroup = group;
         mContext = context;
         mPhaseStartNanos = context.nowNanos();
+        mRegistration = FenceRegistration.of(context.fencing(), group.epoch(), mPhaseStartNanos);
     }
 
     /** Returns the primary if it accepts writes now. */
     Optional<CopyPool> writablePrimary() {
-        return mPhase == Phase.SERVING
+        return mPhase == Phase.SERVING && mRegistration.permitsWrites(mContext.nowNanos())
                 ? mPrimary.flatMap(mGroup::pool).filter(mGroup::isServing)
                 : Optional.empty();
     }
@@ -98,7 +100,9 @@
      * ordered to take over, its log need not have the commit.
      */
     boolean mayAcknowledge(CopyPool pool) {
-        return mPrimary.filter(pool.record().id()::equals).isPresent() && !mReplacingPrimary;
+        return mPrimary.filter(pool.record().id()::equals).isPresent()
+                && !mReplacingPrimary
+                && mRegistration.permitsWrites(mContext.nowNanos());
     }
 
     /** Requests the roles of all copies again because the known primary may be wrong. */
@@ -307,20 +311,14 @@
                         + " at "
                         + status.received());
         enterPhase(Phase.SERVING);
-        registerFence();
+        registerFence(nowNanos);
         resumeReplicas();
         mGroup.dispatch();
     }
 
-    /** Registers the fencing number of this epoch, so that the platform refuses older ones. */
-    private void registerFence() {
-        boolean needed =
-                mContext.fencing().registersEpoch()
-                        && !mFenceRegistered
-                        && mGroup.epoch() > 1
-                        && mOrders.target().isEmpty();
-        if (needed) {
-            mFenceRegistered = true;
+    /** Orders the present primary until the platform refuses the numbers of earlier epochs. */
+    private void registerFence(long nowNanos) {
+        if (mRegistration.isOrderDue(nowNanos)) {
             requestPromotion(mPrimary.orElseThrow());
         }
     }
@@ -393,7 +391,10 @@
                     .filter(p -> p.health() == CopyPool.Health.UP)
                     .forEach(this::requestStatus);
         }
-        boolean mustMove = !mGroup.isServing(primary.get());
+        registerFence(nowNanos);
+        // An order for another copy would conflict with an unanswered one for the primary.
+        boolean mustMove =
+                !mGroup.isServing(primary.get()) && mRegistration.permitsWrites(nowNanos);
         if (mustMove && nowNanos - mNextSwitchoverNanos >= 0 && successor().isPresent()) {
             mNextSwitchoverNanos = nowNanos + SWITCHOVER_INTERVAL_NANOS;
             mTarget = successor();
@@ -527,6 +528,7 @@
         }
         mOrders =
                 (mOrders.conflictWith(target) ? PromotionOrders.none() : mOrders).withSent(target);
+        mRegistration = mRegistration.withOrderSent(mContext.nowNanos());
         mContext.logEvent(
                 "group "
                         + mGroup.id()
@@ -544,8 +546,9 @@
                 answer == PromotionService.Answer.UNKNOWN
                         ? mOrders.withLostAnswer(mContext.nowNanos())
                         : mOrders.withAnswer();
-        if (answer == PromotionService.Answer.LATER) {
-            mFenceRegistered = false;
+        if (answer == PromotionService.Answer.ACCEPTED) {
+            mRegistration = mRegistration.withAccepted();
+            mGroup.dispatch();
         } else if (answer == PromotionService.Answer.REFUSED) {
             onPromotionRefused();
         }
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -55,6 +56,10 @@
         mContext.mStatuses.put("s", status(false, 1, 9));
         mGroup = new LeasedGroup(GROUP, epoch, settings(), mContext);
         tick(3);
+        if (fencing.registersEpoch() && epoch > 1) {
+            assertEquals(Optional.empty(), writablePrimary());
+            answerOrder("p", PromotionService.Answer.ACCEPTED);
+        }
         assertEquals(Optional.of("p"), writablePrimary());
     }
 
@@ -100,6 +105,10 @@
     }
 
     private void startWrite() {
+        start(StatementKind.WRITE);
+    }
+
+    private void start(StatementKind kind) {
         mGroup.submit(
                 HostId.of("entry-2.1"),
                 new SessionCall(
@@ -110,7 +119,7 @@
                         WorkspaceId.of("schools"),
                         new SessionCall.Options(Consistency.PRIMARY, 1_500, 1, 30_000),
                         TransactionStep.NONE,
-                        new SessionStatement("id1", StatementKind.WRITE, "x", "", "WRITE x"),
+                        new SessionStatement("id1", kind, "x", "", kind + " x"),
                         Optional.empty(),
                         Map.of(),
                         LogPosition.ZERO));
@@ -134,7 +143,11 @@
     }
 
     private void answerOrder(PromotionService.Answer answer) {
-        mGroup.failover().onPromotionAnswer(EndpointId.of("r"), answer);
+        answerOrder("r", answer);
+    }
+
+    private void answerOrder(String endpoint, PromotionService.Answer answer) {
+        mGroup.failover().onPromotionAnswer(EndpointId.of(endpoint), answer);
     }
 
     static Stream<Arguments> fencings() {
@@ -245,6 +258,85 @@
         assertEquals(fencing.registersEpoch() ? List.of("p 5") : List.of(), mContext.mPromotions);
     }
 
+    /** What a new leaseholder gets from the platform before its number is registered. */
+    enum Registration {
+        NO_ANSWER,
+        LOST,
+        NOT_SENT
+    }
+
+    /**
+     * An order of an earlier leaseholder is carried out until the platform has answered one with a
+     * higher number, and its target lacks what is committed meanwhile.
+     */
+    @ParameterizedTest
+    @EnumSource(Registration.class)
+    void servesNoWritesBeforeNumberIsRegistered(Registration registration) {
+        mContext.mStatuses.put("p", status(true, 1, 10));
+        mContext.mStatuses.put("r", status(false, 1, 10));
+        mGroup = new LeasedGroup(GROUP, 2, settings(), mContext);
+        for (int i = 0; i < 600; i++) {
+            tick(1);
+            assertEquals(Optional.empty(), writablePrimary());
+            if (registration != Registration.NO_ANSWER && i % 100 == 0) {
+                answerOrder(
+                        "p",
+                        registration == Registration.LOST
+                                ? PromotionService.Answer.UNKNOWN
+                                : PromotionService.Answer.LATER);
+            }
+        }
+        assertTrue(mContext.mPromotions.size() > 30, "repeats the order");
+        assertEquals(Set.of("p 2"), Set.copyOf(mContext.mPromotions));
+        answerOrder("p", PromotionService.Answer.ACCEPTED);
+        assertEquals(Optional.of("p"), writablePrimary());
+    }
+
+    /** Guards against writes that wait as long as the platform is down. */
+    @Test
+    void servesWritesOnceEarlierOrdersHaveExpired() {
+        mContext.mStatuses.put("p", status(true, 1, 10));
+        mContext.mStatuses.put("r", status(false, 1, 10));
+        mGroup = new LeasedGroup(GROUP, 2, settings(), mContext);
+        tick(13_100 / 20);
+        assertEquals(Optional.of("p"), writablePrimary());
+    }
+
+    /**
+     * The lost order may not have registered its number: an earlier one for the same endpoint may
+     * have been carried out instead, and one between them may name another endpoint.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 7})
+    void servesNoWritesAfterLostOrderUntilOneIsAnswered(long epoch) {
+        mContext.mStatuses.put("r", status(false, 1, 10));
+        mContext.mStatuses.put("s", status(false, 1, 9));
+        mGroup = new LeasedGroup(GROUP, epoch, settings(), mContext);
+        mContext.mNowNanos += 1_000_000_000L;
+        tick(80);
+        assertTrue(mContext.mPromotions.contains("r " + epoch), "order for r");
+        answerOrder(PromotionService.Answer.UNKNOWN);
+        mContext.mStatuses.put("r", status(true, 2, 10));
+        tick(10);
+        assertEquals(epoch == 1 ? Optional.of("r") : Optional.empty(), writablePrimary());
+        answerOrder(PromotionService.Answer.ACCEPTED);
+        assertEquals(Optional.of("r"), writablePrimary());
+    }
+
+    /** The reads of a group need not wait for the platform. */
+    @Test
+    void servesReadsBeforeNumberIsRegistered() {
+        mContext.mStatuses.put("p", status(true, 1, 10));
+        mContext.mStatuses.put("r", status(false, 1, 10));
+        mContext.mStatuses.put("s", status(false, 1, 9));
+        mGroup = new LeasedGroup(GROUP, 2, settings(), mContext);
+        tick(3);
+        start(StatementKind.READ);
+        mContext.answer(
+                SessionCommand.Run.class, FakeGroupContext.done(SessionResult.State.IDLE, 10));
+        assertTrue(mContext.mReplies.get(CALL).failure().isEmpty());
+    }
+
     /** A primary of an earlier term goes on until it is told to stop. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
