Bound the buffers of control hosts by size, not only by number

The same holds for entries without a majority, append requests, the leader's history, persists that wait for a disk and operators' changes without an outcome.

Each of them now also has a limit by ControlCommand.approximateBytes.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
@@ -59,8 +59,8 @@
         }
         boolean requestSnapshot =
                 !state.snapshotRequested()
-                        && target - state.log().baseIndex()
-                                >= ConsensusTimings.SNAPSHOT_INTERVAL_ENTRIES;
+                        && target > state.appliedIndex()
+                        && isSnapshotDue(state.log(), target);
         if (requestSnapshot) {
             actions.add(new ConsensusAction.TakeSnapshot(target));
         }
@@ -76,6 +76,12 @@
                 actions);
     }
 
+    private static boolean isSnapshotDue(ConsensusLog log, long appliedIndex) {
+        return appliedIndex - log.baseIndex() >= ConsensusTimings.SNAPSHOT_INTERVAL_ENTRIES
+                || log.approximateBytes(log.baseIndex(), appliedIndex)
+                        >= ConsensusTimings.SNAPSHOT_INTERVAL_BYTES;
+    }
+
     private static Map<Long, Long> pendingProposals(ConsensusState state) {
         return state.leaderRole().map(ConsensusRole.Leader::proposals).orElse(Map.of());
     }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusAction.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusAction.java
@@ -39,6 +39,12 @@
             Objects.requireNonNull(snapshot, "snapshot");
             entries = List.copyOf(entries);
         }
+
+        /** Returns the approximate size in memory of what this persist writes, in bytes. */
+        public long approximateBytes() {
+            return entries.stream().mapToLong(e -> e.content().approximateBytes()).sum()
+                    + snapshot.map(s -> s.state().configuration().approximateBytes()).orElse(0L);
+        }
     }
 
     /** Applies a committed entry. */
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusLog.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusLog.java
@@ -9,7 +9,8 @@
 /**
  * The log of one member: a snapshot and the entries after it.
  *
- * <p>Immutable. An append copies the entries, whose number is bounded by the snapshot interval.
+ * <p>Immutable. An append copies the entries, whose number and size are bounded by the snapshot
+ * interval.
  *
  * @param base snapshot before the first entry
  * @param entries entries after the snapshot, without gaps
@@ -116,6 +117,28 @@
         return start >= end ? List.of() : entries.subList(start, end);
     }
 
+    /**
+     * Returns the entries from an index on, up to a number and a size in memory. The first entry is
+     * returned whatever its size.
+     */
+    public List<LogEntry> entriesFrom(long index, int limit, long maxBytes) {
+        List<LogEntry> next = entriesFrom(index, limit);
+        long bytes = 0;
+        int count = 0;
+        while (count < next.size() && (count == 0 || bytes < maxBytes)) {
+            bytes += next.get(count).content().approximateBytes();
+            count++;
+        }
+        return count > 1 && bytes > maxBytes ? next.subList(0, count - 1) : next.subList(0, count);
+    }
+
+    /** Returns the approximate size in memory of the entries after an index, up to another one. */
+    public long approximateBytes(long afterIndex, long lastIndex) {
+        return entriesFrom(afterIndex + 1, Math.toIntExact(lastIndex - afterIndex)).stream()
+                .mapToLong(e -> e.content().approximateBytes())
+                .sum();
+    }
+
     /** Returns the membership after the entry at an index. */
     public Membership membershipAt(long index) {
         return lastMembership(entriesFrom(baseIndex() + 1, Math.toIntExact(index - baseIndex())))
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
@@ -26,11 +26,25 @@
     /** Number of applied entries after which a snapshot is taken. */
     public static final int SNAPSHOT_INTERVAL_ENTRIES = 1_000;
 
+    /**
+     * Size in memory of the applied entries after which a snapshot is taken, in bytes. A control
+     * host has a heap of 96 MB, which 460 configurations of 350 routes exceed.
+     */
+    public static final long SNAPSHOT_INTERVAL_BYTES = 8L << 20;
+
     /** Maximum number of entries in an append request. */
     public static final int MAX_BATCH_ENTRIES = 256;
 
+    /** Maximum size in memory of the entries in an append request of several, in bytes. */
+    public static final long MAX_BATCH_BYTES = 1L << 20;
+
     /** Maximum number of uncommitted entries; further proposals are rejected. */
     public static final int MAX_UNCOMMITTED_ENTRIES = 1_024;
 
+    /**
+     * Size in memory of uncommitted entries from which further proposals are rejected, in bytes.
+     */
+    public static final long MAX_UNCOMMITTED_BYTES = 8L << 20;
+
     private ConsensusTimings() {}
 }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/LeaderReplication.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/LeaderReplication.java
@@ -133,7 +133,10 @@
         List<LogEntry> entries =
                 behind
                         ? List.of()
-                        : log.entriesFrom(progress.nextIndex(), ConsensusTimings.MAX_BATCH_ENTRIES);
+                        : log.entriesFrom(
+                                progress.nextIndex(),
+                                ConsensusTimings.MAX_BATCH_ENTRIES,
+                                ConsensusTimings.MAX_BATCH_BYTES);
         long previous = behind ? log.baseIndex() : progress.nextIndex() - 1;
         return new ConsensusMessage.AppendRequest(
                 state.term(),
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Proposals.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Proposals.java
@@ -30,9 +30,14 @@
         if (!LeaderQuorum.isLeaseValid(state, nowNanos)) {
             return Optional.of("this host does not hold the leader lease");
         }
-        long waiting = state.log().lastIndex() - state.commitIndex();
-        return waiting >= ConsensusTimings.MAX_UNCOMMITTED_ENTRIES
-                ? Optional.of(waiting + " entries wait for a majority")
+        ConsensusLog log = state.log();
+        long waiting = log.lastIndex() - state.commitIndex();
+        long bytes = log.approximateBytes(state.commitIndex(), log.lastIndex());
+        boolean full =
+                waiting >= ConsensusTimings.MAX_UNCOMMITTED_ENTRIES
+                        || bytes >= ConsensusTimings.MAX_UNCOMMITTED_BYTES;
+        return full
+                ? Optional.of(waiting + " entries of " + bytes + " bytes wait for a majority")
                 : Optional.empty();
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
@@ -18,14 +18,21 @@
  *
  * @param baseVersion version before the first command in the history
  * @param commands commands, oldest first
+ * @param commandBytes approximate size of the commands in memory, in bytes
  * @param replacement state after the latest command; one instance for all hosts, so that it is
  *     encoded only once
  */
 public record CommandHistory(
-        long baseVersion, PVector<VersionedCommand> commands, StateUpdate.Replacement replacement) {
+        long baseVersion,
+        PVector<VersionedCommand> commands,
+        long commandBytes,
+        StateUpdate.Replacement replacement) {
     /** Maximum number of commands; a host that is further behind receives the whole state. */
     public static final int MAX_COMMANDS = 1_000;
 
+    /** Maximum size of several commands in memory, in bytes. */
+    public static final long MAX_COMMAND_BYTES = 8L << 20;
+
     /** Checks that no part is null. */
     public CommandHistory {
         Objects.requireNonNull(commands, "commands");
@@ -34,7 +41,7 @@
 
     /** Creates the history of a new leader, which contains no commands. */
     public static CommandHistory of(ControlState state) {
-        return new CommandHistory(state.version(), TreePVector.empty(), replacement(state));
+        return new CommandHistory(state.version(), TreePVector.empty(), 0, replacement(state));
     }
 
     private static StateUpdate.Replacement replacement(ControlState state) {
@@ -48,9 +55,14 @@
                         ? replace.withoutDocument()
                         : command;
         PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, stored));
-        return next.size() <= MAX_COMMANDS
-                ? new CommandHistory(baseVersion, next, replacement(state))
-                : new CommandHistory(next.get(0).version(), next.minus(0), replacement(state));
+        long base = baseVersion;
+        long bytes = commandBytes + stored.approximateBytes();
+        while (next.size() > MAX_COMMANDS || next.size() > 1 && bytes > MAX_COMMAND_BYTES) {
+            base = next.get(0).version();
+            bytes -= next.get(0).command().approximateBytes();
+            next = next.minus(0);
+        }
+        return new CommandHistory(base, next, bytes, replacement(state));
     }
 
     /** Returns the update that takes a host from a version to the latest state. */
--- a/core/src/main/java/org/crocusturn/core/operators/Configuration.java
+++ b/core/src/main/java/org/crocusturn/core/operators/Configuration.java
@@ -20,6 +20,12 @@
     public static final Configuration EMPTY =
             new Configuration(0, List.of(), List.of(), List.of(), List.of());
 
+    /**
+     * Approximate size of a route, workspace, service or key in memory without its texts, in bytes:
+     * objects, references, and entries of lists and indexes.
+     */
+    private static final long ELEMENT_BYTES = 400;
+
     private final long mVersion;
     private final List<DataCentreId> mDataCentres;
     private final List<Workspace> mWorkspaces;
@@ -161,6 +167,18 @@
         return mSessionLimits;
     }
 
+    /** Returns the approximate size of the configuration in memory, in bytes. */
+    public long approximateBytes() {
+        long elements =
+                (long) mRoutes.size()
+                        + mWorkspaces.size()
+                        + mServices.size()
+                        + mKeys.size()
+                        + mDataCentres.size()
+                        + mOpenRoutes.size();
+        return ELEMENT_BYTES * elements + (long) Character.BYTES * mDocument.length();
+    }
+
     /** Returns the text that the operator sent; empty if it is not kept. */
     public String document() {
         return mDocument;
--- a/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
@@ -7,6 +7,18 @@
 
 /** A change of the replicated state. Control hosts apply committed commands in log order. */
 public sealed interface ControlCommand {
+    /** Size in memory that is assumed for a command without a configuration, in bytes. */
+    long SMALL_COMMAND_BYTES = 512;
+
+    /**
+     * Returns the approximate size of the command in memory, in bytes. It bounds the queues and
+     * buffers that hold commands, because a configuration may be a thousand times as large as
+     * another command.
+     */
+    default long approximateBytes() {
+        return SMALL_COMMAND_BYTES;
+    }
+
     /** A command of an operator, which has a change id so that it can be retried. */
     sealed interface OperatorCommand extends ControlCommand {
         /** Returns the id that the operator gave the change; equal ids denote the same change. */
@@ -21,6 +33,11 @@
             Objects.requireNonNull(changeId, "changeId");
             Objects.requireNonNull(configuration, "configuration");
         }
+
+        @Override
+        public long approximateBytes() {
+            return SMALL_COMMAND_BYTES + configuration.approximateBytes();
+        }
     }
 
     /**
@@ -35,6 +52,11 @@
             Objects.requireNonNull(configuration, "configuration");
         }
 
+        @Override
+        public long approximateBytes() {
+            return SMALL_COMMAND_BYTES + configuration.approximateBytes();
+        }
+
         /** Returns a copy without the operator's text. */
         public ReplaceConfiguration withoutDocument() {
             return new ReplaceConfiguration(changeId, configuration.withoutDocument());
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -54,6 +55,10 @@
     private static final int LEADER_RING_CAPACITY = 65_536;
     private static final int PROPOSAL_RING_CAPACITY = 1_024;
     private static final int FIRST_START_RING_CAPACITY = 256;
+
+    /** Size in memory of changes without an outcome from which further ones are refused. */
+    static final long MAX_OPEN_CHANGE_BYTES = 16L << 20;
+
     private static final LogCodec CODEC = ProtobufLogCodec.create();
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
@@ -69,6 +74,7 @@
     private final Duty<FirstStartEvent> mFirstStartDuty;
     private final Path mDataFolder;
     private final Membership mConfiguredMembers;
+    private final AtomicLong mOpenChangeBytes = new AtomicLong();
 
     /** Null until it is decided whether this is a first start. */
     private volatile ControlNode mNode;
@@ -203,7 +209,10 @@
     @Override
     public CompletableFuture<ChangeOutcome> propose(OperatorCommand command) {
         CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
-        if (!mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
+        long bytes = command.approximateBytes();
+        boolean fits = mOpenChangeBytes.getAndAdd(bytes) < MAX_OPEN_CHANGE_BYTES;
+        outcome.whenComplete((result, error) -> mOpenChangeBytes.addAndGet(-bytes));
+        if (!fits || !mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
             outcome.complete(
                     refusedOutcome(
                             command.changeId(),
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -43,6 +43,9 @@
      */
     static final int MAX_UNSYNCED_PERSISTS = 4_096;
 
+    /** Size in memory of waiting persists from which no further one is accepted, in bytes. */
+    static final long MAX_UNSYNCED_BYTES = 16L << 20;
+
     private final LogStorage mStorage;
     private final Map<Long, CompletableFuture<ProposalResult>> mPendingProposals =
             new ConcurrentHashMap<>();
@@ -53,6 +56,9 @@
     private final Duty<ConsensusEvent> mConsensusDuty;
     private volatile boolean mClosed;
 
+    /** Size of all persists that were queued; used only by the consensus thread. */
+    private long mQueuedBytes;
+
     private ControlNode(
             LogStorage storage,
             ConsensusState state,
@@ -264,7 +270,13 @@
 
     private boolean enqueuePersist(ConsensusAction.Persist persist) {
         long unsynced = persist.sequence() - mStorageHandler.syncedSequence();
-        return unsynced <= MAX_UNSYNCED_PERSISTS && mStorageDuty.offer(persist);
+        long unsyncedBytes = mQueuedBytes - mStorageHandler.syncedBytes();
+        boolean queued =
+                unsynced <= MAX_UNSYNCED_PERSISTS
+                        && unsyncedBytes < MAX_UNSYNCED_BYTES
+                        && mStorageDuty.offer(persist);
+        mQueuedBytes += queued ? persist.approximateBytes() : 0;
+        return queued;
     }
 
     private boolean reportSynced(long sequence) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/StorageDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/StorageDuty.java
@@ -43,6 +43,7 @@
     private final Predicate<RuntimeException> mOnFailure;
     private final List<ConsensusAction.Persist> mPendingPersists = new ArrayList<>();
     private volatile long mSyncedSequence;
+    private volatile long mSyncedBytes;
     private long mReportedSequence;
     private boolean mFailed;
     private Optional<RuntimeException> mUnreportedFailure = Optional.empty();
@@ -81,6 +82,11 @@
         return mSyncedSequence;
     }
 
+    /** Returns the size in memory of all persists that were synced. Safe for any thread. */
+    public long syncedBytes() {
+        return mSyncedBytes;
+    }
+
     @Override
     public void onEvent(ConsensusAction.Persist persist) {
         mPendingPersists.add(persist);
@@ -108,6 +114,10 @@
     private void sync(long nowNanos) {
         try {
             mStorage.persist(List.copyOf(mPendingPersists));
+            mSyncedBytes +=
+                    mPendingPersists.stream()
+                            .mapToLong(ConsensusAction.Persist::approximateBytes)
+                            .sum();
             mSyncedSequence = mPendingPersists.get(mPendingPersists.size() - 1).sequence();
             mPendingPersists.clear();
             if (mRefusedAttempts > 0) {
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FullDisksTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FullDisksTest.java
@@ -25,8 +25,10 @@
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.Snapshot;
+import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.daemon.controlhosts.PowerLossDisk.Operation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -61,6 +63,9 @@
     private final List<Long> mAcknowledged = new ArrayList<>();
     private int mSent;
 
+    /** Length of the text of each change; without a text the changes are small. */
+    private int mDocumentLength;
+
     @TempDir Path mFolder;
 
     @AfterEach
@@ -139,18 +144,16 @@
 
     /**
      * Guards against memory that grows without limit while the disk of a leader is full. Once too
-     * many persists wait, another host has to lead.
+     * many persists or bytes wait, another host has to lead.
      */
     @ParameterizedTest
-    @EnumSource(
-            value = DiskFault.class,
-            names = {"FULL", "STALLED"})
-    void limitsThePersistsThatWaitForADisk(DiskFault fault) {
+    @CsvSource({"FULL, 0, 12288", "STALLED, 0, 12288", "FULL, 262144, 96", "STALLED, 262144, 96"})
+    void limitsThePersistsThatWaitForADisk(DiskFault fault, int documentLength, int limit) {
+        mDocumentLength = documentLength;
         HOSTS.forEach(this::start);
         HostId full = leader();
         AtomicBoolean ended = new AtomicBoolean();
         mDisks.get(full).refuse(fault.refusal(ended::get));
-        int limit = 3 * ControlNode.MAX_UNSYNCED_PERSISTS;
         while (leader().equals(full) && mSent < limit) {
             commit();
         }
@@ -217,8 +220,7 @@
     }
 
     private long lastStoredIndex(HostId host) {
-        try (FileLogStorage storage =
-                FileLogStorage.open(mDisks.get(host).folder(), new FakeLogCodec())) {
+        try (FileLogStorage storage = FileLogStorage.open(mDisks.get(host).folder(), codec())) {
             StoredLog log = storage.load().orElseThrow();
             return log.snapshot().position().index() + log.entries().size();
         }
@@ -234,7 +236,7 @@
                         disk.folder(),
                         host,
                         Optional.of(MEMBERS),
-                        new FakeLogCodec(),
+                        codec(),
                         (to, message) -> send(host, to, message),
                         new AppliedState()));
     }
@@ -257,13 +259,36 @@
 
     /** Sends a change to the leader until it is acknowledged. */
     private void commit() {
-        ControlCommand command = new ControlCommand.RemoveEndpoint(EndpointId.of("e" + mSent++));
+        ControlCommand command = nextCommand();
         await(
                 () -> currentLeader().map(host -> tryCommit(host, command)).orElse(false),
                 ACK_TIMEOUT,
                 "change " + mSent + " is acknowledged; failures " + mFailures);
     }
 
+    private ControlCommand nextCommand() {
+        mSent++;
+        return mDocumentLength == 0
+                ? new ControlCommand.RemoveEndpoint(EndpointId.of("e" + mSent))
+                : new ControlCommand.ReplaceConfiguration(
+                        "c" + mSent,
+                        new Configuration(
+                                mSent,
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                Map.of(),
+                                List.of(),
+                                List.of(),
+                                SessionLimits.DEFAULT,
+                                "x".repeat(mDocumentLength)));
+    }
+
+    private LogCodec codec() {
+        return mDocumentLength == 0 ? new FakeLogCodec() : ProtobufLogCodec.create();
+    }
+
     private boolean tryCommit(HostId host, ControlCommand command) {
         ProposalResult result =
                 mNodes.get(host)
