--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -319,7 +319,13 @@
      */
     private static void handleDeparture(LeaderStep step, EndpointId id) {
         EndpointRecord endpoint = step.mState.control().endpoints().get(id);
-        if (endpoint != null && !endpoint.leaving()) {
+        if (endpoint == null) {
+            return;
+        }
+        step.mState =
+                step.mState.withFailovers(
+                        step.mState.failovers().withAnnounced(id, step.mNowNanos));
+        if (!endpoint.leaving()) {
             step.propose(new RegisterEndpoint(endpoint.withLeaving(true)));
         }
     }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/DepartedEndpointTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/DepartedEndpointTest.java
@@ -33,28 +33,38 @@
 
     @ParameterizedTest
     @CsvSource({
-        // announced as leaving before, new leader after the departure, milliseconds, registered
-        "false, false, 9900, true",
-        "false, false, 10500, false",
-        "true, false, 9900, true",
-        "true, false, 10500, false",
-        "false, true, 9900, true",
-        "true, true, 9900, true",
-        "true, true, 16000, false"
+        // announced as leaving before, time of the departure, new leader at, time, registered
+        "false, 0, -1, 9900, true",
+        "false, 0, -1, 10500, false",
+        "true, 0, -1, 9900, true",
+        "true, 0, -1, 10500, false",
+        "true, 9900, -1, 10500, true",
+        "true, 9900, -1, 19800, true",
+        "true, 9900, -1, 20500, false",
+        "false, 0, 5000, 9900, true",
+        "true, 0, 5000, 9900, true",
+        "true, 0, 5000, 16000, false",
+        "true, 9900, 10000, 19800, true"
     })
     void keepsDepartedEndpointForAWhile(
-            boolean announced, boolean newLeader, long millis, boolean registered) {
+            boolean announced,
+            long departureMillis,
+            long leaderMillis,
+            long millis,
+            boolean registered) {
         step(new LeaderInput.LeadershipGained(1, mControl), 0);
         announce(false, 0);
         if (announced) {
             announce(true, 0);
         }
-        step(new LeaderInput.DepartureReceived(ENDPOINT), 0);
-        if (newLeader) {
-            mState = LeaderState.idle();
-            step(new LeaderInput.LeadershipGained(2, mControl), 5_000);
-        }
-        for (long at = newLeader ? 5_000 : 0; at <= millis; at += 100) {
+        for (long at = 0; at <= millis; at += 100) {
+            if (at == departureMillis) {
+                step(new LeaderInput.DepartureReceived(ENDPOINT), at);
+            }
+            if (at == leaderMillis) {
+                mState = LeaderState.idle();
+                step(new LeaderInput.LeadershipGained(2, mControl), at);
+            }
             step(new LeaderInput.Tick(), at);
         }
         assertEquals(
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -464,6 +464,13 @@
                     .ifPresent(this::promote);
         }
         if (mPhase == Phase.FENCING && nowNanos - mPhaseStartNanos >= PROMOTION_TIMEOUT_NANOS) {
+            mContext.logEvent(
+                    "group "
+                            + mGroup.id()
+                            + " has no copy that is safe to promote: acknowledged up to "
+                            + mGroup.history().map(PositionHistory::latest)
+                            + ", received "
+                            + mFencedPositions);
             restartDiscovery();
         }
     }
