Order no replica after the primary has been accepted again

The answer of a paused replica that arrived later still ran the choice of a new primary, and a promotion was ordered beside the serving one; the group acknowledged nothing for 4 s.

Answers of paused replicas count only while a new primary is looked for.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -491,17 +491,19 @@
     }
 
     private void pauseReplication(CopyPool pool) {
+        EndpointId id = pool.record().id();
         probe(pool)
                 .send(
                         new SessionCommand.PauseReplication(mTerm + 1),
-                        result ->
-                                result.status()
-                                        .ifPresent(
-                                                s -> {
-                                                    mFencedPositions.put(
-                                                            pool.record().id(), s.received());
-                                                    fence(mContext.nowNanos());
-                                                }));
+                        result -> result.status().ifPresent(s -> onPauseAnswered(id, s)));
+    }
+
+    /** Handles the answer of a paused copy, which may arrive after a primary was accepted. */
+    void onPauseAnswered(EndpointId endpoint, ReplicationStatus status) {
+        if (mPhase == Phase.FENCING) {
+            mFencedPositions.put(endpoint, status.received());
+            fence(mContext.nowNanos());
+        }
     }
 
     private PromotionPlan.Candidate candidate(CopyPool pool) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
@@ -286,6 +286,24 @@
         assertEquals(Optional.of("m"), writablePrimary());
     }
 
+    /** Guards against a promotion beside a primary that returned while replicas were paused. */
+    @ParameterizedTest
+    @EnumSource(Loss.class)
+    void ordersNoReplicaAfterThePrimaryReturned(Loss loss) {
+        prepare(Leaseholder.ACKNOWLEDGED_COMMITS);
+        lose(loss, Leaseholder.ACKNOWLEDGED_COMMITS);
+        mContext.mStatuses.remove("s");
+        tick(2);
+        silence("p");
+        tick(4);
+        report("p", true, 1, ACKNOWLEDGED);
+        tick(70);
+        assertEquals(Optional.of("p"), writablePrimary());
+        mGroup.failover().onPauseAnswered(EndpointId.of("s"), status(false, 1, ACKNOWLEDGED));
+        assertEquals(List.of(), ordersOfOthers());
+        assertEquals(Optional.of("p"), writablePrimary());
+    }
+
     /** Guards against writes that wait for a new attempt although the primary is back. */
     @ParameterizedTest
     @EnumSource(Loss.class)
