--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FullDisksTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/FullDisksTest.java
@@ -25,10 +25,8 @@
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.Snapshot;
-import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
-import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.daemon.controlhosts.PowerLossDisk.Operation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -270,19 +268,7 @@
         mSent++;
         return mDocumentLength == 0
                 ? new ControlCommand.RemoveEndpoint(EndpointId.of("e" + mSent))
-                : new ControlCommand.ReplaceConfiguration(
-                        "c" + mSent,
-                        new Configuration(
-                                mSent,
-                                List.of(),
-                                List.of(),
-                                List.of(),
-                                List.of(),
-                                Map.of(),
-                                List.of(),
-                                List.of(),
-                                SessionLimits.DEFAULT,
-                                "x".repeat(mDocumentLength)));
+                : LargeChange.of(mSent, mDocumentLength);
     }
 
     private LogCodec codec() {
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/OpenChangesTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/OpenChangesTest.java
@@ -9,7 +9,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -17,9 +16,6 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.Verdict;
 import org.crocusturn.core.operators.ChangeOutcome;
-import org.crocusturn.core.operators.Configuration;
-import org.crocusturn.core.operators.ControlCommand;
-import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.platform.Metrics;
 import org.crocusturn.daemon.settings.MemberSettings;
@@ -39,22 +35,6 @@
 
     @TempDir private Path mFolder;
 
-    private static ControlCommand.ReplaceConfiguration change(int number, int length) {
-        return new ControlCommand.ReplaceConfiguration(
-                "c" + number,
-                new Configuration(
-                        number,
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        Map.of(),
-                        List.of(),
-                        List.of(),
-                        SessionLimits.DEFAULT,
-                        "x".repeat(length)));
-    }
-
     private static boolean isRefusedAtOnce(CompletableFuture<ChangeOutcome> change) {
         return change.isDone()
                 && change.join()
@@ -90,14 +70,14 @@
                                 failure -> {})) {
             List<CompletableFuture<ChangeOutcome>> changes =
                     IntStream.range(0, count)
-                            .mapToObj(n -> member.propose(change(n, length)))
+                            .mapToObj(n -> member.propose(LargeChange.of(n, length)))
                             .toList();
             long refusals = changes.stream().filter(OpenChangesTest::isRefusedAtOnce).count();
-            long bytes = (count - refusals) * change(0, length).approximateBytes();
+            long bytes = (count - refusals) * LargeChange.of(0, length).approximateBytes();
             assertTrue(bytes <= MAX_BUFFER_BYTES + (2L << 20), bytes + " bytes wait");
             assertEquals(refused, refusals, 2, "refused changes");
             changes.forEach(c -> c.orTimeout(30, TimeUnit.SECONDS).join());
-            CompletableFuture<ChangeOutcome> later = member.propose(change(count, length));
+            CompletableFuture<ChangeOutcome> later = member.propose(LargeChange.of(count, length));
             assertTrue(!isRefusedAtOnce(later), "room is free again");
         }
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
@@ -8,7 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.UnaryOperator;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
@@ -200,23 +201,29 @@
     }
 
     private Map<String, EndpointRecord> without(String id) {
-        return changed(
-                m -> {
-                    m.remove(id);
-                    return m;
-                });
+        return changed(m -> m.remove(id));
     }
 
     private Map<String, EndpointRecord> with(String id, EndpointRecord record) {
-        return changed(
-                m -> {
-                    m.put(id, record);
-                    return m;
-                });
+        return changed(m -> m.put(id, record));
     }
 
-    private Map<String, EndpointRecord> changed(UnaryOperator<Map<String, EndpointRecord>> change) {
-        return change.apply(new java.util.TreeMap<>(mRecords));
+    private Map<String, EndpointRecord> changed(Consumer<Map<String, EndpointRecord>> change) {
+        Map<String, EndpointRecord> records = new TreeMap<>(mRecords);
+        change.accept(records);
+        return records;
+    }
+
+    /** Loses the other copy with the commits, and then makes the primary silent. */
+    private void loseBoth(Loss loss, Leaseholder leaseholder) {
+        prepare(leaseholder);
+        lose(loss, leaseholder);
+        tick(2);
+        silence(mPrimary);
+    }
+
+    private long term() {
+        return mPrimary.equals("p") ? 1 : 2;
     }
 
     private List<String> ordersOfOthers() {
@@ -227,15 +234,12 @@
     @ParameterizedTest
     @MethodSource("cases")
     void waitsForTheOnlyCopyWithAcknowledgedCommits(Loss loss, Leaseholder leaseholder) {
-        prepare(leaseholder);
-        lose(loss, leaseholder);
-        tick(2);
-        silence(mPrimary);
+        loseBoth(loss, leaseholder);
         for (int i = 0; i < 300; i++) {
             tick(1);
             assertEquals(List.of(), ordersOfOthers());
         }
-        report(mPrimary, true, mPrimary.equals("p") ? 1 : 2, ACKNOWLEDGED);
+        report(mPrimary, true, term(), ACKNOWLEDGED);
         tick(60);
         assertEquals(Optional.of(mPrimary), writablePrimary());
     }
@@ -246,7 +250,7 @@
     void promotesReplicaThatReceivedTheCommitsSince(Loss loss, Leaseholder leaseholder) {
         prepare(leaseholder);
         lose(loss, leaseholder);
-        report("s", false, mPrimary.equals("p") ? 1 : 2, ACKNOWLEDGED);
+        report("s", false, term(), ACKNOWLEDGED);
         tick(40);
         silence(mPrimary);
         tick(4);
@@ -257,10 +261,7 @@
     @ParameterizedTest
     @EnumSource(Loss.class)
     void promotesNewestCopyOnceThePrimaryIsGone(Loss loss) {
-        prepare(Leaseholder.ACKNOWLEDGED_COMMITS);
-        lose(loss, Leaseholder.ACKNOWLEDGED_COMMITS);
-        tick(2);
-        silence("p");
+        loseBoth(loss, Leaseholder.ACKNOWLEDGED_COMMITS);
         tick(30);
         mRecords = without("p");
         mGroup.update(settings());
@@ -272,14 +273,11 @@
     @ParameterizedTest
     @MethodSource("cases")
     void servesWithThePrimaryUnderAnotherId(Loss loss, Leaseholder leaseholder) {
-        prepare(leaseholder);
-        lose(loss, leaseholder);
-        tick(2);
-        silence(mPrimary);
+        loseBoth(loss, leaseholder);
         tick(30);
         mRecords = without(mPrimary);
         mRecords = with("m", record("m", mPrimary, 9));
-        report("m", true, mPrimary.equals("p") ? 1 : 2, ACKNOWLEDGED);
+        report("m", true, term(), ACKNOWLEDGED);
         mGroup.update(settings());
         tick(40);
         assertEquals(List.of(), ordersOfOthers());
@@ -308,10 +306,7 @@
     @ParameterizedTest
     @EnumSource(Loss.class)
     void servesSoonAfterThePrimaryReturns(Loss loss) {
-        prepare(Leaseholder.ACKNOWLEDGED_COMMITS);
-        lose(loss, Leaseholder.ACKNOWLEDGED_COMMITS);
-        tick(2);
-        silence("p");
+        loseBoth(loss, Leaseholder.ACKNOWLEDGED_COMMITS);
         tick(30);
         report("p", true, 1, ACKNOWLEDGED);
         // A silent copy is asked again after at most 1,200 ms.
