Serve writes only after accepted orders of earlier epochs took effect

Trace: an order of epoch 4 was accepted at 15.766 s, epoch 5 was registered at 15.932 s and served writes, and the order took effect at 16.38 s. A platform checks the number when it accepts an order, and the promotion follows up to 1 s later.

Writes wait until 1.2 s after the first answer to an order of the epoch. This serves less at each change of a leaseholder; the group cannot know whether an earlier leaseholder, which may be dead, had an order accepted.

Answers of paused replicas are void if a primary was accepted since they were asked, also while another one is looked for.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -492,15 +492,19 @@
 
     private void pauseReplication(CopyPool pool) {
         EndpointId id = pool.record().id();
+        long startNanos = mPhaseStartNanos;
         probe(pool)
                 .send(
                         new SessionCommand.PauseReplication(mTerm + 1),
-                        result -> result.status().ifPresent(s -> onPauseAnswered(id, s)));
+                        result -> result.status().ifPresent(s -> onPaused(id, s, startNanos)));
     }
 
-    /** Handles the answer of a paused copy, which may arrive after a primary was accepted. */
-    void onPauseAnswered(EndpointId endpoint, ReplicationStatus status) {
-        if (mPhase == Phase.FENCING) {
+    /**
+     * Handles the answer of a paused copy. It is void if a primary was accepted since it was asked,
+     * because the copy was resumed then.
+     */
+    void onPaused(EndpointId endpoint, ReplicationStatus status, long startNanos) {
+        if (mPhase == Phase.FENCING && mPhaseStartNanos == startNanos) {
             mFencedPositions.put(endpoint, status.received());
             fence(mContext.nowNanos());
         }
@@ -555,8 +559,7 @@
                         ? mOrders.withLostAnswer(mContext.nowNanos())
                         : mOrders.withAnswer();
         if (answer == PromotionService.Answer.ACCEPTED) {
-            mRegistration = mRegistration.withAccepted();
-            mGroup.dispatch();
+            mRegistration = mRegistration.withAccepted(mContext.nowNanos());
         } else if (answer == PromotionService.Answer.REFUSED) {
             onPromotionRefused();
         }
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
@@ -46,6 +46,9 @@
     private static final GroupId GROUP = GroupId.of("service", Service.SINGLE_DATABASE);
     private static final long CALL = 1;
 
+    /** Ticks of 20 ms until a promotion that was accepted has taken effect. */
+    private static final int EFFECT_TICKS = 61;
+
     private final FakeGroupContext mContext = new FakeGroupContext();
     private LeasedGroup mGroup;
 
@@ -59,6 +62,7 @@
         if (fencing.registersEpoch() && epoch > 1) {
             assertEquals(Optional.empty(), writablePrimary());
             answerOrder("p", PromotionService.Answer.ACCEPTED);
+            tick(EFFECT_TICKS);
         }
         assertEquals(Optional.of("p"), writablePrimary());
     }
@@ -289,9 +293,33 @@
         assertTrue(mContext.mPromotions.size() > 30, "repeats the order");
         assertEquals(Set.of("p 2"), Set.copyOf(mContext.mPromotions));
         answerOrder("p", PromotionService.Answer.ACCEPTED);
+        tick(EFFECT_TICKS);
         assertEquals(Optional.of("p"), writablePrimary());
     }
 
+    /**
+     * The order of an earlier leaseholder was accepted just before and takes effect after the
+     * number is registered; the replica that it names lacks what is committed meanwhile.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 600, 1_000})
+    void servesNoWritesWhileAcceptedOrderTakesEffect(long millis) {
+        mContext.mStatuses.put("p", status(true, 1, 10));
+        mContext.mStatuses.put("r", status(false, 1, 10));
+        mGroup = new LeasedGroup(GROUP, 2, settings(), mContext);
+        tick(3);
+        answerOrder("p", PromotionService.Answer.ACCEPTED);
+        for (long passed = 0; passed < millis; passed += 20) {
+            assertEquals(Optional.empty(), writablePrimary());
+            tick(1);
+        }
+        mContext.mStatuses.put("p", status(false, 2, 10));
+        mContext.mStatuses.put("r", status(true, 2, 10));
+        mGroup.pools().forEach(mGroup::checkHealth);
+        tick(EFFECT_TICKS + 20);
+        assertEquals(Optional.of("r"), writablePrimary());
+    }
+
     /** Guards against writes that wait as long as the platform is down. */
     @Test
     void servesWritesOnceEarlierOrdersHaveExpired() {
@@ -320,6 +348,7 @@
         tick(10);
         assertEquals(epoch == 1 ? Optional.of("r") : Optional.empty(), writablePrimary());
         answerOrder(PromotionService.Answer.ACCEPTED);
+        tick(EFFECT_TICKS);
         assertEquals(Optional.of("r"), writablePrimary());
     }
 
