Generate the field for the relay capacity of a host

The field was encoded by hand, because the registry has no protoc for arm64. The encoding of a report does not change.

--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -1,6 +1,5 @@
 package org.crocusturn.daemon.wire;
 
-import com.google.protobuf.UnknownFieldSet;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
@@ -16,13 +15,6 @@
 
 /** Converts the reports of entry hosts and redirects to the leader to and from Protobuf. */
 final class ReportMapper {
-    /**
-     * Number of the field {@code relay_capacity} of an entry report. The generated classes do not
-     * have it yet, because protoc is not available for each kind of machine; its encoding is the
-     * one of a generated {@code int32} field.
-     */
-    private static final int RELAY_CAPACITY_FIELD = 13;
-
     private ReportMapper() {}
 
     static ControlHostsProto.EntryReport encode(EntryReport value) {
@@ -36,17 +28,8 @@
                         .setKnownVersion(value.knownVersion())
                         .setLeaving(value.leaving())
                         .setAnswered(value.answeredSequence())
-                        .setHoldingsTerm(value.holdingsTerm());
-        if (value.relayCapacity() > 0) {
-            builder.setUnknownFields(
-                    UnknownFieldSet.newBuilder()
-                            .addField(
-                                    RELAY_CAPACITY_FIELD,
-                                    UnknownFieldSet.Field.newBuilder()
-                                            .addVarint(value.relayCapacity())
-                                            .build())
-                            .build());
-        }
+                        .setHoldingsTerm(value.holdingsTerm())
+                        .setRelayCapacity(value.relayCapacity());
         value.leases().forEach(l -> builder.addLeases(encode(l)));
         value.demands().forEach(d -> builder.addDemands(encode(d)));
         value.suspects().stream().sorted().forEach(s -> builder.addSuspects(s.value()));
@@ -67,14 +50,7 @@
                 value.getLeaving(),
                 value.getAnswered(),
                 value.getHoldingsTerm(),
-                relayCapacity(value.getUnknownFields()));
-    }
-
-    private static int relayCapacity(UnknownFieldSet fields) {
-        return fields.getField(RELAY_CAPACITY_FIELD).getVarintList().stream()
-                .mapToInt(capacity -> (int) Math.max(0, Math.min(Integer.MAX_VALUE, capacity)))
-                .findFirst()
-                .orElse(0);
+                Math.max(0, value.getRelayCapacity()));
     }
 
     static ControlHostsProto.NotLeader encode(NotLeader value) {
