Send entry hosts differences of configurations, each once

On a site with links of 2 Mbit/s, callers got 503 and timed out for seconds after several changes in a row. Each change went to each entry host as a whole configuration of 22 KB, together with all earlier ones that the host had not confirmed, and again with each further command, also one about a lease or an endpoint. Commands with an old version, which change nothing, went out whole as well. The bytes delayed the confirmation, and unconfirmed changes were repeated.

The history of the leader now holds what a command did to the configuration (ConfigurationDelta). A host gets only what follows the changes that are on their way to it; they are sent again as a whole only if they are overdue, and the time to wait no longer starts again with each new version. Changes name the version that they follow, so that a host that lost some on their way ignores the rest and does not count its state as current.

LargeConfigurationsTest gives the history the states that belong to its commands, because the size of a difference depends on them; its bounds are the same.

A command about a lease also no longer copies the configuration, which the leader did for each to leave out the operator's text.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -220,8 +220,9 @@
         builder.mLeaderTerm = update.leaderTerm();
         builder.mAnsweredSequence = Math.max(mAnsweredSequence, update.sequence());
         builder.mState = applyUpdate(update.state());
-        // Without a duration the update does not confirm that the state is current.
-        if (update.freshnessMillis() > 0) {
+        // Without a duration, or after the loss of changes, the update does not confirm that the
+        // state is current.
+        if (update.freshnessMillis() > 0 && builder.mState.version() >= update.version()) {
             long freshUntil = sent + update.freshnessMillis() * 1_000_000;
             builder.mFreshUntilNanos =
                     Optional.of(
@@ -237,7 +238,8 @@
             return replacement.state().version() >= mState.version() ? replacement.state() : mState;
         }
         ControlState state = mState;
-        if (update instanceof StateUpdate.Changes changes) {
+        if (update instanceof StateUpdate.Changes changes
+                && changes.baseVersion() <= state.version()) {
             for (StateUpdate.VersionedCommand command : changes.commands()) {
                 state =
                         command.version() > state.version()
--- a/core/src/main/java/org/crocusturn/core/controlhosts/StateUpdate.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/StateUpdate.java
@@ -10,8 +10,14 @@
     /** The copy is up to date. */
     record Unchanged() implements StateUpdate {}
 
-    /** The commands after the known version, in order, each with its version. */
-    record Changes(List<VersionedCommand> commands) implements StateUpdate {
+    /**
+     * The commands after a version, in order, each with its version. A copy at an earlier version
+     * lacks changes that were lost on their way, and must not apply them.
+     *
+     * @param baseVersion version that the first command follows
+     * @param commands the commands
+     */
+    record Changes(long baseVersion, List<VersionedCommand> commands) implements StateUpdate {
         /** Copies the commands. */
         public Changes {
             commands = List.copyOf(commands);
--- a/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/CommandHistory.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import org.crocusturn.core.controlhosts.StateUpdate;
 import org.crocusturn.core.controlhosts.StateUpdate.VersionedCommand;
+import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ConfigurationDelta;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.pcollections.PVector;
@@ -41,19 +43,35 @@
 
     /** Creates the history of a new leader, which contains no commands. */
     public static CommandHistory of(ControlState state) {
-        return new CommandHistory(state.version(), TreePVector.empty(), 0, replacement(state));
+        return new CommandHistory(
+                state.version(), TreePVector.empty(), 0, replacement(state, Configuration.EMPTY));
     }
 
-    private static StateUpdate.Replacement replacement(ControlState state) {
-        return new StateUpdate.Replacement(state.withoutDocument());
+    private static StateUpdate.Replacement replacement(ControlState state, Configuration known) {
+        Configuration latest = state.configuration();
+        return new StateUpdate.Replacement(
+                state.withConfiguration(
+                        latest.version() == known.version() ? known : latest.withoutDocument(),
+                        state.configurationChange()));
+    }
+
+    /** Returns what a command did to the configuration, which may be a thousand times smaller. */
+    private static ControlCommand patch(
+            ControlCommand command, Configuration before, Configuration after) {
+        if (command instanceof ControlCommand.ReplaceConfiguration replace) {
+            return new ControlCommand.PatchConfiguration(
+                    replace.changeId(), ConfigurationDelta.between(before, after), true);
+        }
+        return command instanceof ControlCommand.ApplyConfiguration apply
+                ? new ControlCommand.PatchConfiguration(
+                        apply.changeId(), ConfigurationDelta.between(before, after), false)
+                : command;
     }
 
     /** Returns the history with the latest applied command, which led to a state. */
     public CommandHistory plus(long version, ControlCommand command, ControlState state) {
-        ControlCommand stored =
-                command instanceof ControlCommand.ReplaceConfiguration replace
-                        ? replace.withoutDocument()
-                        : command;
+        Configuration before = replacement.state().configuration();
+        ControlCommand stored = patch(command, before, state.configuration());
         PVector<VersionedCommand> next = commands.plus(new VersionedCommand(version, stored));
         long base = baseVersion;
         long bytes = commandBytes + stored.approximateBytes();
@@ -62,7 +80,7 @@
             bytes -= next.get(0).command().approximateBytes();
             next = next.minus(0);
         }
-        return new CommandHistory(base, next, bytes, replacement(state));
+        return new CommandHistory(base, next, bytes, replacement(state, before));
     }
 
     /** Returns the update that takes a host from a version to the latest state. */
@@ -81,6 +99,6 @@
             }
             missing.addFirst(command);
         }
-        return new StateUpdate.Changes(List.copyOf(missing));
+        return new StateUpdate.Changes(knownVersion, List.copyOf(missing));
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -239,6 +239,9 @@
                             .withRegistry(step.mState.registry().with(report, step.mNowNanos))
                             .withLeases(step.mState.leases().with(report));
             RegisteredHost host = step.mState.registry().host(report.host()).orElseThrow();
+            step.mState =
+                    step.mState.withSentChanges(
+                            step.mState.sentChanges().withConfirmed(host, step.mNowNanos));
             step.mState =
                     step.mState.withTokens(
                             step.mState
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
@@ -181,13 +181,24 @@
                 .filter(lease -> lease.isRenewable(host.incarnation()))
                 .forEach(lease -> grants.add(grant(host, lease)));
         long version = mState.control().version();
-        StateUpdate missing = mState.history().since(host.knownVersion());
-        boolean complete = missing instanceof StateUpdate.Unchanged;
-        boolean repeats = !complete && mState.sentChanges().contains(host, version, mNowNanos);
-        if (!complete && !repeats) {
-            mState = mState.withSentChanges(mState.sentChanges().with(host, version, mNowNanos));
+        SentChanges sent = mState.sentChanges();
+        Optional<Long> pending = sent.pendingVersion(host, mNowNanos);
+        StateUpdate missing = mState.history().since(pending.orElse(host.knownVersion()));
+        boolean changes = !(missing instanceof StateUpdate.Unchanged);
+        if (changes) {
+            if (pending.isEmpty() && sent.hasUnconfirmed(host)) {
+                log(
+                        "entryhosts: changes after version "
+                                + host.knownVersion()
+                                + " are sent again to "
+                                + host.id()
+                                + ", which has not confirmed them in time.");
+            }
+            mState = mState.withSentChanges(sent.with(host, version, mNowNanos));
         }
-        // Without the changes, this update must not make an older state count as fresh.
+        boolean confirms = changes || pending.isEmpty();
+        // While changes are on their way, an update without any must not make an older state count
+        // as fresh.
         mActions.add(
                 new LeaderAction.SendUpdate(
                         host.id(),
@@ -195,8 +206,8 @@
                                 mState.term(),
                                 host.sequence(),
                                 version,
-                                repeats ? new StateUpdate.Unchanged() : missing,
-                                repeats ? 0 : LeaseTimes.FRESHNESS_MILLIS,
+                                missing,
+                                confirms ? LeaseTimes.FRESHNESS_MILLIS : 0,
                                 grants,
                                 mState.tokens().grantsFor(host))));
     }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/SentChanges.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/SentChanges.java
@@ -2,18 +2,20 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import org.crocusturn.core.HostId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
- * The state changes that the leader has sent to entry hosts lately. Immutable.
+ * The state changes that the leader has sent to entry hosts and that they have not confirmed.
+ * Immutable.
  *
- * <p>A host confirms changes in its next reports. Until then, or until the changes are overdue,
- * answers to its reports do not repeat them: a configuration takes a link of 2 Mbit/s about 150 ms,
- * and a host that reports more often would receive it again and again.
+ * <p>A host confirms changes in its next reports. Until then it is sent only what followed them,
+ * because a link delivers messages in order. If the first of them is overdue, it may be lost, and
+ * all changes that the host has not confirmed are sent again.
  *
- * @param byHost latest changes by host
+ * @param byHost unconfirmed changes by host
  */
 record SentChanges(PMap<HostId, Changes> byHost) {
     /** No changes. */
@@ -32,37 +34,80 @@
         Objects.requireNonNull(byHost, "byHost");
     }
 
-    /** Changes up to a version that were sent to a process for the latest of several times. */
-    record Changes(long incarnation, long version, long sentNanos, int repetitions) {
-        private boolean covers(RegisteredHost host, long wanted) {
-            return incarnation == host.incarnation() && version >= wanted;
+    /**
+     * Unconfirmed changes that were sent to a process.
+     *
+     * @param incarnation the process
+     * @param version version after the latest of them
+     * @param awaitedVersion version whose confirmation is awaited
+     * @param sinceNanos time since which it is awaited
+     * @param repetitions number of times that the changes up to it were sent again
+     */
+    record Changes(
+            long incarnation, long version, long awaitedVersion, long sinceNanos, int repetitions) {
+        private boolean isPending(RegisteredHost host) {
+            return incarnation == host.incarnation() && version > host.knownVersion();
         }
 
         private boolean isOverdue(long nowNanos) {
-            int doublings = Math.min(repetitions, MAX_DOUBLINGS);
-            return nowNanos - sentNanos >= RESEND_NANOS << doublings;
+            return nowNanos - sinceNanos >= RESEND_NANOS << Math.min(repetitions, MAX_DOUBLINGS);
         }
+
+        private Changes followedBy(long nextVersion) {
+            return new Changes(incarnation, nextVersion, awaitedVersion, sinceNanos, repetitions);
+        }
+    }
+
+    /** Returns whether changes were sent to a host that it has not confirmed, in time or not. */
+    boolean hasUnconfirmed(RegisteredHost host) {
+        return pending(host).isPresent();
     }
 
-    /** Returns whether changes up to a version are on their way to a host. */
-    boolean contains(RegisteredHost host, long version, long nowNanos) {
-        Changes sent = byHost.get(host.id());
-        return sent != null && sent.covers(host, version) && !sent.isOverdue(nowNanos);
+    /** Returns the version up to which changes are on their way to a host, if any are. */
+    Optional<Long> pendingVersion(RegisteredHost host, long nowNanos) {
+        return pending(host).filter(sent -> !sent.isOverdue(nowNanos)).map(Changes::version);
     }
 
     /** Returns a copy after changes up to a version were sent. */
     SentChanges with(RegisteredHost host, long version, long nowNanos) {
-        Changes before = byHost.get(host.id());
-        boolean repeated = before != null && before.covers(host, version);
-        int repetitions = repeated ? before.repetitions() + 1 : 0;
-        return new SentChanges(
-                byHost.plus(
-                        host.id(),
-                        new Changes(host.incarnation(), version, nowNanos, repetitions)));
+        Optional<Changes> before = pending(host);
+        int repetitions = before.map(sent -> sent.repetitions() + 1).orElse(0);
+        Changes sent =
+                before.filter(changes -> !changes.isOverdue(nowNanos))
+                        .map(changes -> changes.followedBy(version))
+                        .orElseGet(
+                                () ->
+                                        new Changes(
+                                                host.incarnation(),
+                                                version,
+                                                version,
+                                                nowNanos,
+                                                repetitions));
+        return new SentChanges(byHost.plus(host.id(), sent));
+    }
+
+    /** Returns a copy after a report; if it confirms a part, the rest is awaited from now on. */
+    SentChanges withConfirmed(RegisteredHost host, long nowNanos) {
+        return pending(host)
+                .filter(sent -> host.knownVersion() >= sent.awaitedVersion())
+                .map(
+                        sent ->
+                                new Changes(
+                                        sent.incarnation(),
+                                        sent.version(),
+                                        sent.version(),
+                                        nowNanos,
+                                        0))
+                .map(sent -> new SentChanges(byHost.plus(host.id(), sent)))
+                .orElse(this);
     }
 
     /** Returns a copy without the changes sent to a host, which may be lost with its link. */
     SentChanges without(HostId host) {
         return byHost.containsKey(host) ? new SentChanges(byHost.minus(host)) : this;
     }
+
+    private Optional<Changes> pending(RegisteredHost host) {
+        return Optional.ofNullable(byHost.get(host.id())).filter(sent -> sent.isPending(host));
+    }
 }
--- a/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
@@ -56,10 +56,37 @@
         public long approximateBytes() {
             return SMALL_COMMAND_BYTES + configuration.approximateBytes();
         }
+    }
+
+    /**
+     * What a command did to a configuration, for hosts that follow the state. It is never proposed,
+     * because control hosts keep the operator's text as well.
+     *
+     * @param changeId id of the operator's change
+     * @param delta difference between the configurations in force before and after the command;
+     *     empty if the command was rejected or changed nothing
+     * @param withdrawsKeys whether keys that the configuration does not list are withdrawn, as by
+     *     {@link ReplaceConfiguration}
+     */
+    record PatchConfiguration(String changeId, ConfigurationDelta delta, boolean withdrawsKeys)
+            implements ControlCommand {
+        /** Checks that no component is null. */
+        public PatchConfiguration {
+            Objects.requireNonNull(changeId, "changeId");
+            Objects.requireNonNull(delta, "delta");
+        }
+
+        @Override
+        public long approximateBytes() {
+            return SMALL_COMMAND_BYTES + delta.approximateBytes();
+        }
 
-        /** Returns a copy without the operator's text. */
-        public ReplaceConfiguration withoutDocument() {
-            return new ReplaceConfiguration(changeId, configuration.withoutDocument());
+        /** Returns the command of the operator, given the configuration that it changes. */
+        OperatorCommand toOperatorCommand(Configuration base) {
+            Configuration next = delta.applyTo(base);
+            return withdrawsKeys
+                    ? new ReplaceConfiguration(changeId, next)
+                    : new ApplyConfiguration(changeId, next);
         }
     }
 
--- a/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
@@ -20,6 +20,7 @@
 import org.crocusturn.core.operators.ControlCommand.CompletePromotion;
 import org.crocusturn.core.operators.ControlCommand.IssueKey;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
+import org.crocusturn.core.operators.ControlCommand.PatchConfiguration;
 import org.crocusturn.core.operators.ControlCommand.RegisterEndpoint;
 import org.crocusturn.core.operators.ControlCommand.ReleaseLease;
 import org.crocusturn.core.operators.ControlCommand.RemoveEndpoint;
@@ -75,6 +76,9 @@
             throw new IllegalArgumentException(
                     "version " + version + " must be greater than " + state.version());
         }
+        if (command instanceof PatchConfiguration patch) {
+            return apply(state, version, patch.toOperatorCommand(state.configuration()));
+        }
         ControlState base = state.withVersion(version);
         if (command instanceof OperatorCommand operator) {
             return applyOperator(base, operator);
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ControlViewTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ControlViewTest.java
@@ -49,6 +49,7 @@
                 sequence,
                 7,
                 new StateUpdate.Changes(
+                        0,
                         List.of(
                                 new StateUpdate.VersionedCommand(6, command),
                                 new StateUpdate.VersionedCommand(7, command))),
@@ -95,6 +96,29 @@
         assertEquals(tokens, view.newTokens().stream().mapToLong(GrantedTokens::tokens).sum());
     }
 
+    /**
+     * Guards against a host that applies changes although earlier ones were lost on their way, and
+     * against one that counts its state as current without them.
+     */
+    @ParameterizedTest
+    @CsvSource({"7, 9, true", "6, 9, true", "8, 7, false"})
+    void appliesOnlyChangesThatFollowItsState(long base, long version, boolean fresh) {
+        ControlCommand command = new ControlCommand.RemoveEndpoint(EndpointId.of("e"));
+        ControlUpdate next =
+                new ControlUpdate(
+                        2,
+                        3,
+                        9,
+                        new StateUpdate.Changes(
+                                base, List.of(new StateUpdate.VersionedCommand(9, command))),
+                        1_500,
+                        List.of(),
+                        List.of());
+        ControlView view = answeredView().withUpdate(next, 950 * NANOS_PER_MILLI);
+        assertEquals(version, view.state().version());
+        assertEquals(fresh, view.isFresh(1_800 * NANOS_PER_MILLI));
+    }
+
     @ParameterizedTest
     @CsvSource({"0", "1"})
     void dropsUnlistedLeases(long sequence) {
--- a/core/src/test/java/org/crocusturn/core/controlhosts/LargeConfigurationsTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/LargeConfigurationsTest.java
@@ -77,7 +77,7 @@
                 false);
     }
 
-    private static ControlCommand command(long version, int routes) {
+    private static ControlCommand.ReplaceConfiguration command(long version, int routes) {
         return new ControlCommand.ReplaceConfiguration(
                 "change-" + version, configuration(version, routes));
     }
@@ -216,8 +216,13 @@
     void boundsTheHistoryOfTheLeader(int routes, int changes) {
         CommandHistory history = CommandHistory.of(ControlState.EMPTY);
         for (int n = 1; n <= changes; n++) {
-            ControlCommand command = command(n, n % 7 == 0 || routes == 0 ? 0 : routes);
-            history = history.plus(n, command, ControlState.EMPTY.withVersion(n));
+            ControlCommand.ReplaceConfiguration command =
+                    command(n, n % 7 == 0 || routes == 0 ? 0 : routes);
+            ControlState state =
+                    ControlState.EMPTY
+                            .withVersion(n)
+                            .withConfiguration(command.configuration(), command.changeId());
+            history = history.plus(n, command, state);
         }
         long bytes =
                 history.commands().stream().mapToLong(c -> c.command().approximateBytes()).sum();
--- a/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/FakeEntryHost.java
@@ -145,7 +145,8 @@
         if (update instanceof StateUpdate.Replacement replacement
                 && replacement.state().version() > mState.version()) {
             mState = replacement.state();
-        } else if (update instanceof StateUpdate.Changes changes) {
+        } else if (update instanceof StateUpdate.Changes changes
+                && changes.baseVersion() <= mState.version()) {
             changes.commands().stream()
                     .filter(c -> c.version() > mState.version())
                     .forEach(
--- a/core/src/test/java/org/crocusturn/core/entryhosts/SentChangesTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/SentChangesTest.java
@@ -3,13 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.Decision;
+import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
@@ -78,6 +81,46 @@
         assertEquals(expected, sent);
     }
 
+    /**
+     * Guards against a leader that sends all unconfirmed changes again with each further one, which
+     * filled the links of hosts during a series of changes.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // interval of the changes in ms, changes sent to a host that confirms none of them
+        "20, 2 3 4 5 6",
+        "100, 2 3 4 5 6",
+        "200, 2 3 4 2-5 6",
+        "400, 2 3 2-4 5 6"
+    })
+    void sendsOnlyWhatFollowsUnconfirmedChanges(long interval, String expected) {
+        ControlState control = ControlStateMachine.apply(ControlState.EMPTY, 1, command()).state();
+        step(new LeaderInput.LeadershipGained(1, control), 0);
+        report(1, 1_000);
+        List<String> sent = new ArrayList<>();
+        for (long version = 2; version <= 6; version++) {
+            ControlCommand change = new ControlCommand.RemoveEndpoint(EndpointId.of("e"));
+            control = control.withVersion(version);
+            long millis = 1_000 + (version - 1) * interval;
+            Stream.of(
+                            step(new LeaderInput.CommandApplied(version, change, control), millis),
+                            report(1, millis))
+                    .flatMap(Optional::stream)
+                    .filter(SentChangesTest::hasChanges)
+                    .map(SentChangesTest::versions)
+                    .forEach(sent::add);
+        }
+        assertEquals(expected, String.join(" ", sent));
+    }
+
+    private static String versions(ControlUpdate update) {
+        List<StateUpdate.VersionedCommand> commands =
+                ((StateUpdate.Changes) update.state()).commands();
+        long first = commands.get(0).version();
+        long last = commands.get(commands.size() - 1).version();
+        return first == last ? "" + first : first + "-" + last;
+    }
+
     /** Guards against a state that is encoded once for each host. */
     @Test
     void sendsOneInstanceToAllHosts() {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
@@ -17,6 +17,11 @@
             builder.setRegisterEndpoint(RecordMapper.encode(c.endpoint()));
         } else if (value instanceof ControlCommand.RemoveEndpoint c) {
             builder.getRemoveEndpointBuilder().setEndpoint(c.endpoint().value());
+        } else if (value instanceof ControlCommand.PatchConfiguration c) {
+            builder.getPatchConfigurationBuilder()
+                    .setChangeId(c.changeId())
+                    .setDelta(ConfigurationMapper.encode(c.delta()))
+                    .setWithdrawsKeys(c.withdrawsKeys());
         } else {
             putGroupCommand(builder, value);
         }
@@ -30,6 +35,7 @@
         return switch (value.getKindCase()) {
             case APPLY_CONFIGURATION -> decode(value.getApplyConfiguration());
             case REPLACE_CONFIGURATION -> decode(value.getReplaceConfiguration());
+            case PATCH_CONFIGURATION -> decode(value.getPatchConfiguration());
             case ISSUE_KEY ->
                     new ControlCommand.IssueKey(
                             value.getIssueKey().getChangeId(),
@@ -125,6 +131,14 @@
                 value.getChangeId(), ConfigurationMapper.decode(value.getConfiguration()));
     }
 
+    private static ControlCommand decode(OperatorsProto.PatchConfiguration value) {
+        WireFormat.requireField(value.hasDelta(), "delta");
+        return new ControlCommand.PatchConfiguration(
+                value.getChangeId(),
+                ConfigurationMapper.decode(value.getDelta()),
+                value.getWithdrawsKeys());
+    }
+
     private static ControlCommand decode(OperatorsProto.CompletePromotion value) {
         return new ControlCommand.CompletePromotion(
                 CommonMapper.decode(value.getGroup()),
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ConfigurationMapper.java
@@ -4,10 +4,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ConfigurationDelta;
 import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.DataCentreState;
 import org.crocusturn.core.operators.PromotionMode;
@@ -69,6 +72,31 @@
                 Compression.decompress(value.getDocument()));
     }
 
+    static OperatorsProto.ConfigurationDelta encode(ConfigurationDelta value) {
+        OperatorsProto.ConfigurationDelta.Builder builder =
+                OperatorsProto.ConfigurationDelta.newBuilder()
+                        .setBaseVersion(value.baseVersion())
+                        .setChanged(encode(value.changed()));
+        value.removedWorkspaces().forEach(w -> builder.addRemovedWorkspaces(w.value()));
+        builder.addAllRemovedServices(value.removedServices());
+        builder.addAllRemovedKeys(value.removedKeys());
+        builder.addAllRemovedRoutes(value.removedRoutes());
+        return builder.build();
+    }
+
+    static ConfigurationDelta decode(OperatorsProto.ConfigurationDelta value) {
+        WireFormat.requireField(value.hasChanged(), "changed");
+        return new ConfigurationDelta(
+                value.getBaseVersion(),
+                decode(value.getChanged()),
+                value.getRemovedWorkspacesList().stream()
+                        .map(WorkspaceId::of)
+                        .collect(Collectors.toSet()),
+                Set.copyOf(value.getRemovedServicesList()),
+                Set.copyOf(value.getRemovedKeysList()),
+                Set.copyOf(value.getRemovedRoutesList()));
+    }
+
     private static OperatorsProto.Workspace encode(Workspace value) {
         OperatorsProto.Workspace.Builder builder =
                 OperatorsProto.Workspace.newBuilder()
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/UpdateMapper.java
@@ -57,11 +57,9 @@
     private static ControlHostsProto.StateUpdate encodeUncached(StateUpdate value) {
         ControlHostsProto.StateUpdate.Builder builder = ControlHostsProto.StateUpdate.newBuilder();
         if (value instanceof StateUpdate.Changes changes) {
+            builder.getChangesBuilder().setBaseVersion(changes.baseVersion());
             changes.commands()
                     .forEach(c -> builder.getChangesBuilder().addCommands(COMMANDS.encode(c)));
-            if (changes.commands().isEmpty()) {
-                builder.setChanges(ControlHostsProto.Changes.getDefaultInstance());
-            }
         } else if (value instanceof StateUpdate.Replacement replacement) {
             builder.setReplacement(StateMapper.encode(replacement.state()));
         } else {
@@ -75,6 +73,7 @@
             case UNCHANGED -> new StateUpdate.Unchanged();
             case CHANGES ->
                     new StateUpdate.Changes(
+                            value.getChanges().getBaseVersion(),
                             value.getChanges().getCommandsList().stream()
                                     .map(UpdateMapper::decode)
                                     .toList());
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -62,6 +62,7 @@
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.ConfigurationDelta;
 import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
@@ -165,8 +166,9 @@
     private static Stream<ControlUpdate> updates() {
         return Stream.of(
                         new StateUpdate.Unchanged(),
-                        new StateUpdate.Changes(List.of()),
+                        new StateUpdate.Changes(6, List.of()),
                         new StateUpdate.Changes(
+                                7,
                                 commands()
                                         .map(c -> new StateUpdate.VersionedCommand(8, c))
                                         .toList()),
@@ -203,6 +205,7 @@
         return Stream.of(
                 new ControlCommand.ApplyConfiguration("change-1", configuration()),
                 new ControlCommand.ReplaceConfiguration("change-5", configuration()),
+                new ControlCommand.PatchConfiguration("change-6", delta(), true),
                 new ControlCommand.IssueKey("change-2", KEY),
                 new ControlCommand.WithdrawKey("change-3", "tablet-9"),
                 new ControlCommand.SetDataCentreDrained("change-4", ABDALI, true),
@@ -214,6 +217,16 @@
                 new ControlCommand.CompletePromotion(GROUP, 4, ENDPOINT, 42));
     }
 
+    private static ConfigurationDelta delta() {
+        return new ConfigurationDelta(
+                8,
+                configuration().withoutDocument(),
+                Set.of(WorkspaceId.of("left")),
+                Set.of("closed-db"),
+                Set.of("cd".repeat(32)),
+                Set.of("db9", "db10"));
+    }
+
     private static Configuration configuration() {
         return new Configuration(
                 9,
--- a/standin/src/main/java/org/crocusturn/standin/bench/ControlMessages.java
+++ b/standin/src/main/java/org/crocusturn/standin/bench/ControlMessages.java
@@ -67,6 +67,7 @@
     }
 
     private static StateUpdate change(ControlCommand command) {
-        return new StateUpdate.Changes(List.of(new StateUpdate.VersionedCommand(1_001, command)));
+        return new StateUpdate.Changes(
+                1_000, List.of(new StateUpdate.VersionedCommand(1_001, command)));
     }
 }
--- a/standin/src/main/java/org/crocusturn/standin/bench/ControlStateBenchmark.java
+++ b/standin/src/main/java/org/crocusturn/standin/bench/ControlStateBenchmark.java
@@ -84,6 +84,7 @@
                 update(
                         2,
                         new StateUpdate.Changes(
+                                1_000,
                                 List.of(new StateUpdate.VersionedCommand(1_001, mLeaseCommand)))),
                 3);
     }
