End a planned stop only after the sessions were counted

The process drains 2.1 s after the signal and ends once no work is left. The work was taken from the latest reports, and a component that had sent none counted as without work: sessions are reported only when one ends or at the first tick of the drain. If that thread needed more than the 20 ms to the next check, the process ended with all sessions open. A report of zero that was sent before the last sessions were opened had the same effect.

The components are named, each has to report in the phase in which the process is, and a host that has reported that no session is left refuses new ones as not run. The HTTP front end used the same count and is fixed with it.

--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -52,6 +53,7 @@
                         LifecycleDuty.create(
                                 settings.platform().balancerDelay(),
                                 settings.platform().drainLimit(),
+                                Set.of(),
                                 this::onPhaseChanged));
         mMember = ControlMember.start(settings.member(), mThreads, mMetrics, this::onMemberFailure);
         mOperatorDuty =
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -65,6 +66,11 @@
 public final class EntryDaemon implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(EntryDaemon.class);
     private static final int IO_THREADS = 2;
+
+    /** Components whose work a planned stop waits for. */
+    private static final String INGRESS = "ingress";
+
+    private static final String LEASES = "leases";
     private static final int RING_CAPACITY = 65_536;
     private static final int SMALL_RING_CAPACITY = 4_096;
 
@@ -79,6 +85,7 @@
     private final AtomicReference<ControlView> mView;
     private final AtomicReference<LeaseDrain> mDrain = new AtomicReference<>(LeaseDrain.NONE);
     private final AtomicBoolean mStateReceived = new AtomicBoolean();
+    private volatile Phase mPhase = Phase.STARTING;
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private final Map<HostId, LinkClient> mControlLinks = new ConcurrentHashMap<>();
     private final Duty<LifecycleEvent> mLifecycleDuty;
@@ -207,6 +214,7 @@
                 LifecycleDuty.create(
                         mSettings.platform().balancerDelay(),
                         mSettings.platform().drainLimit(),
+                        Set.of(INGRESS, LEASES),
                         this::onPhaseChanged));
     }
 
@@ -233,10 +241,7 @@
                         new Dispatcher(),
                         tokens,
                         mMetrics,
-                        remaining ->
-                                mLifecycleDuty.offer(
-                                        new LifecycleEvent.RemainingWorkChanged(
-                                                "ingress", remaining))));
+                        (phase, count) -> reportRemainingWork(INGRESS, count, phase)));
     }
 
     private Duty<ControlLinkEvent> startControlLink(ControlView empty) {
@@ -297,11 +302,17 @@
     }
 
     private void updateDrain(UnaryOperator<LeaseDrain> change) {
-        int remaining = mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime());
-        mLifecycleDuty.offer(new LifecycleEvent.RemainingWorkChanged("leases", remaining));
+        Phase phase = mPhase;
+        reportRemainingWork(
+                LEASES, mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime()), phase);
+    }
+
+    private void reportRemainingWork(String component, int remaining, Phase phase) {
+        mLifecycleDuty.offer(new LifecycleEvent.RemainingWorkChanged(component, remaining, phase));
     }
 
     private void onPhaseChanged(Phase phase) {
+        mPhase = phase;
         mIngressDuty.offer(new IngressEvent.PhaseChanged(phase));
         if (phase == Phase.LEAVING || phase == Phase.DRAINING) {
             updateDrain(drain -> drain.withStopping(SteadyClock.nanoTime()));
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -65,6 +65,11 @@
 /** Entry host that serves sessions; its front end submits {@link SessionEvent}s. */
 public final class SessionEntryDaemon implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(SessionEntryDaemon.class);
+
+    /** Components whose work a planned stop waits for. */
+    private static final String SESSIONS = "sessions";
+
+    private static final String LEASES = "leases";
     private static final int RING_CAPACITY = 65_536;
     private static final int SMALL_RING_CAPACITY = 4_096;
 
@@ -113,6 +118,7 @@
                         LifecycleDuty.create(
                                 settings.balancerDelay(),
                                 settings.drainLimit(),
+                                Set.of(SESSIONS, LEASES),
                                 this::onPhaseChanged));
         mEntryLinks =
                 EntryLinks.start(
@@ -154,7 +160,7 @@
                         SessionsDuty.create(
                                 empty,
                                 new Dispatcher(),
-                                remaining -> reportRemainingWork("sessions", remaining),
+                                (phase, count) -> reportRemainingWork(SESSIONS, count, phase),
                                 this::hasCurrentState,
                                 metrics));
         connect(settings.controlLinks());
@@ -242,8 +248,8 @@
                 e -> LOG.error("platform: duty {} failed", name, e));
     }
 
-    private void reportRemainingWork(String component, int remaining) {
-        mLifecycleDuty.offer(new LifecycleEvent.RemainingWorkChanged(component, remaining));
+    private void reportRemainingWork(String component, int remaining, Phase phase) {
+        mLifecycleDuty.offer(new LifecycleEvent.RemainingWorkChanged(component, remaining, phase));
     }
 
     private boolean offerToGroupsDuty(SessionGroupsEvent event) {
@@ -287,8 +293,9 @@
     }
 
     private void updateDrain(UnaryOperator<LeaseDrain> change) {
+        Phase phase = mPhase;
         reportRemainingWork(
-                "leases", mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime()));
+                LEASES, mDrain.updateAndGet(change).remaining(SteadyClock.nanoTime()), phase);
     }
 
     private void onPhaseChanged(Phase phase) {
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/IngressDuty.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.IntConsumer;
+import java.util.function.ObjIntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.ErrorCode;
@@ -40,7 +40,7 @@
     private final RequestDispatcher mDispatcher;
     private final SessionTokenCodec mTokens;
     private final Metrics mMetrics;
-    private final IntConsumer mOpenRequestListener;
+    private final ObjIntConsumer<Phase> mOpenRequestListener;
     private final DecisionLog mLog =
             DecisionLog.create(LogManager.getLogger(IngressDuty.class), "callers");
     private final Map<Long, PendingRequest> mPendingRequests = new HashMap<>();
@@ -55,7 +55,7 @@
             RequestDispatcher dispatcher,
             SessionTokenCodec tokens,
             Metrics metrics,
-            IntConsumer openRequestListener) {
+            ObjIntConsumer<Phase> openRequestListener) {
         mDispatcher = dispatcher;
         mTokens = tokens;
         mMetrics = metrics;
@@ -84,7 +84,7 @@
             RequestDispatcher dispatcher,
             SessionTokenCodec tokens,
             Metrics metrics,
-            IntConsumer openRequestListener) {
+            ObjIntConsumer<Phase> openRequestListener) {
         return new IngressDuty(
                 Objects.requireNonNull(self, "self"),
                 Objects.requireNonNull(view, "view"),
@@ -108,6 +108,7 @@
         } else if (event instanceof IngressEvent.PhaseChanged changed) {
             mPhase = changed.phase();
             step(new IngressInput.PhaseChanged(changed.phase()));
+            mOpenRequestListener.accept(mPhase, mState.openCount());
         }
     }
 
@@ -115,7 +116,7 @@
     public long onTimer(long nowNanos) {
         if (mNextTickNanos - nowNanos <= 0) {
             step(new IngressInput.Tick());
-            mOpenRequestListener.accept(mState.openCount());
+            mOpenRequestListener.accept(mPhase, mState.openCount());
             mMetrics.setFresh(mView.isFresh(nowNanos));
             mNextTickNanos =
                     nowNanos + (mState.waitingCount() > 0 ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -11,7 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntConsumer;
+import java.util.function.ObjIntConsumer;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
@@ -65,7 +65,7 @@
     private static final Duration RETRY_AFTER = Duration.ofMillis(250);
 
     private final SessionDispatcher mDispatcher;
-    private final IntConsumer mSessionCountListener;
+    private final ObjIntConsumer<Phase> mSessionCountListener;
     private final BooleanSupplier mCurrentState;
     private final Metrics mMetrics;
     private final SessionLog mLog = new SessionLog();
@@ -81,7 +81,7 @@
     private SessionsDuty(
             ControlView view,
             SessionDispatcher dispatcher,
-            IntConsumer sessionCountListener,
+            ObjIntConsumer<Phase> sessionCountListener,
             BooleanSupplier currentState,
             Metrics metrics) {
         mCurrentState = currentState;
@@ -147,14 +147,14 @@
      *
      * @param view initial view, without any replicated state
      * @param dispatcher sends calls to leaseholders
-     * @param sessionCountListener receives the number of open sessions while the process stops
+     * @param sessionCountListener receives the number of sessions while the process drains
      * @param currentState returns whether the replicated state of this host is current
      * @param metrics metrics of the process
      */
     public static SessionsDuty create(
             ControlView view,
             SessionDispatcher dispatcher,
-            IntConsumer sessionCountListener,
+            ObjIntConsumer<Phase> sessionCountListener,
             BooleanSupplier currentState,
             Metrics metrics) {
         return new SessionsDuty(
@@ -220,8 +220,11 @@
 
     private void openSession(SessionEvent.OpenRequested request) {
         RouteCheck check = RouteCheck.of(mView.state(), request.database(), request.keyHash());
-        if (mSessions.size() + mPendingOpens.size() >= MAX_SESSIONS) {
+        if (sessionCount() >= MAX_SESSIONS) {
             refuse(request, unavailable("this host has too many sessions"));
+        } else if (mPhase == Phase.DRAINING && sessionCount() == 0) {
+            // The process ends as soon as it has no session, and would cut a new one off.
+            refuse(request, unavailable("this host stops"));
         } else if (!hasConfiguration()) {
             // After a restart the configuration arrives within a second, before a caller would
             // retry.
@@ -497,8 +500,8 @@
         if (session != null && session.mState.transactionStarted()) {
             endTransaction(session);
         }
-        if (mPhase != Phase.SERVING) {
-            mSessionCountListener.accept(mSessions.size());
+        if (mPhase == Phase.DRAINING) {
+            mSessionCountListener.accept(mPhase, sessionCount());
         }
     }
 
@@ -588,6 +591,10 @@
                 .filter(session -> session.mState.phase() == SessionState.Phase.IDLE)
                 .filter(session -> session.mCall.isEmpty() && session.mQueuedStatements.isEmpty())
                 .forEach(session -> session.mChannel.closeIfIdle(session.mStatements));
-        mSessionCountListener.accept(mSessions.size());
+        mSessionCountListener.accept(mPhase, sessionCount());
+    }
+
+    private int sessionCount() {
+        return mSessions.size() + mPendingOpens.size();
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleDuty.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -31,6 +32,7 @@
 
     private final Duration mBalancerDelay;
     private final Duration mDrainTimeout;
+    private final Set<String> mComponents;
     private final Consumer<Phase> mPhaseListener;
     private Lifecycle mLifecycle;
     private final Map<String, Integer> mRemainingByComponent = new HashMap<>();
@@ -38,10 +40,12 @@
     private LifecycleDuty(
             Duration balancerDelay,
             Duration drainTimeout,
+            Set<String> components,
             Consumer<Phase> phaseListener,
             long nowNanos) {
         mBalancerDelay = balancerDelay;
         mDrainTimeout = drainTimeout;
+        mComponents = Set.copyOf(components);
         mPhaseListener = phaseListener;
         mLifecycle = Lifecycle.starting(nowNanos);
     }
@@ -51,13 +55,17 @@
      *
      * @param balancerDelay time that the load balancer takes to detect that a host is not ready
      * @param drainTimeout maximum time for draining, after which remaining work is abandoned
+     * @param components names of the components whose work a planned stop waits for
      * @param phaseListener receives each new phase on the thread of the duty
      */
     public static LifecycleDuty create(
-            Duration balancerDelay, Duration drainTimeout, Consumer<Phase> phaseListener) {
+            Duration balancerDelay,
+            Duration drainTimeout,
+            Set<String> components,
+            Consumer<Phase> phaseListener) {
         Objects.requireNonNull(phaseListener, "phaseListener");
         return new LifecycleDuty(
-                balancerDelay, drainTimeout, phaseListener, SteadyClock.nanoTime());
+                balancerDelay, drainTimeout, components, phaseListener, SteadyClock.nanoTime());
     }
 
     @Override
@@ -70,7 +78,9 @@
         } else if (event instanceof LifecycleEvent.StopRequested) {
             transitionTo(mLifecycle.withStopRequested(nowNanos));
         } else if (event instanceof LifecycleEvent.RemainingWorkChanged changed) {
-            mRemainingByComponent.put(changed.component(), changed.remaining());
+            if (changed.phase() == mLifecycle.phase()) {
+                mRemainingByComponent.put(changed.component(), changed.remaining());
+            }
         }
     }
 
@@ -83,14 +93,18 @@
         return nowNanos + (stopping ? STOPPING_INTERVAL_NANOS : IDLE_INTERVAL_NANOS);
     }
 
+    /** Returns the remaining work; a component that has not counted its work yet may have some. */
     private int remainingWork() {
-        return mRemainingByComponent.values().stream().mapToInt(Integer::intValue).sum();
+        return mComponents.stream()
+                .mapToInt(component -> mRemainingByComponent.getOrDefault(component, 1))
+                .sum();
     }
 
     private void transitionTo(Lifecycle next) {
         if (next.phase() != mLifecycle.phase()) {
             LOG.info("platform: phase {} follows {}", next.phase(), mLifecycle.phase());
             mLifecycle = next;
+            mRemainingByComponent.clear();
             mPhaseListener.accept(next.phase());
         }
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/LifecycleEvent.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.platform;
 
 import java.util.Objects;
+import org.crocusturn.core.platform.Phase;
 import org.crocusturn.daemon.net.HttpExchange;
 
 /** Event handled by {@link LifecycleDuty}. */
@@ -20,15 +21,18 @@
     record StopRequested() implements LifecycleEvent {}
 
     /**
-     * The remaining work of one component changed.
+     * One component counted its remaining work.
      *
      * @param component name of the component
      * @param remaining number of its remaining requests or leases
+     * @param phase phase of the process that the component knew when it counted
      */
-    record RemainingWorkChanged(String component, int remaining) implements LifecycleEvent {
-        /** Checks that the component is not null. */
+    record RemainingWorkChanged(String component, int remaining, Phase phase)
+            implements LifecycleEvent {
+        /** Checks that no part is null. */
         public RemainingWorkChanged {
             Objects.requireNonNull(component, "component");
+            Objects.requireNonNull(phase, "phase");
         }
     }
 }
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -41,12 +41,13 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final List<String> mChannelEvents = new ArrayList<>();
+    private final List<String> mCounts = new ArrayList<>();
     private final ControlView mEmptyView = ControlView.empty((state, command) -> state);
     private final SessionsDuty mDuty =
             SessionsDuty.create(
                     mEmptyView,
                     new UnreachableDispatcher(),
-                    busy -> {},
+                    (phase, count) -> mCounts.add(phase + " " + count),
                     () -> true,
                     Metrics.create());
 
@@ -93,6 +94,27 @@
         assertEquals(List.of(), mChannelEvents);
     }
 
+    /**
+     * Guards against a session that is accepted after the process learned that none is left, and is
+     * cut off when it ends.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, refused UNAVAILABLE, DRAINING 0", "1, accepted, DRAINING 2"})
+    void refusesSessionsOnceNoneIsLeft(int open, String event, String count) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        if (open > 0) {
+            mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        }
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.LEAVING));
+        assertEquals(List.of(), mCounts);
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        mChannelEvents.clear();
+        mDuty.onEvent(new SessionEvent.OpenRequested(2, new RecordingChannel(), "db", ""));
+        assertEquals(event, mChannelEvents.get(0));
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        assertEquals(count, mCounts.get(mCounts.size() - 1));
+    }
+
     private static SessionEvent set() {
         return new SessionEvent.StatementReceived(
                 1,
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
@@ -64,7 +64,7 @@
             SessionsDuty.create(
                     mEmptyView,
                     new RecordingDispatcher(),
-                    busy -> {},
+                    (phase, count) -> {},
                     () -> mControlReachable,
                     Metrics.create());
     private ControlState mState = ControlState.EMPTY;
--- a/daemon/src/test/java/org/crocusturn/daemon/platform/HealthRoutesTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/platform/HealthRoutesTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.ring.Duty;
 import org.crocusturn.daemon.net.HttpClientConnection;
@@ -34,7 +35,7 @@
                         "lifecycle",
                         16,
                         LifecycleDuty.create(
-                                Duration.ofMinutes(1), Duration.ofMinutes(1), next -> {}),
+                                Duration.ofMinutes(1), Duration.ofMinutes(1), Set.of(), next -> {}),
                         e -> {
                             throw e;
                         });
