Keep the latest commands on control hosts that do not lead

A new leader had no commands in its history, so each entry host got the whole state at each change of the leader, although it lacked few changes or none. On the grown sites statements waited for it in the links of 64 to 87 hosts.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -88,7 +88,8 @@
             LeaderState state, LeaderInput input, long nowNanos) {
         if (input instanceof LeaderInput.LeadershipGained gained) {
             return Decision.of(
-                    LeaderState.ofNewLeader(gained.term(), gained.state(), nowNanos),
+                    LeaderState.ofNewLeader(
+                            gained.term(), gained.state(), gained.history(), nowNanos),
                     new LeaderAction.Log(
                             "entryhosts: this host leads in term " + gained.term() + "."));
         }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderInput.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderInput.java
@@ -15,11 +15,28 @@
     /**
      * The host became leader. Passed after all entries of earlier terms in its log are committed
      * and applied, and before any other input of the term.
+     *
+     * @param term consensus term
+     * @param state applied state
+     * @param history commands that led to the state, as far as the host has kept them
      */
-    record LeadershipGained(long term, ControlState state) implements LeaderInput {
-        /** Checks that the state is not null. */
+    record LeadershipGained(long term, ControlState state, CommandHistory history)
+            implements LeaderInput {
+        /** Checks that the history ends with the state. */
         public LeadershipGained {
             Objects.requireNonNull(state, "state");
+            if (history.replacement().state().version() != state.version()) {
+                throw new IllegalArgumentException(
+                        "the history ends at version "
+                                + history.replacement().state().version()
+                                + ", not at "
+                                + state.version());
+            }
+        }
+
+        /** Creates the input of a host that has kept no commands. */
+        public LeadershipGained(long term, ControlState state) {
+            this(term, state, CommandHistory.of(state));
         }
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
@@ -49,17 +49,18 @@
 
     /** Creates the state of a host that has not led yet. */
     public static LeaderState idle() {
-        return ofNewLeader(0, ControlState.EMPTY, 0);
+        return ofNewLeader(0, ControlState.EMPTY, CommandHistory.of(ControlState.EMPTY), 0);
     }
 
     /** Creates the state of a new leader. */
-    public static LeaderState ofNewLeader(long term, ControlState control, long nowNanos) {
+    public static LeaderState ofNewLeader(
+            long term, ControlState control, CommandHistory history, long nowNanos) {
         return new LeaderState(
                 term,
                 nowNanos,
                 nowNanos,
                 control,
-                CommandHistory.of(control),
+                history,
                 EntryRegistry.of(nowNanos),
                 LeaseTable.inherited(control, nowNanos),
                 TokenAllocator.of(
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -417,6 +417,7 @@
         @Override
         public void onRestored(Snapshot snapshot) {
             mStateHolder.restore(snapshot.state());
+            offerStateChange(new LeaderEvent.StateRestored(snapshot.state()));
         }
 
         @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -16,6 +16,7 @@
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.core.entryhosts.CommandHistory;
 import org.crocusturn.core.entryhosts.ControlLeader;
 import org.crocusturn.core.entryhosts.LeaderAction;
 import org.crocusturn.core.entryhosts.LeaderInput;
@@ -58,6 +59,7 @@
     private final Map<HostId, PendingJoin> mJoinRequests = new HashMap<>();
     private final LeaderContext mContext;
     private final Metrics mMetrics;
+    private CommandHistory mHistory = CommandHistory.of(ControlState.EMPTY);
     private LeaderState mState = LeaderState.idle();
     private boolean mLeadershipGained;
     private long mNextTickNanos;
@@ -86,15 +88,21 @@
     @Override
     public void onEvent(LeaderEvent event) {
         if (event instanceof LeaderEvent.LeadershipGained gained) {
+            keepHistory();
             mLeadershipGained = true;
             mNextTickNanos = SteadyClock.nanoTime();
             mState = LeaderState.idle();
-            step(new LeaderInput.LeadershipGained(gained.term(), gained.state()));
+            step(
+                    new LeaderInput.LeadershipGained(
+                            gained.term(), gained.state(), historyUpTo(gained.state())));
             watch(gained.state());
         } else if (event instanceof LeaderEvent.LeadershipLost) {
+            keepHistory();
             mLeadershipGained = false;
             mState = LeaderState.idle();
             unwatchAll();
+        } else if (event instanceof LeaderEvent.StateRestored restored) {
+            mHistory = CommandHistory.of(restored.state());
         } else if (event instanceof LeaderEvent.CommandApplied applied) {
             onCommandApplied(applied);
         } else if (event instanceof LeaderEvent.ReportReceived reported) {
@@ -157,9 +165,27 @@
         return mLeadershipGained && mContext.isLeaderLeaseValid();
     }
 
+    /** Takes over the commands that the decisions have kept while this host leads. */
+    private void keepHistory() {
+        if (mLeadershipGained) {
+            mHistory = mState.history();
+        }
+    }
+
+    /**
+     * Returns the commands that led to a state. A host keeps them also while another one leads, so
+     * that a new leader does not send the whole state to all entry hosts.
+     */
+    private CommandHistory historyUpTo(ControlState state) {
+        return mHistory.replacement().state().version() == state.version()
+                ? mHistory
+                : CommandHistory.of(state);
+    }
+
     /** Passes a committed command to the decisions, also while the leader lease is not valid. */
     private void onCommandApplied(LeaderEvent.CommandApplied applied) {
         if (!mLeadershipGained) {
+            mHistory = mHistory.plus(applied.version(), applied.command(), applied.state());
             return;
         }
         step(new LeaderInput.CommandApplied(applied.version(), applied.command(), applied.state()));
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
@@ -26,6 +26,14 @@
     /** This host is no longer the leader. */
     record LeadershipLost() implements LeaderEvent {}
 
+    /** The applied state was replaced by a snapshot; the commands before it are not known. */
+    record StateRestored(ControlState state) implements LeaderEvent {
+        /** Checks that the state is not null. */
+        public StateRestored {
+            Objects.requireNonNull(state, "state");
+        }
+    }
+
     /** A command was committed and applied. */
     record CommandApplied(long version, ControlCommand command, ControlState state)
             implements LeaderEvent {
