--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -162,6 +162,7 @@
                                 new Dispatcher(),
                                 (phase, count) -> reportRemainingWork(SESSIONS, count, phase),
                                 this::hasCurrentState,
+                                settings.transactionLimit(),
                                 metrics));
         connect(settings.controlLinks());
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -1,8 +1,6 @@
 package org.crocusturn.daemon.callers;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -67,14 +65,16 @@
     private final SessionDispatcher mDispatcher;
     private final ObjIntConsumer<Phase> mSessionCountListener;
     private final BooleanSupplier mCurrentState;
+    private final Duration mTransactionLimit;
     private final Metrics mMetrics;
     private final SessionLog mLog = new SessionLog();
-    private final Map<Long, Session> mSessions = new HashMap<>();
-    private final Map<Long, Call> mCalls = new HashMap<>();
+    private final Map<Long, CallerSession> mSessions = new HashMap<>();
+    private final Map<Long, PendingCall> mCalls = new HashMap<>();
     private final Map<Long, PendingOpen> mPendingOpens = new LinkedHashMap<>();
     private ControlView mView;
     private WithdrawnKeys mWithdrawnKeys = WithdrawnKeys.EMPTY;
     private Phase mPhase = Phase.STARTING;
+    private long mLeavingSinceNanos;
     private long mNextCallId = 1;
     private long mNextTickNanos;
 
@@ -83,8 +83,10 @@
             SessionDispatcher dispatcher,
             ObjIntConsumer<Phase> sessionCountListener,
             BooleanSupplier currentState,
+            Duration transactionLimit,
             Metrics metrics) {
         mCurrentState = currentState;
+        mTransactionLimit = transactionLimit;
         mMetrics = metrics;
         mView = view;
         mDispatcher = dispatcher;
@@ -94,54 +96,6 @@
     /** Request to open a session that arrived before the first configuration. */
     private record PendingOpen(SessionEvent.OpenRequested request, long holdUntilNanos) {}
 
-    /**
-     * Session of a caller; its {@link SessionState} is immutable and is replaced on each change.
-     */
-    private static final class Session {
-        private final long mNumber;
-        private final SessionChannel mChannel;
-        private final String mDatabase;
-        private final String mKeyHash;
-        private final WorkspaceId mWorkspace;
-        private final Deque<SessionStatement> mQueuedStatements = new ArrayDeque<>();
-        private SessionState mState = SessionState.NEW;
-        private long mStatements;
-        private Optional<Call> mCall = Optional.empty();
-        private Optional<Leaseholder> mLeaseholder = Optional.empty();
-
-        private Session(SessionEvent.OpenRequested request, WorkspaceId workspace) {
-            mNumber = request.session();
-            mChannel = request.channel();
-            mDatabase = request.database();
-            mKeyHash = request.keyHash();
-            mWorkspace = workspace;
-        }
-    }
-
-    /** Statement that was sent to a leaseholder or waits for one. */
-    private static final class Call {
-        private final Session mSession;
-        private final long mStartNanos;
-        private final long mDeadlineNanos;
-        private final long mHoldUntilNanos;
-        private SessionCall mMessage;
-        private Optional<Leaseholder> mSentTo = Optional.empty();
-        private long mExcludedEpoch;
-
-        private Call(
-                Session session,
-                SessionCall message,
-                long startNanos,
-                long deadlineNanos,
-                long holdUntilNanos) {
-            mSession = session;
-            mMessage = message;
-            mStartNanos = startNanos;
-            mDeadlineNanos = deadlineNanos;
-            mHoldUntilNanos = holdUntilNanos;
-        }
-    }
-
     /**
      * Creates the handler.
      *
@@ -149,6 +103,7 @@
      * @param dispatcher sends calls to leaseholders
      * @param sessionCountListener receives the number of sessions while the process drains
      * @param currentState returns whether the replicated state of this host is current
+     * @param transactionLimit time that open transactions get to end at a planned stop
      * @param metrics metrics of the process
      */
     public static SessionsDuty create(
@@ -156,12 +111,14 @@
             SessionDispatcher dispatcher,
             ObjIntConsumer<Phase> sessionCountListener,
             BooleanSupplier currentState,
+            Duration transactionLimit,
             Metrics metrics) {
         return new SessionsDuty(
                 Objects.requireNonNull(view, "view"),
                 Objects.requireNonNull(dispatcher, "dispatcher"),
                 Objects.requireNonNull(sessionCountListener, "sessionCountListener"),
                 Objects.requireNonNull(currentState, "currentState"),
+                Objects.requireNonNull(transactionLimit, "transactionLimit"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
@@ -194,6 +151,9 @@
                     .forEach(this::onLeaseholderLost);
         } else if (event instanceof SessionEvent.PhaseChanged changed) {
             mPhase = changed.phase();
+            if (mPhase == Phase.LEAVING) {
+                mLeavingSinceNanos = SteadyClock.nanoTime();
+            }
             closeIdleSessions();
         }
     }
@@ -240,7 +200,7 @@
             refuse(request, recentlyWithdrawn());
         } else {
             WorkspaceId workspace = check.access().orElseThrow().workspace();
-            mSessions.put(request.session(), new Session(request, workspace));
+            mSessions.put(request.session(), new CallerSession(request, workspace));
             if (workspace.equals(RouteCheck.ANONYMOUS)) {
                 mLog.openedWithoutKey(request.session(), workspace, configurationVersion());
             }
@@ -296,7 +256,7 @@
     }
 
     private void enqueue(SessionEvent.StatementReceived event) {
-        Session session = mSessions.get(event.session());
+        CallerSession session = mSessions.get(event.session());
         if (session == null) {
             return;
         }
@@ -311,7 +271,7 @@
         runQueued(session);
     }
 
-    private void runQueued(Session session) {
+    private void runQueued(CallerSession session) {
         while (session.mCall.isEmpty() && !session.mQueuedStatements.isEmpty()) {
             SessionStatement statement = session.mQueuedStatements.remove();
             RouteCheck check = check(session);
@@ -323,12 +283,31 @@
                 session.mState = answer.state();
                 session.mChannel.answer(statement, answer.outcome(), answer.state().phase());
             } else if (step instanceof SessionStep.Forward forward) {
-                forward(session, statement, forward, check);
+                if (forward.step() != TransactionStep.NONE && endsTransactions()) {
+                    abortTransaction(session, statement);
+                } else {
+                    forward(session, statement, forward, check);
+                }
             }
         }
     }
 
-    private RouteCheck check(Session session) {
+    /** Returns whether open transactions have had their time at a planned stop. */
+    private boolean endsTransactions() {
+        return mPhase == Phase.DRAINING
+                && SteadyClock.nanoTime() - mLeavingSinceNanos >= mTransactionLimit.toNanos();
+    }
+
+    /** Refuses a statement that the end of the process could cut off, and its transaction. */
+    private void abortTransaction(CallerSession session, SessionStatement statement) {
+        Failure failure = Failure.notRun(ErrorCode.TRANSACTION_LOST, "this host stops");
+        SessionOutcome outcome = SessionOutcome.failed(failure, true);
+        endTransaction(session);
+        session.mState = SessionDecisions.applyOutcome(session.mState, statement, outcome);
+        session.mChannel.answer(statement, outcome, session.mState.phase());
+    }
+
+    private RouteCheck check(CallerSession session) {
         if (!mCurrentState.getAsBoolean()) {
             return new RouteCheck(Optional.empty(), Optional.of(outdated()), false);
         }
@@ -346,7 +325,7 @@
                 : check;
     }
 
-    private void endTransaction(Session session) {
+    private void endTransaction(CallerSession session) {
         Optional<GroupId> group =
                 session.mState.access().map(RouteAccess::route).map(SessionsDuty::group);
         session.mLeaseholder.ifPresent(
@@ -362,7 +341,7 @@
     }
 
     private void forward(
-            Session session,
+            CallerSession session,
             SessionStatement statement,
             SessionStep.Forward forward,
             RouteCheck check) {
@@ -391,8 +370,8 @@
                         session.mState.context().values(),
                         session.mState.lastCommit());
         long timeout = route.timeout().toNanos();
-        Call call =
-                new Call(
+        PendingCall call =
+                new PendingCall(
                         session,
                         message,
                         now,
@@ -409,7 +388,7 @@
      * Sends a call to the leaseholder; the call keeps waiting if there is none or no link to it,
      * and fails if the key of its session was withdrawn while it waited.
      */
-    private void send(Call call) {
+    private void send(PendingCall call) {
         Optional<Leaseholder> leaseholder = leaseholder(call.mMessage.group());
         boolean continues = call.mMessage.step() == TransactionStep.CONTINUE;
         Optional<Failure> keyLost =
@@ -444,7 +423,7 @@
     }
 
     private void onReply(SessionEvent.ReplyReceived event) {
-        Call call = mCalls.get(event.reply().id());
+        PendingCall call = mCalls.get(event.reply().id());
         if (call == null) {
             return;
         }
@@ -465,9 +444,9 @@
         finish(call, outcome);
     }
 
-    private void finish(Call call, SessionOutcome outcome) {
+    private void finish(PendingCall call, SessionOutcome outcome) {
         mCalls.remove(call.mMessage.id());
-        Session session = call.mSession;
+        CallerSession session = call.mSession;
         session.mCall = Optional.empty();
         recordMetrics(call, outcome);
         if (!mSessions.containsKey(session.mNumber)) {
@@ -483,7 +462,7 @@
         runQueued(session);
     }
 
-    private void recordMetrics(Call call, SessionOutcome outcome) {
+    private void recordMetrics(PendingCall call, SessionOutcome outcome) {
         Verdict verdict = outcome.failure().map(Failure::verdict).orElse(Verdict.RAN);
         mMetrics.recordRequest(
                 call.mMessage.workspace().value(),
@@ -496,7 +475,7 @@
 
     private void endSession(long number) {
         mPendingOpens.remove(number);
-        Session session = mSessions.remove(number);
+        CallerSession session = mSessions.remove(number);
         if (session != null && session.mState.transactionStarted()) {
             endTransaction(session);
         }
@@ -506,7 +485,7 @@
     }
 
     /** Sends a waiting call; sends a read again if its group has a new leaseholder. */
-    private void onViewChanged(Call call) {
+    private void onViewChanged(PendingCall call) {
         SessionCall message = call.mMessage;
         boolean superseded =
                 call.mSentTo.isPresent()
@@ -528,7 +507,7 @@
     }
 
     /** Fails or retries a call whose leaseholder is unreachable. */
-    private void onLeaseholderLost(Call call) {
+    private void onLeaseholderLost(PendingCall call) {
         SessionCall message = call.mMessage;
         boolean commits =
                 message.statement().kind() == StatementKind.COMMIT
@@ -550,7 +529,7 @@
         }
     }
 
-    private void checkTimeouts(Call call, long nowNanos) {
+    private void checkTimeouts(PendingCall call, long nowNanos) {
         if (call.mSentTo.isEmpty()) {
             if (nowNanos - call.mHoldUntilNanos >= 0) {
                 boolean inTransaction = call.mMessage.step() != TransactionStep.NONE;
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/SessionEntrySettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/SessionEntrySettings.java
@@ -17,6 +17,7 @@
  * @param linkSecret secret shared by all processes of the system
  * @param balancerDelay time that the load balancer takes to detect that a host is not ready
  * @param drainLimit maximum time for draining at a planned stop
+ * @param transactionLimit time that open transactions get to end, from the request to stop
  * @param relayCapacity statements per second that the host can relay as a leaseholder; 0 if not
  *     known
  */
@@ -28,6 +29,7 @@
         Secret linkSecret,
         Duration balancerDelay,
         Duration drainLimit,
+        Duration transactionLimit,
         int relayCapacity) {
     /** Copies the list. */
     public SessionEntrySettings {
@@ -38,5 +40,6 @@
         Objects.requireNonNull(linkSecret, "linkSecret");
         Objects.requireNonNull(balancerDelay, "balancerDelay");
         Objects.requireNonNull(drainLimit, "drainLimit");
+        Objects.requireNonNull(transactionLimit, "transactionLimit");
     }
 }
--- a/daemon/src/test/java/org/crocusturn/daemon/SessionEntryDaemonTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/SessionEntryDaemonTest.java
@@ -71,6 +71,7 @@
                                 SECRET,
                                 Duration.ofMillis(10),
                                 Duration.ofMillis(10),
+                                Duration.ofMillis(10),
                                 0),
                         mThreads,
                         (endpoint, workspace, timeout, listener) -> {
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -43,13 +43,17 @@
     private final List<String> mChannelEvents = new ArrayList<>();
     private final List<String> mCounts = new ArrayList<>();
     private final ControlView mEmptyView = ControlView.empty((state, command) -> state);
-    private final SessionsDuty mDuty =
-            SessionsDuty.create(
-                    mEmptyView,
-                    new UnreachableDispatcher(),
-                    (phase, count) -> mCounts.add(phase + " " + count),
-                    () -> true,
-                    Metrics.create());
+    private final SessionsDuty mDuty = duty(Duration.ZERO);
+
+    private SessionsDuty duty(Duration transactionLimit) {
+        return SessionsDuty.create(
+                mEmptyView,
+                new UnreachableDispatcher(),
+                (phase, count) -> mCounts.add(phase + " " + count),
+                () -> true,
+                transactionLimit,
+                Metrics.create());
+    }
 
     @ParameterizedTest
     @CsvSource({
@@ -115,11 +119,31 @@
         assertEquals(count, mCounts.get(mCounts.size() - 1));
     }
 
+    /**
+     * Guards against a statement of an open transaction that runs when the process ends, so that
+     * its caller gets no answer.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, DRAINING, 2", "0, LEAVING, 1", "3600, DRAINING, 1"})
+    void refusesStatementsOfTransactionsAfterTheirTime(
+            long limitSeconds, Phase phase, int answers) {
+        SessionsDuty duty = duty(Duration.ofSeconds(limitSeconds));
+        duty.onEvent(new SessionEvent.ViewChanged(configured()));
+        duty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        duty.onEvent(statement(StatementKind.BEGIN, "", ""));
+        duty.onEvent(new SessionEvent.PhaseChanged(Phase.LEAVING));
+        duty.onEvent(new SessionEvent.PhaseChanged(phase));
+        duty.onEvent(statement(StatementKind.READ, "item", ""));
+        assertEquals(answers, mChannelEvents.stream().filter("answered"::equals).count());
+    }
+
     private static SessionEvent set() {
+        return statement(StatementKind.SET_VALUE, "name", "value");
+    }
+
+    private static SessionEvent statement(StatementKind kind, String name, String value) {
         return new SessionEvent.StatementReceived(
-                1,
-                new SessionStatement(
-                        "id", StatementKind.SET_VALUE, "name", "value", "SET name value"));
+                1, new SessionStatement("id", kind, name, value, kind + " " + name));
     }
 
     private ControlView configured() {
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
@@ -66,6 +66,7 @@
                     new RecordingDispatcher(),
                     (phase, count) -> {},
                     () -> mControlReachable,
+                    Duration.ZERO,
                     Metrics.create());
     private ControlState mState = ControlState.EMPTY;
     private boolean mReachable = true;
