Log statements that are refused at a planned stop

A statement of an open transaction that an entry host refuses because it stops had no log line and no count, unlike every other refusal, so that its caller could not be told why. ControlState.withoutDocument has no caller since the history keeps the configuration without the operator's text, and goes.

--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -85,11 +85,6 @@
                 Map.of());
     }
 
-    /** Returns a copy without the text of the configuration, for hosts that never serve it. */
-    public ControlState withoutDocument() {
-        return withConfiguration(configuration.withoutDocument(), configurationChange);
-    }
-
     /**
      * Returns the group that holds a workspace's data in a service, if the workspace has been
      * placed there.
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -302,6 +302,8 @@
     private void abortTransaction(CallerSession session, SessionStatement statement) {
         Failure failure = Failure.notRun(ErrorCode.TRANSACTION_LOST, "this host stops");
         SessionOutcome outcome = SessionOutcome.failed(failure, true);
+        mMetrics.recordRefusal(failure.code().name());
+        mLog.refused(session.mNumber, failure);
         endTransaction(session);
         session.mState = SessionDecisions.applyOutcome(session.mState, statement, outcome);
         session.mChannel.answer(statement, outcome, session.mState.phase());
