Keep signals that arrive while a process starts

Cause: the shutdown hook that stops a process as planned was registered last, after the servers listened.

The wait for the phases of an entry host is bounded: it no longer depends on the lifecycle duty alone, whose ring can be full. DaemonRunner and the local deployment use the same signal.

A signal before the first line of main, while the JVM loads it, still ends the process; nothing listens then.

--- a/daemon/src/main/java/org/crocusturn/daemon/DaemonRunner.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/DaemonRunner.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon;
 
+import org.apache.logging.log4j.LogManager;
 import org.crocusturn.daemon.operators.DaemonCommands;
 import org.crocusturn.daemon.platform.StopSignal;
 import org.crocusturn.daemon.settings.ControlSettings;
@@ -10,26 +11,22 @@
 
     @Override
     public void runEntry(EntrySettings settings) {
-        EntryDaemon daemon = EntryDaemon.start(settings);
-        StopSignal.onStop(
-                () -> {
-                    daemon.requestStop();
-                    await(daemon::awaitStopped);
-                    daemon.close();
-                });
-        await(daemon::awaitStopped);
+        StopSignal stop = StopSignal.install();
+        try (EntryDaemon daemon = EntryDaemon.start(settings)) {
+            stop.requested().thenRun(daemon::requestStop);
+            await(daemon::awaitStopped);
+        }
+        LogManager.shutdown();
     }
 
     @Override
     public void runControl(ControlSettings settings) {
-        ControlDaemon daemon = ControlDaemon.start(settings);
-        StopSignal.onStop(
-                () -> {
-                    daemon.requestStop();
-                    await(daemon::awaitStopped);
-                    daemon.close();
-                });
-        await(daemon::awaitStopped);
+        StopSignal stop = StopSignal.install();
+        try (ControlDaemon daemon = ControlDaemon.start(settings)) {
+            stop.requested().thenRun(daemon::requestStop);
+            await(daemon::awaitStopped);
+        }
+        LogManager.shutdown();
     }
 
     /** Blocking wait that can be interrupted. */
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
@@ -84,6 +85,9 @@
 
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(1);
 
+    /** Time by which the phases of a stop may end late on a busy machine. */
+    private static final Duration PHASE_DELAY = Duration.ofMillis(200);
+
     private final SessionEntrySettings mSettings;
     private final NetThreads mThreads;
     private final SharedSecret mSecret;
@@ -224,6 +228,18 @@
         mLifecycleDuty.offer(new LifecycleEvent.StopRequested());
     }
 
+    /**
+     * Stops the host as planned and waits until it has stopped, but little longer than the phases
+     * of a stop may last together.
+     */
+    public void stop() throws InterruptedException {
+        requestStop();
+        Duration limit = mSettings.balancerDelay().plus(mSettings.drainLimit()).plus(PHASE_DELAY);
+        if (!mStopped.await(limit.toNanos(), TimeUnit.NANOSECONDS)) {
+            LOG.error("platform: the lifecycle duty has not ended the stop within {}", limit);
+        }
+    }
+
     /** Waits until the host has stopped. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/StopSignal.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/StopSignal.java
@@ -1,29 +1,36 @@
 package org.crocusturn.daemon.platform;
 
-import java.util.Objects;
-import org.apache.logging.log4j.LogManager;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import sun.misc.Signal;
 
-/** Handles SIGTERM and SIGINT with a planned stop and exit status 0. */
+/**
+ * Records SIGTERM and SIGINT, so that the process stops as planned and chooses its exit status.
+ *
+ * <p>Installed before anything else is started. A signal that arrives during the start is kept, and
+ * further ones have no effect.
+ */
 public final class StopSignal {
+    private static final List<String> SIGNALS = List.of("TERM", "INT");
+
+    private final CompletableFuture<Void> mRequested = new CompletableFuture<>();
+
     private StopSignal() {}
 
-    /**
-     * Registers an action that runs when the process receives a stop signal.
-     *
-     * @param stop stops the process and returns when the stop is complete
-     */
-    public static void onStop(Runnable stop) {
-        Objects.requireNonNull(stop, "stop");
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    stop.run();
-                                    LogManager.shutdown();
-                                    // Otherwise the exit status of the JVM would be that of the
-                                    // signal.
-                                    Runtime.getRuntime().halt(0);
-                                },
-                                "stop-signal"));
+    /** Installs the handler of the signals in place of the one that ends the process. */
+    public static StopSignal install() {
+        StopSignal stop = new StopSignal();
+        SIGNALS.forEach(name -> Signal.handle(new Signal(name), signal -> stop.request()));
+        return stop;
+    }
+
+    /** Requests a stop as the signals do. */
+    public void request() {
+        mRequested.complete(null);
+    }
+
+    /** Returns a future that completes when a stop is requested. */
+    public CompletableFuture<Void> requested() {
+        return mRequested.copy();
     }
 }
--- a/standin/src/main/java/org/crocusturn/standin/LocalMain.java
+++ b/standin/src/main/java/org/crocusturn/standin/LocalMain.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -35,11 +34,12 @@
     private LocalMain() {}
 
     /** Starts the deployment and runs until the process receives a stop signal. */
-    public static void main(String[] arguments) throws IOException, InterruptedException {
+    public static void main(String[] arguments) throws IOException {
         Main.configureLogFormat();
         ArgumentParser parser = parser();
         try {
             run(parser.parseArgs(arguments));
+            System.exit(ExitStatus.DONE.code());
         } catch (HelpScreenException e) {
             System.exit(ExitStatus.DONE.code());
         } catch (ArgumentParserException e) {
@@ -68,9 +68,10 @@
         return parser;
     }
 
-    private static void run(Namespace options) throws IOException, InterruptedException {
+    private static void run(Namespace options) throws IOException {
         Configuration configuration = ConfigurationReader.read(readConfiguration(options));
         Path folder = Files.createTempDirectory("crocusturn-local");
+        StopSignal stop = StopSignal.install();
         LocalDeployment deployment =
                 LocalDeployment.start(
                         new LocalDeploymentSettings(
@@ -80,13 +81,10 @@
                                 folder,
                                 options.getInt("port"),
                                 Behaviour.NORMAL));
-        StopSignal.onStop(
-                () -> {
-                    deployment.stop();
-                    deleteRecursively(folder);
-                });
         System.out.println(readyLine(deployment, configuration));
-        new CountDownLatch(1).await();
+        stop.requested().join();
+        deployment.stop();
+        deleteRecursively(folder);
     }
 
     private static ObjectNode readyLine(LocalDeployment deployment, Configuration configuration) {
