Accept no work between the end of a drain and the exit

Callers saw writes that ran and got no answer, cut 41 to 108 ms after they were sent, at the moment a stopping entry host ended, and on a busy machine statements cut up to 560 ms after they were sent.

Cause: in the phase STOPPED an entry host accepted sessions and ran statements again. SessionsDuty refused new sessions in the phase DRAINING once none was left, but the comparison did not include the phase that follows, and the listener stays open until the process has closed its servers and written its logs. That takes some 10 ms, or half a second on a busy machine. The count of sessions was right.

After the phase STOPPED new sessions and new statements are now refused as not run. SessionsDutyTest.refusesSessionsAfterDrain and refusesStatementsAfterDrain: 4 of 8 cases failed before. The HTTP front end refuses requests in all phases after LEAVING already (IngressStep.admissionFailure).

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -182,9 +182,9 @@
         RouteCheck check = RouteCheck.of(mView.state(), request.database(), request.keyHash());
         if (sessionCount() >= MAX_SESSIONS) {
             refuse(request, unavailable("this host has too many sessions"));
-        } else if (mPhase == Phase.DRAINING && sessionCount() == 0) {
+        } else if (mPhase == Phase.STOPPED || mPhase == Phase.DRAINING && sessionCount() == 0) {
             // The process ends as soon as it has no session, and would cut a new one off.
-            refuse(request, unavailable("this host stops"));
+            refuse(request, stopping());
         } else if (!hasConfiguration()) {
             // After a restart the configuration arrives within a second, before a caller would
             // retry.
@@ -247,6 +247,10 @@
         return Failure.notRun(ErrorCode.UNAVAILABLE, message).withRetryAfter(RETRY_AFTER);
     }
 
+    private static Failure stopping() {
+        return unavailable("this host stops");
+    }
+
     private static Failure outdated() {
         return unavailable("this host has no current state from the control hosts");
     }
@@ -283,7 +287,9 @@
                 session.mState = answer.state();
                 session.mChannel.answer(statement, answer.outcome(), answer.state().phase());
             } else if (step instanceof SessionStep.Forward forward) {
-                if (forward.step() != TransactionStep.NONE && endsTransactions()) {
+                if (mPhase == Phase.STOPPED && forward.step() == TransactionStep.NONE) {
+                    refuse(session, statement, stopping());
+                } else if (forward.step() != TransactionStep.NONE && endsTransactions()) {
                     abortTransaction(session, statement);
                 } else {
                     forward(session, statement, forward, check);
@@ -294,17 +300,23 @@
 
     /** Returns whether open transactions have had their time at a planned stop. */
     private boolean endsTransactions() {
-        return mPhase == Phase.DRAINING
-                && SteadyClock.nanoTime() - mLeavingSinceNanos >= mTransactionLimit.toNanos();
+        return mPhase == Phase.STOPPED
+                || mPhase == Phase.DRAINING
+                        && SteadyClock.nanoTime() - mLeavingSinceNanos
+                                >= mTransactionLimit.toNanos();
     }
 
     /** Refuses a statement that the end of the process could cut off, and its transaction. */
     private void abortTransaction(CallerSession session, SessionStatement statement) {
-        Failure failure = Failure.notRun(ErrorCode.TRANSACTION_LOST, "this host stops");
-        SessionOutcome outcome = SessionOutcome.failed(failure, true);
+        endTransaction(session);
+        refuse(session, statement, Failure.notRun(ErrorCode.TRANSACTION_LOST, "this host stops"));
+    }
+
+    private void refuse(CallerSession session, SessionStatement statement, Failure failure) {
+        boolean inTransaction = failure.code() == ErrorCode.TRANSACTION_LOST;
+        SessionOutcome outcome = SessionOutcome.failed(failure, inTransaction);
         mMetrics.recordRefusal(failure.code().name());
         mLog.refused(session.mNumber, failure);
-        endTransaction(session);
         session.mState = SessionDecisions.applyOutcome(session.mState, statement, outcome);
         session.mChannel.answer(statement, outcome, session.mState.phase());
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -119,6 +119,51 @@
         assertEquals(count, mCounts.get(mCounts.size() - 1));
     }
 
+    /**
+     * Guards against a session that is accepted between the end of the drain and the exit of the
+     * process, which cuts its first statement off.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // open sessions, phases after SERVING, event of a new session
+        "0, LEAVING, accepted",
+        "0, LEAVING DRAINING, refused UNAVAILABLE",
+        "0, DRAINING STOPPED, refused UNAVAILABLE",
+        "0, LEAVING DRAINING STOPPED, refused UNAVAILABLE",
+        "1, LEAVING DRAINING STOPPED, refused UNAVAILABLE"
+    })
+    void refusesSessionsAfterDrain(int open, String phases, String event) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        if (open > 0) {
+            mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        }
+        List.of(phases.split(" "))
+                .forEach(
+                        phase ->
+                                mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.valueOf(phase))));
+        mChannelEvents.clear();
+        mDuty.onEvent(new SessionEvent.OpenRequested(2, new RecordingChannel(), "db", ""));
+        assertEquals(event, mChannelEvents.get(0));
+    }
+
+    /** Guards against a statement that is forwarded just before the process exits. */
+    @ParameterizedTest
+    @CsvSource({
+        "LEAVING, accepted",
+        "LEAVING DRAINING, accepted closed if 0",
+        "LEAVING DRAINING STOPPED, accepted closed if 0 answered"
+    })
+    void refusesStatementsAfterDrain(String phases, String events) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        List.of(phases.split(" "))
+                .forEach(
+                        phase ->
+                                mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.valueOf(phase))));
+        mDuty.onEvent(statement(StatementKind.WRITE, "item", "data"));
+        assertEquals(events, String.join(" ", mChannelEvents));
+    }
+
     /**
      * Guards against a statement of an open transaction that runs when the process ends, so that
      * its caller gets no answer.
