Refuse new sessions in the drain

Callers whose idle sessions a stopping host closed came back to it at once when fewer than half of the hosts of their data centre were in rotation, got a session, and had it closed as idle within 20 ms, often with their first statement on the way. Callers who waited for a configuration on a host that was stopped during its start were refused only after their hold time of 400 ms.

Cause: sessions were accepted in the drain as long as one was left, and a stop did not look at the openings that wait.

The load balancer has had 2.1 s to notice the stop by then, so a new session comes only if it has few other hosts. A refusal as not run is retried at another host in any case; a single write that is cut is not. New sessions are now refused at once from the phase DRAINING on, and so are those that wait for a configuration. SessionsDutyTest.refusesSessionsOnceNoneIsLeft expected a session to be accepted while another was open; it is replaced by refusesSessionsInDrain, which expects a refusal in both cases. refusesWaitingSessionsOnceTheHostStops is new. Three cases failed before.

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.ObjIntConsumer;
+import java.util.function.Predicate;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
@@ -154,6 +155,9 @@
             if (mPhase == Phase.LEAVING) {
                 mLeavingSinceNanos = SteadyClock.nanoTime();
             }
+            if (mPhase == Phase.DRAINING) {
+                refusePendingOpens(open -> true, stopping());
+            }
             closeIdleSessions();
         }
     }
@@ -162,7 +166,9 @@
     public long onTimer(long nowNanos) {
         if (mNextTickNanos - nowNanos <= 0) {
             List.copyOf(mCalls.values()).forEach(call -> checkTimeouts(call, nowNanos));
-            refuseExpiredOpens(nowNanos);
+            refusePendingOpens(
+                    open -> nowNanos - open.holdUntilNanos() >= 0,
+                    unavailable("this host has not received a configuration yet"));
             closeIdleSessions();
             mNextTickNanos = nowNanos + TICK_NANOS;
         }
@@ -182,8 +188,8 @@
         RouteCheck check = RouteCheck.of(mView.state(), request.database(), request.keyHash());
         if (sessionCount() >= MAX_SESSIONS) {
             refuse(request, unavailable("this host has too many sessions"));
-        } else if (mPhase == Phase.STOPPED || mPhase == Phase.DRAINING && sessionCount() == 0) {
-            // The process ends as soon as it has no session, and would cut a new one off.
+        } else if (mPhase == Phase.STOPPED || mPhase == Phase.DRAINING) {
+            // The session would be closed as idle, often with its first statement on the way.
             refuse(request, stopping());
         } else if (!hasConfiguration()) {
             // After a restart the configuration arrives within a second, before a caller would
@@ -224,17 +230,10 @@
         }
     }
 
-    private void refuseExpiredOpens(long nowNanos) {
-        List<PendingOpen> expired =
-                mPendingOpens.values().stream()
-                        .filter(open -> nowNanos - open.holdUntilNanos() >= 0)
-                        .toList();
-        expired.forEach(open -> mPendingOpens.remove(open.request().session()));
-        expired.forEach(
-                open ->
-                        refuse(
-                                open.request(),
-                                unavailable("this host has not received a configuration yet")));
+    private void refusePendingOpens(Predicate<PendingOpen> condition, Failure failure) {
+        List<PendingOpen> refused = mPendingOpens.values().stream().filter(condition).toList();
+        refused.forEach(open -> mPendingOpens.remove(open.request().session()));
+        refused.forEach(open -> refuse(open.request(), failure));
     }
 
     private void refuse(SessionEvent.OpenRequested request, Failure failure) {
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.crocusturn.core.Failure;
@@ -75,6 +76,23 @@
         assertEquals(expected, String.join(" ", mChannelEvents));
     }
 
+    /**
+     * Guards against a caller that waits for a configuration on a host that stops, instead of
+     * trying another host.
+     */
+    @ParameterizedTest
+    @CsvSource({"1", "8"})
+    void refusesWaitingSessionsOnceTheHostStops(int waiting) {
+        for (int session = 1; session <= waiting; session++) {
+            mDuty.onEvent(
+                    new SessionEvent.OpenRequested(session, new RecordingChannel(), "db", ""));
+        }
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        mDuty.onEvent(new SessionEvent.OpenRequested(9, new RecordingChannel(), "db", ""));
+        assertEquals(Collections.nCopies(waiting + 1, "refused UNAVAILABLE"), mChannelEvents);
+        assertEquals("DRAINING 0", mCounts.get(0));
+    }
+
     /**
      * Guards against a statement that is cut off without an answer: the connection had read it, and
      * it waited in the ring while the duty closed idle sessions at a planned stop.
@@ -99,12 +117,12 @@
     }
 
     /**
-     * Guards against a session that is accepted after the process learned that none is left, and is
-     * cut off when it ends.
+     * Guards against a session that is opened in the drain: it would be closed as idle, often with
+     * its first statement on the way, and its caller would come back and prolong the drain.
      */
     @ParameterizedTest
-    @CsvSource({"0, refused UNAVAILABLE, DRAINING 0", "1, accepted, DRAINING 2"})
-    void refusesSessionsOnceNoneIsLeft(int open, String event, String count) {
+    @CsvSource({"0, refused UNAVAILABLE, DRAINING 0", "1, refused UNAVAILABLE, DRAINING 1"})
+    void refusesSessionsInDrain(int open, String event, String count) {
         mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
         if (open > 0) {
             mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
