--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.crocusturn.core.Failure;
@@ -75,6 +76,23 @@
         assertEquals(expected, String.join(" ", mChannelEvents));
     }
 
+    /**
+     * Guards against a caller that waits for a configuration on a host that stops, instead of
+     * trying another host.
+     */
+    @ParameterizedTest
+    @CsvSource({"1", "8"})
+    void refusesWaitingSessionsOnceTheHostStops(int waiting) {
+        for (int session = 1; session <= waiting; session++) {
+            mDuty.onEvent(
+                    new SessionEvent.OpenRequested(session, new RecordingChannel(), "db", ""));
+        }
+        mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.DRAINING));
+        mDuty.onEvent(new SessionEvent.OpenRequested(9, new RecordingChannel(), "db", ""));
+        assertEquals(Collections.nCopies(waiting + 1, "refused UNAVAILABLE"), mChannelEvents);
+        assertEquals("DRAINING 0", mCounts.get(0));
+    }
+
     /**
      * Guards against a statement that is cut off without an answer: the connection had read it, and
      * it waited in the ring while the duty closed idle sessions at a planned stop.
@@ -99,12 +117,12 @@
     }
 
     /**
-     * Guards against a session that is accepted after the process learned that none is left, and is
-     * cut off when it ends.
+     * Guards against a session that is opened in the drain: it would be closed as idle, often with
+     * its first statement on the way, and its caller would come back and prolong the drain.
      */
     @ParameterizedTest
-    @CsvSource({"0, refused UNAVAILABLE, DRAINING 0", "1, accepted, DRAINING 2"})
-    void refusesSessionsOnceNoneIsLeft(int open, String event, String count) {
+    @CsvSource({"0, refused UNAVAILABLE, DRAINING 0", "1, refused UNAVAILABLE, DRAINING 1"})
+    void refusesSessionsInDrain(int open, String event, String count) {
         mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
         if (open > 0) {
             mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
@@ -119,6 +137,51 @@
         assertEquals(count, mCounts.get(mCounts.size() - 1));
     }
 
+    /**
+     * Guards against a session that is accepted between the end of the drain and the exit of the
+     * process, which cuts its first statement off.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // open sessions, phases after SERVING, event of a new session
+        "0, LEAVING, accepted",
+        "0, LEAVING DRAINING, refused UNAVAILABLE",
+        "0, DRAINING STOPPED, refused UNAVAILABLE",
+        "0, LEAVING DRAINING STOPPED, refused UNAVAILABLE",
+        "1, LEAVING DRAINING STOPPED, refused UNAVAILABLE"
+    })
+    void refusesSessionsAfterDrain(int open, String phases, String event) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        if (open > 0) {
+            mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        }
+        List.of(phases.split(" "))
+                .forEach(
+                        phase ->
+                                mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.valueOf(phase))));
+        mChannelEvents.clear();
+        mDuty.onEvent(new SessionEvent.OpenRequested(2, new RecordingChannel(), "db", ""));
+        assertEquals(event, mChannelEvents.get(0));
+    }
+
+    /** Guards against a statement that is forwarded just before the process exits. */
+    @ParameterizedTest
+    @CsvSource({
+        "LEAVING, accepted",
+        "LEAVING DRAINING, accepted closed if 0",
+        "LEAVING DRAINING STOPPED, accepted closed if 0 answered"
+    })
+    void refusesStatementsAfterDrain(String phases, String events) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        List.of(phases.split(" "))
+                .forEach(
+                        phase ->
+                                mDuty.onEvent(new SessionEvent.PhaseChanged(Phase.valueOf(phase))));
+        mDuty.onEvent(statement(StatementKind.WRITE, "item", "data"));
+        assertEquals(events, String.join(" ", mChannelEvents));
+    }
+
     /**
      * Guards against a statement of an open transaction that runs when the process ends, so that
      * its caller gets no answer.
