Answer the open requests of operators before a control host ends

Operators and databases whose request a stopping control host had read, and which waited for a majority or for the new leader, saw their connection closed without a response. They send it again to another host, after an increasing delay.

Cause: found by reading. The stop transferred the leadership and then closed all connections at once; a request can wait up to 900 ms for its response. The product's control host closed its servers in the same way.

HttpServer.stop closes the listener, waits until all requests that were read are answered, and then closes the connections; it uses the counter of the callers' front end. The consensus member runs until then, so proposals reach the new leader. HttpServerConnectionTest.stopWaitsForResponses is new; before, there was no such stop to test.

--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -130,8 +130,8 @@
 
     @Override
     public void close() {
-        mOperatorServer.close();
-        mEndpointServer.close();
+        mOperatorServer.stop(STOP_TIMEOUT);
+        mEndpointServer.stop(STOP_TIMEOUT);
         mPlatformServer.close();
         mOperatorDuty.stop(STOP_TIMEOUT);
         mMember.close();
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -14,6 +14,8 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** HTTP/1.1 server with keep-alive and pipelining. */
@@ -24,10 +26,12 @@
 
     private final Channel mChannel;
     private final ChannelGroup mConnections;
+    private final OpenRequests mOpenRequests;
 
-    private HttpServer(Channel channel, ChannelGroup connections) {
+    private HttpServer(Channel channel, ChannelGroup connections, OpenRequests openRequests) {
         mChannel = channel;
         mConnections = connections;
+        mOpenRequests = openRequests;
     }
 
     /**
@@ -59,6 +63,7 @@
             HttpHandler handler,
             Consumer<ChannelPipeline> pipelineCustomizer) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        OpenRequests openRequests = OpenRequests.create();
         Channel channel =
                 new ServerBootstrap()
                         .group(threads.group())
@@ -66,11 +71,17 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(limits, handler, connections, pipelineCustomizer))
+                        .childHandler(
+                                initializer(
+                                        limits,
+                                        handler,
+                                        connections,
+                                        openRequests,
+                                        pipelineCustomizer))
                         .bind(address)
                         .syncUninterruptibly()
                         .channel();
-        return new HttpServer(channel, connections);
+        return new HttpServer(channel, connections, openRequests);
     }
 
     /** Returns the bound address. */
@@ -88,6 +99,21 @@
         mChannel.close().syncUninterruptibly();
     }
 
+    /**
+     * Stops accepting connections, and closes the open ones once all requests that were read are
+     * answered.
+     *
+     * @param limit maximum time to wait for answers, after which the connections are closed
+     */
+    public void stop(Duration limit) {
+        stopAccepting();
+        mOpenRequests
+                .noneOpen()
+                .completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS)
+                .join();
+        close();
+    }
+
     @Override
     public void close() {
         stopAccepting();
@@ -98,6 +124,7 @@
             HttpLimits limits,
             HttpHandler handler,
             ChannelGroup connections,
+            OpenRequests openRequests,
             Consumer<ChannelPipeline> pipelineCustomizer) {
         return new ChannelInitializer<>() {
             @Override
@@ -107,7 +134,8 @@
                     return;
                 }
                 connections.add(channel);
-                HttpServerConnection connection = new HttpServerConnection(limits, handler);
+                HttpServerConnection connection =
+                        new HttpServerConnection(limits, handler, openRequests);
                 channel.pipeline()
                         .addLast(new InboundBytesNotifier(connection))
                         .addLast(
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -47,6 +47,7 @@
 
     private final HttpLimits mLimits;
     private final HttpHandler mHandler;
+    private final OpenRequests mOpenRequests;
     private final ArrayDeque<PendingExchange> mPending = new ArrayDeque<>();
     private final ConnectionDeadline mDeadline = new ConnectionDeadline();
     private final SlowReaderDetector mSlowReaderDetector;
@@ -58,9 +59,10 @@
     private boolean mIgnoresInput;
     private boolean mLastResponseWritten;
 
-    HttpServerConnection(HttpLimits limits, HttpHandler handler) {
+    HttpServerConnection(HttpLimits limits, HttpHandler handler, OpenRequests openRequests) {
         mLimits = limits;
         mHandler = handler;
+        mOpenRequests = openRequests;
         mSlowReaderDetector = new SlowReaderDetector(limits.requestTimeout());
     }
 
@@ -81,6 +83,7 @@
         mLastResponseWritten = true;
         mDeadline.cancel();
         mSlowReaderDetector.cancel();
+        mOpenRequests.end(mPending.size());
         mPending.clear();
         discardPartialRequest();
         context.fireChannelInactive();
@@ -141,7 +144,7 @@
         mReceivingRequest = false;
         mIgnoresInput = !keepAlive;
         PendingExchange exchange = new PendingExchange(request);
-        mPending.add(exchange);
+        addPending(exchange);
         mPendingBytes += request.body().length;
         updateReadState();
         try {
@@ -162,10 +165,15 @@
         discardPartialRequest();
         mIgnoresInput = true;
         PendingExchange exchange = new PendingExchange(HttpRequest.of("GET", "/"));
-        mPending.add(exchange);
+        addPending(exchange);
         exchange.respond(FailureResponse.of(failure));
     }
 
+    private void addPending(PendingExchange exchange) {
+        mPending.add(exchange);
+        mOpenRequests.begin();
+    }
+
     private void discardPartialRequest() {
         mReceivingRequest = false;
         mContinuePending = false;
@@ -239,11 +247,12 @@
             encoded.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             mContext.writeAndFlush(encoded).addListener(this::onLastResponseWritten);
         } else {
-            mContext.write(encoded, mContext.voidPromise());
+            mContext.write(encoded).addListener(written -> mOpenRequests.end(1));
         }
     }
 
     private void onLastResponseWritten(io.netty.util.concurrent.Future<? super Void> written) {
+        mOpenRequests.end(1);
         if (!written.isSuccess()) {
             mContext.close();
             return;
--- a/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
@@ -12,8 +12,10 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -59,6 +61,44 @@
         }
     }
 
+    /** Guards against requests of operators that a planned stop cuts off without a response. */
+    @ParameterizedTest
+    @CsvSource({
+        // requests that were read, answered before the stop, answered during it
+        "0, 0, 0",
+        "1, 1, 0",
+        "1, 0, 1",
+        "4, 1, 3",
+        "4, 0, 4"
+    })
+    void stopWaitsForResponses(int read, int before, int during) throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/").repeat(read));
+            List<HttpExchange> exchanges = take(read);
+            exchanges.subList(0, before).forEach(HttpServerConnectionTest::echo);
+            for (int n = 0; n < before; n++) {
+                assertEquals("200 /", client.read());
+            }
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> mServer.stop(LONG));
+            assertEquals(during > 0, isPending(stop));
+            exchanges.subList(before, read).forEach(HttpServerConnectionTest::echo);
+            for (int n = 0; n < during; n++) {
+                assertEquals("200 /", client.read());
+            }
+            stop.get(20, TimeUnit.SECONDS);
+            assertTrue(client.readToEnd());
+        }
+    }
+
+    private static boolean isPending(CompletableFuture<Void> future) throws Exception {
+        try {
+            future.get(SHORT.toMillis(), TimeUnit.MILLISECONDS);
+            return false;
+        } catch (TimeoutException e) {
+            return true;
+        }
+    }
+
     /** Guards against a single read that dispatches more requests than the pipeline limit. */
     @Test
     void stopsReadingAtPipelineLimit() throws Exception {
