Reserve room for the stop in the ring of the lifecycle

Found by reading: health requests could fill the ring of the lifecycle duty, and a request to stop is lost if the ring is full. The process then ran until SIGKILL.

--- a/daemon/src/main/java/org/crocusturn/daemon/platform/HealthRoutes.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/HealthRoutes.java
@@ -11,6 +11,9 @@
 public final class HealthRoutes implements HttpHandler {
     private static final int UNAVAILABLE = 503;
 
+    /** Maximum queued requests; the rest of the ring is reserved for the stop of the process. */
+    private static final int MAX_QUEUED_REQUESTS = 1_024;
+
     private final Duty<LifecycleEvent> mDuty;
     private final HttpHandler mNext;
 
@@ -29,7 +32,8 @@
     public void handle(HttpExchange exchange) {
         if (!exchange.request().pathWithoutQuery().startsWith("/health/")) {
             mNext.handle(exchange);
-        } else if (!mDuty.offer(new LifecycleEvent.HealthRequested(exchange))) {
+        } else if (!mDuty.offer(
+                new LifecycleEvent.HealthRequested(exchange), MAX_QUEUED_REQUESTS)) {
             exchange.respond(
                     HttpResponse.json(
                             UNAVAILABLE,
