End a duty whose handler fails with an error

Cause: a duty caught an Error of its handler and went on with the next event, whatever the handler had half done. An error outside of the handler, such as one in the error consumer without memory, ended the thread only. The users saw a member that kept the leadership without its leader duty.

Change: Duty takes a FailureHandler. An exception is passed to it and the duty goes on if it returns; an Error, and whatever the failure handler throws, ends the duty, which then accepts no event, and goes to the uncaught exception handler of the thread unless the failure handler says otherwise. ThreadFailures does the same for tasks and callbacks, whose failures executors and futures keep to themselves. The exceptions of all duties of a control member end the member, as those of its consensus duty did; a member that is being closed reports none.

--- a/core/src/main/java/org/crocusturn/core/ring/Duty.java
+++ b/core/src/main/java/org/crocusturn/core/ring/Duty.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Runs a {@link DutyHandler} on one thread that takes events from a bounded ring.
  *
- * <p>Events can be offered from any thread. An exception or error of the handler, such as a stack
- * overflow, is passed to the error consumer, and the thread continues with the next event.
+ * <p>Events can be offered from any thread. A {@link FailureHandler} decides whether the duty
+ * continues after an exception of the handler. An error ends the duty, as does any failure of the
+ * ring or the failure handler; an ended duty accepts no event.
  *
  * @param <E> type of the events
  */
@@ -29,15 +29,15 @@
     private final String mName;
     private final BoundedRing<E> mRing;
     private final DutyHandler<E> mHandler;
-    private final Consumer<RuntimeException> mOnError;
+    private final FailureHandler mFailures;
     private final ExecutorService mExecutor;
+    private volatile boolean mEnded;
 
-    private Duty(
-            String name, int capacity, DutyHandler<E> handler, Consumer<RuntimeException> onError) {
+    private Duty(String name, int capacity, DutyHandler<E> handler, FailureHandler failures) {
         mName = name;
         mRing = BoundedRing.withCapacity(capacity);
         mHandler = handler;
-        mOnError = onError;
+        mFailures = failures;
         mExecutor =
                 Executors.newSingleThreadExecutor(
                         task -> {
@@ -53,28 +53,31 @@
      * @param name name of the thread
      * @param capacity capacity of the ring
      * @param handler handler of the events and the timer
-     * @param onError consumer of each exception that the handler throws; an {@link Error} is passed
-     *     as the cause of an exception
+     * @param failures handles the failures of the duty
      */
     public static <E> Duty<E> start(
-            String name, int capacity, DutyHandler<E> handler, Consumer<RuntimeException> onError) {
+            String name, int capacity, DutyHandler<E> handler, FailureHandler failures) {
         Objects.requireNonNull(handler, "handler");
-        Duty<E> duty = new Duty<>(name, capacity, handler, onError);
+        Objects.requireNonNull(failures, "failures");
+        Duty<E> duty = new Duty<>(name, capacity, handler, failures);
         duty.mExecutor.execute(duty::run);
         return duty;
     }
 
-    /** Adds an event to the ring and returns true, or returns false if the ring is full. */
+    /**
+     * Adds an event to the ring and returns true, or returns false if the ring is full or a failure
+     * has ended the duty.
+     */
     public boolean offer(E event) {
-        return mRing.offer(event);
+        return !mEnded && mRing.offer(event);
     }
 
     /**
-     * Adds an event to the ring unless the number of waiting events has reached a limit; see {@link
-     * BoundedRing#offer(Object, int)}.
+     * Adds an event to the ring unless the number of waiting events has reached a limit or a
+     * failure has ended the duty; see {@link BoundedRing#offer(Object, int)}.
      */
     public boolean offer(E event, int limit) {
-        return mRing.offer(event, limit);
+        return !mEnded && mRing.offer(event, limit);
     }
 
     /** Returns the number of waiting events. */
@@ -94,45 +97,45 @@
     }
 
     private void run() {
-        long nextTimerNanos = SteadyClock.nanoTime();
         try {
-            while (!Thread.currentThread().isInterrupted()) {
-                Optional<E> event = mRing.poll(nextTimerNanos - SteadyClock.nanoTime());
-                for (int polls = 0; event.isPresent(); polls++) {
-                    handle(event.get());
-                    event = polls < MAX_IMMEDIATE_POLLS ? mRing.poll(0) : Optional.empty();
-                }
-                nextTimerNanos = runTimer(SteadyClock.nanoTime());
-            }
+            handleEvents();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (Throwable e) {
+            mEnded = true;
+            mFailures.onEnd(Thread.currentThread(), e);
+        }
+    }
+
+    private void handleEvents() throws InterruptedException {
+        long nextTimerNanos = SteadyClock.nanoTime();
+        while (!Thread.currentThread().isInterrupted()) {
+            Optional<E> event = mRing.poll(nextTimerNanos - SteadyClock.nanoTime());
+            for (int polls = 0; event.isPresent(); polls++) {
+                handle(event.get());
+                event = polls < MAX_IMMEDIATE_POLLS ? mRing.poll(0) : Optional.empty();
+            }
+            nextTimerNanos = runTimer(SteadyClock.nanoTime());
         }
     }
 
     private void handle(E event) {
         try {
             mHandler.onEvent(event);
-        } catch (RuntimeException | Error e) {
-            reportFailure(e);
+        } catch (RuntimeException e) {
+            mFailures.onException(e);
         }
     }
 
     private long runTimer(long nowNanos) {
         try {
             return mHandler.onTimer(nowNanos);
-        } catch (RuntimeException | Error e) {
-            reportFailure(e);
+        } catch (RuntimeException e) {
+            mFailures.onException(e);
             return nowNanos + TIMER_RETRY_NANOS;
         }
     }
 
-    private void reportFailure(Throwable failure) {
-        mOnError.accept(
-                failure instanceof RuntimeException exception
-                        ? exception
-                        : new IllegalStateException("duty " + mName + " failed", failure));
-    }
-
     @Override
     public String toString() {
         return "Duty[" + mName + "]";
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -34,6 +34,7 @@
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
 import org.crocusturn.daemon.net.Addresses;
@@ -79,6 +80,8 @@
     /** Null until it is decided whether this is a first start. */
     private volatile ControlNode mNode;
 
+    private volatile boolean mClosed;
+
     private ControlMember(
             MemberSettings settings,
             NetThreads threads,
@@ -103,13 +106,13 @@
                         mSelf + "-leader",
                         LEADER_RING_CAPACITY,
                         LeaderDuty.create(mConnections, metrics),
-                        e -> LOG.error("entryhosts: the leader duty failed", e));
+                        this::reportFailure);
         mProposalDuty =
                 Duty.start(
                         mSelf + "-proposals",
                         PROPOSAL_RING_CAPACITY,
                         ProposalDuty.create(new MemberProposalContext()),
-                        e -> LOG.error("controlhosts: the proposal duty failed", e));
+                        this::reportFailure);
         mLinks =
                 ControlLinks.start(
                         threads,
@@ -250,6 +253,7 @@
 
     @Override
     public void close() {
+        mClosed = true;
         mFirstStartDuty.stop(STOP_TIMEOUT);
         node().ifPresent(ControlNode::close);
         mLinks.close();
@@ -258,6 +262,13 @@
         mProposalDuty.stop(STOP_TIMEOUT);
     }
 
+    /** Reports that the member cannot continue, unless a stop has interrupted its work. */
+    private void reportFailure(RuntimeException failure) {
+        if (!mClosed) {
+            mOnFailure.accept(failure);
+        }
+    }
+
     private ControlStatus status(Set<HostId> entryHosts) {
         return new ControlStatus(
                 mSelf,
@@ -360,7 +371,7 @@
                 mSelf + "-first-start",
                 FIRST_START_RING_CAPACITY,
                 FirstStartDuty.create(state, file, this::hasLog, this::performFirstStart),
-                mOnFailure);
+                this::reportFailure);
     }
 
     private boolean hasLog() {
@@ -453,7 +464,7 @@
 
         @Override
         public void onFailure(RuntimeException failure) {
-            mOnFailure.accept(failure);
+            reportFailure(failure);
         }
     }
 
@@ -501,11 +512,13 @@
             if (proposal.command() instanceof OperatorCommand command && mNode != null) {
                 commit(proposal.id(), command)
                         .thenAccept(
-                                ended ->
-                                        mLinks.sendOverIncomingLink(
-                                                from,
-                                                new ProposalReply(
-                                                        proposal.id(), toOutcome(command, ended))));
+                                ThreadFailures.guard(
+                                        ended ->
+                                                mLinks.sendOverIncomingLink(
+                                                        from,
+                                                        new ProposalReply(
+                                                                proposal.id(),
+                                                                toOutcome(command, ended)))));
             }
         }
 
@@ -548,14 +561,18 @@
 
         @Override
         public void proposeLocally(long attempt, OperatorCommand command) {
-            commit(attempt, command).thenAccept(ended -> mProposalDuty.offer(ended));
+            commit(attempt, command)
+                    .thenAccept(ThreadFailures.guard(ended -> mProposalDuty.offer(ended)));
         }
 
         @Override
         public boolean forward(HostId leader, long attempt, OperatorCommand command) {
             Optional<CompletableFuture<ProposalEvent.AttemptEnded>> sent =
                     mForwardedChanges.forward(leader, attempt, command);
-            sent.ifPresent(future -> future.thenAccept(ended -> mProposalDuty.offer(ended)));
+            sent.ifPresent(
+                    future ->
+                            future.thenAccept(
+                                    ThreadFailures.guard(ended -> mProposalDuty.offer(ended))));
             return sent.isPresent();
         }
     }
