End the process when one of its threads fails

Cause: each thread of a process that failed was logged at best. Duties went on or ended alone, event loops ended alone, and futures and scheduled tasks kept what they had caught. A failure of the consensus member ended the process through the planned stop, so with exit status 0.

Change: the daemons install a default uncaught exception handler that writes a prepared line to the standard error stream and halts with status 70. It runs no shutdown hook, so it also works during a planned stop, and a watchdog thread that is started in advance halts the process after 500 ms if the output blocks. All duties end at exceptions, too: their state is mutable, and a process that starts again is fenced. Errors of event loop tasks and pipelines, failures of callbacks that pass events to duties, and event loops that end by themselves are passed to the same handler.

--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -10,6 +10,8 @@
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.FailureHandler;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.controlhosts.ControlMember;
 import org.crocusturn.daemon.endpoints.AnnouncementHandler;
 import org.crocusturn.daemon.net.Addresses;
@@ -142,10 +144,7 @@
 
     private <E> Duty<E> start(String name, DutyHandler<E> handler) {
         return Duty.start(
-                mSettings.host() + "-" + name,
-                RING_CAPACITY,
-                handler,
-                e -> LOG.error("platform: duty {} failed", name, e));
+                mSettings.host() + "-" + name, RING_CAPACITY, handler, FailureHandler.ENDING);
     }
 
     private boolean offerToOperatorDuty(OperatorEvent event) {
@@ -161,9 +160,10 @@
         }
     }
 
-    /** Stops the process after a failure of the consensus member; the platform restarts it. */
+    /** Ends the process after a failure of the consensus member; the platform restarts it. */
     private void onMemberFailure(RuntimeException failure) {
-        LOG.error("platform: control host stops after a failure of its consensus member", failure);
+        ThreadFailures.report(failure);
+        // Reached only if this host is embedded in a process that continues.
         mStopped.countDown();
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -31,6 +31,7 @@
 import org.crocusturn.core.entryhosts.ForwardedRequest;
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.FailureHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.callers.CallerFrontEnd;
 import org.crocusturn.daemon.callers.IngressDuty;
@@ -261,11 +262,7 @@
 
     private <E> Duty<E> start(
             String name, int capacity, org.crocusturn.core.ring.DutyHandler<E> handler) {
-        return Duty.start(
-                mSettings.host() + "-" + name,
-                capacity,
-                handler,
-                e -> LOG.error("platform: duty {} failed", name, e));
+        return Duty.start(mSettings.host() + "-" + name, capacity, handler, FailureHandler.ENDING);
     }
 
     private boolean offerToGroupsDuty(GroupsEvent event) {
--- a/daemon/src/main/java/org/crocusturn/daemon/Main.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/Main.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon;
 
 import org.crocusturn.daemon.operators.CommandLine;
+import org.crocusturn.daemon.platform.FatalFailureHandler;
 
 /** Entry point of the program {@code crocusturn}. */
 public final class Main {
@@ -9,6 +10,7 @@
     /** Runs one command and exits with its status. */
     public static void main(String[] arguments) {
         configureLogFormat();
+        FatalFailureHandler.install();
         System.exit(
                 CommandLine.create(new DaemonRunner(), System.getenv(), System.out, System.err)
                         .run(arguments)
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -38,6 +38,7 @@
 import org.crocusturn.core.platform.Phase;
 import org.crocusturn.core.ring.Duty;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.FailureHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.callers.SessionDispatcher;
 import org.crocusturn.daemon.callers.SessionEvent;
@@ -242,11 +243,7 @@
     }
 
     private <E> Duty<E> start(String name, int capacity, DutyHandler<E> handler) {
-        return Duty.start(
-                mSettings.host() + "-" + name,
-                capacity,
-                handler,
-                e -> LOG.error("platform: duty {} failed", name, e));
+        return Duty.start(mSettings.host() + "-" + name, capacity, handler, FailureHandler.ENDING);
     }
 
     private void reportRemainingWork(String component, int remaining, Phase phase) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
@@ -13,6 +13,7 @@
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.endpoints.EndpointCommandClient;
 import org.crocusturn.daemon.endpoints.StatusMonitor;
 import org.crocusturn.daemon.entryhosts.LeaderContext;
@@ -91,7 +92,10 @@
         mCommandClient
                 .send(statusAddress, command)
                 .thenAccept(
-                        result -> mLeaderEvents.accept(new LeaderEvent.CommandFinished(result)));
+                        ThreadFailures.guard(
+                                result ->
+                                        mLeaderEvents.accept(
+                                                new LeaderEvent.CommandFinished(result))));
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupConnections.java
@@ -14,6 +14,7 @@
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.endpoints.DatabaseResult;
 import org.crocusturn.core.endpoints.GroupAction;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.net.NetThreads;
 
 /** Database connections of {@link GroupsDuty}; used only by its thread. */
@@ -57,7 +58,9 @@
                         open.database(),
                         open.epoch(),
                         OPEN_TIMEOUT)
-                .whenComplete((client, error) -> opened(group, connection, client, error));
+                .whenComplete(
+                        ThreadFailures.guardCompletion(
+                                (client, error) -> opened(group, connection, client, error)));
     }
 
     private void opened(GroupId group, long connection, DatabaseClient client, Throwable error) {
@@ -112,13 +115,15 @@
         client.get()
                 .run(send.payload(), Duration.ofMillis(send.timeoutMillis()))
                 .whenComplete(
-                        (result, error) ->
-                                finish(
-                                        group,
-                                        send,
-                                        error == null
-                                                ? result
-                                                : new DatabaseResult.Lost(failure(error))));
+                        ThreadFailures.guardCompletion(
+                                (result, error) ->
+                                        finish(
+                                                group,
+                                                send,
+                                                error == null
+                                                        ? result
+                                                        : new DatabaseResult.Lost(
+                                                                failure(error)))));
     }
 
     private void finish(GroupId group, GroupAction.SendCommand send, DatabaseResult result) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -42,6 +42,7 @@
 import org.crocusturn.core.operators.Workspace;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.platform.DecisionLog;
 import org.crocusturn.daemon.platform.Metrics;
 
@@ -527,10 +528,11 @@
             mPromotions
                     .promote(new PromotionOrder(group.service(), endpoint, fence, expires))
                     .thenAccept(
-                            answer ->
-                                    offer(
-                                            new SessionGroupsEvent.PromotionAnswered(
-                                                    group, fence, endpoint, answer)));
+                            ThreadFailures.guard(
+                                    answer ->
+                                            offer(
+                                                    new SessionGroupsEvent.PromotionAnswered(
+                                                            group, fence, endpoint, answer))));
         }
 
         @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitor.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitor.java
@@ -3,11 +3,10 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.endpoints.EndpointObservation;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.FailureHandler;
 import org.crocusturn.daemon.net.NetThreads;
 
 /**
@@ -22,8 +21,6 @@
     /** Default minimum interval between polls; limits the load if each poll returns at once. */
     public static final Duration DEFAULT_MIN_INTERVAL = Duration.ofMillis(1);
 
-    private static final Logger LOG = LogManager.getLogger(StatusMonitor.class);
-
     /** Exceeds the planned number of endpoints, each of which has at most one pending attempt. */
     private static final int RING_CAPACITY = 16_384;
 
@@ -34,12 +31,7 @@
 
     private StatusMonitor(StatusMonitorDuty handler) {
         mHandler = handler;
-        mDuty =
-                Duty.start(
-                        "status-monitor",
-                        RING_CAPACITY,
-                        handler,
-                        e -> LOG.error("endpoints: status monitor failed", e));
+        mDuty = Duty.start("status-monitor", RING_CAPACITY, handler, FailureHandler.ENDING);
         handler.setEvents(mDuty::offer);
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/net/ConnectionDeadline.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/ConnectionDeadline.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * Closes a connection that stays in one state for too long.
@@ -25,9 +26,10 @@
             mTimer =
                     context.executor()
                             .schedule(
-                                    () -> {
-                                        context.close();
-                                    },
+                                    ThreadFailures.guardTask(
+                                            () -> {
+                                                context.close();
+                                            }),
                                     limit.toNanos(),
                                     TimeUnit.NANOSECONDS);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -26,6 +26,7 @@
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * HTTP/1.1 client connection that carries one request at a time.
@@ -86,7 +87,8 @@
      */
     public CompletableFuture<HttpResponse> send(HttpRequest request, Duration timeout) {
         CompletableFuture<HttpResponse> result = new CompletableFuture<>();
-        mChannel.eventLoop().execute(() -> sendInEventLoop(request, timeout, result));
+        mChannel.eventLoop()
+                .execute(ThreadFailures.guardTask(() -> sendInEventLoop(request, timeout, result)));
         return result;
     }
 
@@ -124,10 +126,12 @@
         var timer =
                 mChannel.eventLoop()
                         .schedule(
-                                () -> {
-                                    reset();
-                                    mHandler.closeAndFail(mChannel, "the request timed out");
-                                },
+                                ThreadFailures.guardTask(
+                                        () -> {
+                                            reset();
+                                            mHandler.closeAndFail(
+                                                    mChannel, "the request timed out");
+                                        }),
                                 timeout.toNanos(),
                                 TimeUnit.NANOSECONDS);
         result.whenComplete((response, error) -> timer.cancel(false));
@@ -232,6 +236,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            ThreadFailures.reportError(cause);
             closeAndFail(context.channel(), "the connection failed: " + cause.getMessage());
         }
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -25,6 +25,7 @@
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.Verdict;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * Reads the requests of one connection and writes their responses in request order.
@@ -94,6 +95,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ThreadFailures.reportError(cause);
         context.close();
     }
 
@@ -294,10 +296,11 @@
             try {
                 mContext.executor()
                         .execute(
-                                () -> {
-                                    mResponse = response;
-                                    flushResponses();
-                                });
+                                ThreadFailures.guardTask(
+                                        () -> {
+                                            mResponse = response;
+                                            flushResponses();
+                                        }));
             } catch (RejectedExecutionException e) {
                 // The event loop has terminated, so the connection is closed.
                 mRequest = null;
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * Maintains one link to an address and reconnects with exponential backoff when the link is lost.
@@ -71,7 +72,7 @@
             SharedSecret secret,
             PeerLinkHandler handler) {
         LinkClient client = new LinkClient(threads, address, self, secret, handler);
-        client.mEventLoop.execute(client::connect);
+        client.mEventLoop.execute(ThreadFailures.guardTask(client::connect));
         return client;
     }
 
@@ -124,7 +125,8 @@
                 ThreadLocalRandom.current().nextLong(mBackoffMillis / 2 + 1) + mBackoffMillis / 2;
         mBackoffMillis = Math.min(MAX_BACKOFF_MILLIS, mBackoffMillis * 2);
         try {
-            mEventLoop.schedule(this::connect, delayMillis, TimeUnit.MILLISECONDS);
+            mEventLoop.schedule(
+                    ThreadFailures.guardTask(this::connect), delayMillis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             mClosed = true;
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkHandshake.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkHandshake.java
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.HostId;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.generated.PeerProto;
 
 /**
@@ -49,7 +50,8 @@
         mTimeout =
                 context.executor()
                         .schedule(
-                                () -> abort(context, "the handshake timed out"),
+                                ThreadFailures.guardTask(
+                                        () -> abort(context, "the handshake timed out")),
                                 LinkLimits.HANDSHAKE_TIMEOUT.toNanos(),
                                 TimeUnit.NANOSECONDS);
         if (mRole == LinkRole.CLIENT) {
@@ -66,6 +68,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ThreadFailures.reportError(cause);
         abort(context, cause.getMessage());
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkWatchdog.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkWatchdog.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.ring.SteadyClock;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * Fires {@link IdleStateEvent}s for the heartbeats and the loss of a link. Confined to its loop.
@@ -73,7 +74,12 @@
     private void schedule(ChannelHandlerContext context) {
         mTimerNanos = mActivity.nextNanos();
         long delay = Math.max(0, mTimerNanos - SteadyClock.nanoTime());
-        mTimer = context.executor().schedule(() -> onTimer(context), delay, TimeUnit.NANOSECONDS);
+        mTimer =
+                context.executor()
+                        .schedule(
+                                ThreadFailures.guardTask(() -> onTimer(context)),
+                                delay,
+                                TimeUnit.NANOSECONDS);
     }
 
     private void cancel() {
--- a/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /** I/O threads of a process. */
 public final class NetThreads implements AutoCloseable {
@@ -11,8 +13,11 @@
 
     private final EventLoopGroup mGroup;
 
+    private volatile boolean mClosed;
+
     private NetThreads(EventLoopGroup group) {
         mGroup = group;
+        group.forEach(loop -> loop.terminationFuture().addListener(done -> onEnded(loop)));
     }
 
     /** Creates I/O threads whose names start with a prefix. */
@@ -28,7 +33,15 @@
 
     @Override
     public void close() {
+        mClosed = true;
         mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
     }
+
+    /** Reports an event loop that ended by itself; Netty logs the cause and ends the thread. */
+    private void onEnded(EventExecutor loop) {
+        if (!mClosed) {
+            ThreadFailures.report(new IllegalStateException("event loop ended: " + loop));
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/SlowReaderDetector.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/SlowReaderDetector.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.crocusturn.core.ring.ThreadFailures;
 
 /**
  * Closes a connection whose client reads its responses too slowly.
@@ -36,7 +37,10 @@
         mMaxPendingBytes = pending - Math.min(pending, MIN_READ_BYTES_PER_PERIOD);
         mTimer =
                 context.executor()
-                        .schedule(() -> check(context), mPeriod.toNanos(), TimeUnit.NANOSECONDS);
+                        .schedule(
+                                ThreadFailures.guardTask(() -> check(context)),
+                                mPeriod.toNanos(),
+                                TimeUnit.NANOSECONDS);
     }
 
     /** Adds bytes that were written during the current period. */
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/ExitStatus.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ExitStatus.java
@@ -1,6 +1,6 @@
 package org.crocusturn.daemon.operators;
 
-/** Exit status of the command line. */
+/** Exit status of the command line and of the daemons. */
 public enum ExitStatus {
     /** The command succeeded. */
     DONE(0),
@@ -9,7 +9,9 @@
     /** The command or its arguments are invalid. */
     USAGE(2),
     /** The outcome is unknown; the command can be retried with the same change id. */
-    UNKNOWN(3);
+    UNKNOWN(3),
+    /** A daemon ended because one of its threads failed; the platform has to start it again. */
+    FAILED(70);
 
     private final int mCode;
 
