Answer the statements of a session whose handling fails

Cause: an exception while a reply or statement was handled was only logged. The call had been taken from its session by then, so the session looked idle and a planned stop closed it without an answer.

Change: an exception in the work for one session ends that session only. Its statement is answered "may have run" if a leaseholder may have received it, otherwise "not run", as are the queued ones; then its connection is closed and it is counted no more.

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
@@ -3,7 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.Failure;
 import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.SessionOutcome;
 import org.crocusturn.core.callers.SessionState;
 import org.crocusturn.core.callers.SessionStatement;
 import org.crocusturn.core.operators.Leaseholder;
@@ -23,6 +26,10 @@
     SessionState mState = SessionState.NEW;
     long mStatements;
     Optional<PendingCall> mCall = Optional.empty();
+
+    /** Statement that was taken from the queue and has no answer yet. */
+    Optional<SessionStatement> mUnanswered = Optional.empty();
+
     Optional<Leaseholder> mLeaseholder = Optional.empty();
 
     CallerSession(SessionEvent.OpenRequested request, WorkspaceId workspace) {
@@ -32,4 +39,25 @@
         mKeyHash = request.keyHash();
         mWorkspace = workspace;
     }
+
+    void answer(SessionStatement statement, SessionOutcome outcome) {
+        mUnanswered = Optional.empty();
+        mChannel.answer(statement, outcome, mState.phase());
+    }
+
+    /** Answers all statements after a failure of this host, with what is known of each. */
+    void failStatements() {
+        Failure notRun =
+                Failure.notRun(ErrorCode.INTERNAL, "this host failed before the statement ran");
+        Failure current =
+                mCall.filter(call -> call.mMayHaveRun).isPresent()
+                        ? Failure.mayHaveRun("this host failed while the statement ran")
+                        : notRun;
+        mCall = Optional.empty();
+        mUnanswered.ifPresent(
+                statement -> answer(statement, SessionOutcome.failed(current, false)));
+        mQueuedStatements.forEach(
+                statement -> answer(statement, SessionOutcome.failed(notRun, false)));
+        mQueuedStatements.clear();
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionLog.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionLog.java
@@ -32,6 +32,11 @@
         write("session " + session + " is closed: " + reason);
     }
 
+    /** Logs that a session ends because of a failure of this host. */
+    void abandoned(long session, RuntimeException failure) {
+        LOG.error("callers: closing session {} after a failure of this host", session, failure);
+    }
+
     /** Logs that a statement is sent although new work of its session would be refused. */
     void sentDespite(Failure failure, SessionCall call, long configuration) {
         write(
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -4,11 +4,11 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.ObjIntConsumer;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
@@ -49,8 +49,6 @@
     /** Interval at which calls that wait for a leaseholder or a reply are checked. */
     private static final long TICK_NANOS = Duration.ofMillis(20).toNanos();
 
-    private static final double NANOS_PER_SECOND = 1e9;
-
     private static final long IDLE_TICK_NANOS = Duration.ofMillis(500).toNanos();
 
     /**
@@ -125,9 +123,11 @@
     @Override
     public void onEvent(SessionEvent event) {
         if (event instanceof SessionEvent.StatementReceived received) {
-            enqueue(received);
+            Optional.ofNullable(mSessions.get(received.session()))
+                    .ifPresent(session -> contain(session, () -> enqueue(session, received)));
         } else if (event instanceof SessionEvent.ReplyReceived replied) {
-            onReply(replied);
+            Optional.ofNullable(mCalls.get(replied.reply().id()))
+                    .ifPresent(call -> contain(call.mSession, () -> onReply(call, replied)));
         } else if (event instanceof SessionEvent.OpenRequested requested) {
             openSession(requested);
         } else if (event instanceof SessionEvent.SessionEnded ended) {
@@ -138,17 +138,14 @@
                             mView.state(), changed.view().state(), SteadyClock.nanoTime());
             changeView(changed.view());
             openPendingSessions();
-            List.copyOf(mCalls.values()).forEach(this::onViewChanged);
+            forEachCall(this::onViewChanged);
         } else if (event instanceof SessionEvent.LinkLost lost) {
-            List.copyOf(mCalls.values()).stream()
-                    .filter(
-                            call ->
-                                    call.mSentTo
-                                            .filter(
-                                                    leaseholder ->
-                                                            leaseholder.host().equals(lost.host()))
-                                            .isPresent())
-                    .forEach(this::onLeaseholderLost);
+            forEachCall(
+                    call -> {
+                        if (call.mSentTo.filter(to -> to.host().equals(lost.host())).isPresent()) {
+                            onLeaseholderLost(call);
+                        }
+                    });
         } else if (event instanceof SessionEvent.PhaseChanged changed) {
             mPhase = changed.phase();
             if (mPhase == Phase.LEAVING) {
@@ -161,7 +158,7 @@
     @Override
     public long onTimer(long nowNanos) {
         if (mNextTickNanos - nowNanos <= 0) {
-            List.copyOf(mCalls.values()).forEach(call -> checkTimeouts(call, nowNanos));
+            forEachCall(call -> checkTimeouts(call, nowNanos));
             refuseExpiredOpens(nowNanos);
             closeIdleSessions();
             mNextTickNanos = nowNanos + TICK_NANOS;
@@ -170,6 +167,32 @@
         return idle ? nowNanos + IDLE_TICK_NANOS : mNextTickNanos;
     }
 
+    private void forEachCall(Consumer<PendingCall> action) {
+        List.copyOf(mCalls.values())
+                .forEach(call -> contain(call.mSession, () -> action.accept(call)));
+    }
+
+    /**
+     * Runs an action that changes nothing but one session and its calls. An exception ends that
+     * session only.
+     */
+    private void contain(CallerSession session, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            abandon(session, e);
+        }
+    }
+
+    /** Answers each statement of a session as far as its outcome is known, and closes it. */
+    private void abandon(CallerSession session, RuntimeException failure) {
+        mLog.abandoned(session.mNumber, failure);
+        session.mCall.ifPresent(call -> mCalls.remove(call.mMessage.id()));
+        session.failStatements();
+        session.mChannel.close();
+        endSession(session.mNumber);
+    }
+
     private void changeView(ControlView view) {
         long before = configurationVersion();
         mView = view;
@@ -255,11 +278,7 @@
         return unavailable("the key was recently removed from its workspace");
     }
 
-    private void enqueue(SessionEvent.StatementReceived event) {
-        CallerSession session = mSessions.get(event.session());
-        if (session == null) {
-            return;
-        }
+    private void enqueue(CallerSession session, SessionEvent.StatementReceived event) {
         session.mStatements++;
         if (session.mQueuedStatements.size() >= MAX_QUEUED_STATEMENTS) {
             mLog.closed(session.mNumber, "too many statements are queued");
@@ -274,6 +293,7 @@
     private void runQueued(CallerSession session) {
         while (session.mCall.isEmpty() && !session.mQueuedStatements.isEmpty()) {
             SessionStatement statement = session.mQueuedStatements.remove();
+            session.mUnanswered = Optional.of(statement);
             RouteCheck check = check(session);
             SessionStep step = SessionDecisions.decide(session.mState, statement, check);
             if (step instanceof SessionStep.Answer answer) {
@@ -281,7 +301,7 @@
                     endTransaction(session);
                 }
                 session.mState = answer.state();
-                session.mChannel.answer(statement, answer.outcome(), answer.state().phase());
+                session.answer(statement, answer.outcome());
             } else if (step instanceof SessionStep.Forward forward) {
                 if (forward.step() != TransactionStep.NONE && endsTransactions()) {
                     abortTransaction(session, statement);
@@ -306,7 +326,7 @@
         mLog.refused(session.mNumber, failure);
         endTransaction(session);
         session.mState = SessionDecisions.applyOutcome(session.mState, statement, outcome);
-        session.mChannel.answer(statement, outcome, session.mState.phase());
+        session.answer(statement, outcome);
     }
 
     private RouteCheck check(CallerSession session) {
@@ -416,19 +436,19 @@
                 call.mMessage.withLease(
                         mNextCallId++, leaseholder.get().epoch(), Math.max(1, remainingMillis));
         mCalls.put(call.mMessage.id(), call);
+        call.mMayHaveRun = true;
         if (mDispatcher.call(leaseholder.get(), call.mMessage)) {
             call.mSentTo = leaseholder;
             call.mSession.mLeaseholder = leaseholder;
-        } else if (continues) {
-            onLeaseholderLost(call);
+        } else {
+            call.mMayHaveRun = false;
+            if (continues) {
+                onLeaseholderLost(call);
+            }
         }
     }
 
-    private void onReply(SessionEvent.ReplyReceived event) {
-        PendingCall call = mCalls.get(event.reply().id());
-        if (call == null) {
-            return;
-        }
+    private void onReply(PendingCall call, SessionEvent.ReplyReceived event) {
         SessionOutcome outcome = event.reply().outcome();
         boolean moved =
                 outcome.failure()
@@ -440,6 +460,7 @@
         if (moved && call.mMessage.step() != TransactionStep.CONTINUE) {
             call.mExcludedEpoch = call.mMessage.epoch();
             call.mSentTo = Optional.empty();
+            call.mMayHaveRun = false;
             send(call);
             return;
         }
@@ -449,9 +470,9 @@
     private void finish(PendingCall call, SessionOutcome outcome) {
         mCalls.remove(call.mMessage.id());
         CallerSession session = call.mSession;
-        session.mCall = Optional.empty();
-        recordMetrics(call, outcome);
+        call.recordOutcome(mMetrics, outcome);
         if (!mSessions.containsKey(session.mNumber)) {
+            session.mCall = Optional.empty();
             if (call.mMessage.step() != TransactionStep.NONE) {
                 endTransaction(session);
             }
@@ -460,21 +481,11 @@
         outcome.failure().ifPresent(failure -> mLog.failed(call.mMessage, failure));
         session.mState =
                 SessionDecisions.applyOutcome(session.mState, call.mMessage.statement(), outcome);
-        session.mChannel.answer(call.mMessage.statement(), outcome, session.mState.phase());
+        session.answer(call.mMessage.statement(), outcome);
+        session.mCall = Optional.empty();
         runQueued(session);
     }
 
-    private void recordMetrics(PendingCall call, SessionOutcome outcome) {
-        Verdict verdict = outcome.failure().map(Failure::verdict).orElse(Verdict.RAN);
-        mMetrics.recordRequest(
-                call.mMessage.workspace().value(),
-                verdict.wireName(),
-                call.mMessage.options().consistency().name().toLowerCase(Locale.ROOT),
-                call.mMessage.writes() ? "write" : "read",
-                (SteadyClock.nanoTime() - call.mStartNanos) / NANOS_PER_SECOND);
-        outcome.failure().ifPresent(failure -> mMetrics.recordRefusal(failure.code().name()));
-    }
-
     private void endSession(long number) {
         mPendingOpens.remove(number);
         CallerSession session = mSessions.remove(number);
