Keep failures of single requests and messages from ending a process

Cause: since exceptions of a duty end its process, one request or message that the code does not expect could end each host that receives it.

Change: the duties that hold nothing but open requests answer the request that failed and go on, also after a stack overflow. The decoders of messages, which change no state, turn each exception and stack overflow into a malformed message; the status monitor decodes before it changes its state. The control leader drops a message of an entry host or endpoint that its decisions cannot handle, because they changed nothing and the next leader would fail as well.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
@@ -11,12 +11,12 @@
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.endpoints.CopyStatus;
 import org.crocusturn.core.endpoints.EndpointObservation;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
@@ -158,17 +158,21 @@
         long generation = state.generation();
         connect(state.address())
                 .whenComplete(
-                        (connection, error) -> {
-                            boolean accepted =
-                                    offer(
-                                            error == null
-                                                    ? new StatusEvent.Connected(
-                                                            endpoint, generation, connection)
-                                                    : new StatusEvent.Failed(endpoint, generation));
-                            if (!accepted && connection != null) {
-                                connection.close();
-                            }
-                        });
+                        ThreadFailures.guardCompletion(
+                                (connection, error) -> {
+                                    boolean accepted =
+                                            offer(
+                                                    error == null
+                                                            ? new StatusEvent.Connected(
+                                                                    endpoint,
+                                                                    generation,
+                                                                    connection)
+                                                            : new StatusEvent.Failed(
+                                                                    endpoint, generation));
+                                    if (!accepted && connection != null) {
+                                        connection.close();
+                                    }
+                                }));
     }
 
     /** Connects to an address, which comes from the replicated state and may be invalid. */
@@ -189,12 +193,14 @@
                 .orElseThrow()
                 .send(HttpRequest.of("GET", path), mSilenceLimit)
                 .whenComplete(
-                        (response, error) ->
-                                offer(
-                                        error == null
-                                                ? new StatusEvent.PollAnswered(
-                                                        endpoint, generation, response)
-                                                : new StatusEvent.Failed(endpoint, generation)));
+                        ThreadFailures.guardCompletion(
+                                (response, error) ->
+                                        offer(
+                                                error == null
+                                                        ? new StatusEvent.PollAnswered(
+                                                                endpoint, generation, response)
+                                                        : new StatusEvent.Failed(
+                                                                endpoint, generation))));
     }
 
     private boolean offer(StatusEvent event) {
@@ -206,24 +212,33 @@
     }
 
     private void onResponse(MonitoredEndpoint state, HttpResponse response, long nowNanos) {
+        StatusResponse status;
         try {
-            if (response.status() != OK) {
-                throw JsonFields.malformed("status " + response.status());
-            }
-            JsonNode body = Json.read(response.body());
-            List<CopyStatus> copies =
-                    JsonFields.list(body, "copies", (node, name) -> EndpointJson.status(node));
-            long version = JsonFields.integer(body, "version", 0);
-            long nextNanos = Math.max(nowNanos, state.attemptStartNanos() + mMinIntervalNanos);
-            store(state.withResponse(version, nextNanos, nowNanos + mSilenceLimitNanos));
-            mListener.accept(new EndpointObservation.StatusReceived(state.endpoint(), copies));
-        } catch (CrocusturnException e) {
+            status = decode(response);
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.warn("endpoints: status of {} is malformed: {}", state.endpoint(), e.getMessage());
             disconnect(state);
             store(state.withFailure(0, nowNanos + RETRY_INTERVAL_NANOS));
+            return;
         }
+        long nextNanos = Math.max(nowNanos, state.attemptStartNanos() + mMinIntervalNanos);
+        store(state.withResponse(status.version(), nextNanos, nowNanos + mSilenceLimitNanos));
+        mListener.accept(new EndpointObservation.StatusReceived(state.endpoint(), status.copies()));
     }
 
+    private static StatusResponse decode(HttpResponse response) {
+        if (response.status() != OK) {
+            throw JsonFields.malformed("status " + response.status());
+        }
+        JsonNode body = Json.read(response.body());
+        List<CopyStatus> copies =
+                JsonFields.list(body, "copies", (node, name) -> EndpointJson.status(node));
+        return new StatusResponse(JsonFields.integer(body, "version", 0), copies);
+    }
+
+    /** Decoded answer to a poll. */
+    private record StatusResponse(long version, List<CopyStatus> copies) {}
+
     private void onFailure(MonitoredEndpoint state, long nowNanos) {
         disconnect(state);
         boolean timedOut = nowNanos - state.attemptStartNanos() >= mSilenceLimitNanos;
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
@@ -36,6 +37,7 @@
  * effect after the time that the next leader waits for the leases of this one to expire.
  */
 public final class LeaderDuty implements DutyHandler<LeaderEvent> {
+    private static final Logger LOG = LogManager.getLogger(LeaderDuty.class);
     private static final long TICK_INTERVAL_NANOS = 20_000_000;
 
     /** Interval of ticks while another host leads, in nanoseconds. */
@@ -53,7 +55,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final ControlLeader mLeader = ControlLeader.standard();
-    private final DecisionLog mLog = DecisionLog.create(LogManager.getLogger(LeaderDuty.class), "");
+    private final DecisionLog mLog = DecisionLog.create(LOG, "");
     private final Map<EndpointId, String> mWatchedAddresses = new HashMap<>();
     private final Map<GroupId, Long> mFailoverStartNanos = new HashMap<>();
     private final Map<HostId, PendingJoin> mJoinRequests = new HashMap<>();
@@ -218,12 +220,29 @@
     }
 
     private void step(LeaderInput input) {
-        Decision<LeaderState, LeaderAction> decision =
-                mLeader.step(mState, input, SteadyClock.nanoTime());
+        Decision<LeaderState, LeaderAction> decision;
+        try {
+            decision = mLeader.step(mState, input, SteadyClock.nanoTime());
+        } catch (RuntimeException e) {
+            if (!isMessage(input)) {
+                throw e;
+            }
+            // The decision changed nothing. Each next leader would fail at the same message.
+            LOG.error("entryhosts: dropped a message that failed: {}", input, e);
+            return;
+        }
         mState = decision.state();
         decision.actions().forEach(this::perform);
     }
 
+    /** Returns whether an input is a message of one entry host or endpoint, which may be lost. */
+    private static boolean isMessage(LeaderInput input) {
+        return input instanceof LeaderInput.ReportReceived
+                || input instanceof LeaderInput.AnnouncementReceived
+                || input instanceof LeaderInput.DepartureReceived
+                || input instanceof LeaderInput.EndpointObserved;
+    }
+
     private void perform(LeaderAction action) {
         if (action instanceof LeaderAction.Propose propose) {
             mContext.propose(propose.command());
--- a/daemon/src/main/java/org/crocusturn/daemon/net/Json.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/Json.java
@@ -66,6 +66,8 @@
         } catch (NumberFormatException e) {
             // The parser does not translate the exception of an exponent beyond 32 bits.
             throw malformed("the body contains a number that is out of range");
+        } catch (StackOverflowError e) {
+            throw malformed("the body is nested too deeply");
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorDuty.java
@@ -24,6 +24,7 @@
 import org.crocusturn.core.operators.ControlCommand.WithdrawKey;
 import org.crocusturn.core.operators.KeyRecord;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpExchange;
 import org.crocusturn.daemon.net.HttpRequest;
@@ -86,6 +87,12 @@
             exchange.respond(
                     OperatorResponses.failure(
                             Failure.notRun(ErrorCode.MALFORMED_REQUEST, e.getMessage())));
+        } catch (RuntimeException | StackOverflowError e) {
+            // The duty holds no state, so other requests are not affected.
+            LOG.error("operators: failed to handle a request", e);
+            exchange.respond(
+                    OperatorResponses.failure(
+                            Failure.mayHaveRun("this host failed to handle the request")));
         }
     }
 
@@ -125,17 +132,19 @@
     private void status(HttpExchange exchange) {
         mControl.status()
                 .whenComplete(
-                        (status, error) -> {
-                            if (error != null
-                                    || !mOwnQueue.test(
-                                            new OperatorEvent.StatusRetrieved(exchange, status))) {
-                                exchange.respond(
-                                        OperatorResponses.failure(
-                                                Failure.notRun(
-                                                        ErrorCode.UNAVAILABLE,
-                                                        "the status is not available")));
-                            }
-                        });
+                        ThreadFailures.guardCompletion(
+                                (status, error) -> {
+                                    if (error != null
+                                            || !mOwnQueue.test(
+                                                    new OperatorEvent.StatusRetrieved(
+                                                            exchange, status))) {
+                                        exchange.respond(
+                                                OperatorResponses.failure(
+                                                        Failure.notRun(
+                                                                ErrorCode.UNAVAILABLE,
+                                                                "the status is not available")));
+                                    }
+                                }));
     }
 
     private void addMember(HttpExchange exchange) {
@@ -179,18 +188,20 @@
     private void respondWhenDecided(
             HttpExchange exchange, String description, CompletableFuture<ChangeOutcome> outcome) {
         outcome.whenComplete(
-                (result, error) -> {
-                    ChangeOutcome decided = error == null ? result : unknownOutcome();
-                    LOG.info(
-                            "operators: {} {}",
-                            description,
-                            decided.refusal()
-                                    .map(f -> "refused: " + f.message())
-                                    .orElse("accepted at version " + decided.version()));
-                    if (!mOwnQueue.test(new OperatorEvent.ChangeDecided(exchange, decided))) {
-                        exchange.respond(OperatorResponses.outcome(decided));
-                    }
-                });
+                ThreadFailures.guardCompletion(
+                        (result, error) -> {
+                            ChangeOutcome decided = error == null ? result : unknownOutcome();
+                            LOG.info(
+                                    "operators: {} {}",
+                                    description,
+                                    decided.refusal()
+                                            .map(f -> "refused: " + f.message())
+                                            .orElse("accepted at version " + decided.version()));
+                            if (!mOwnQueue.test(
+                                    new OperatorEvent.ChangeDecided(exchange, decided))) {
+                                exchange.respond(OperatorResponses.outcome(decided));
+                            }
+                        }));
     }
 
     private static ChangeOutcome unknownOutcome() {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/WireFormat.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/WireFormat.java
@@ -17,11 +17,14 @@
 
     private WireFormat() {}
 
-    /** Decodes bytes; a failed check of a decoded record also makes them malformed. */
+    /**
+     * Decodes bytes; a failed check of a decoded record, or nesting beyond the stack, also makes
+     * them malformed. A decoder must not change any state, because its failures end no process.
+     */
     static <T> T decode(String description, Decoder<T> decoder) {
         try {
             return decoder.decode();
-        } catch (InvalidProtocolBufferException | RuntimeException e) {
+        } catch (InvalidProtocolBufferException | RuntimeException | StackOverflowError e) {
             throw CrocusturnException.causedBy(
                     Failure.notRun(
                             ErrorCode.MALFORMED_REQUEST,
