Let the calls of other hosts end before a leaseholder does

Callers of other entry hosts got "may have run" for single writes when a leaseholder ended: the link was lost while the call ran, or while it was on its way.

Cause, found by reading: a stopping host waited for its leases until the control leader had given them to another, and ended within 20 ms of that, before the other entry hosts knew it (they report to the leader each 200 to 350 ms). Where no other host took the leases it relied on a report of its work that is up to 100 ms old. Nothing waited until the replies had been written to the links.

--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -295,7 +295,7 @@
         if (previous.state() != view.state()) {
             mEntryLinks.updateLinks(view.state().leaseholderLinkAddresses(mSettings.host()));
         }
-        updateDrain(drain -> drain.withView(view));
+        updateDrain(drain -> drain.withView(view, SteadyClock.nanoTime()));
         if (mStateReceived.compareAndSet(false, true)) {
             mLifecycleDuty.offer(new LifecycleEvent.StateReceived());
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -240,6 +241,20 @@
         }
     }
 
+    /**
+     * Refuses new calls of groups from now on, and waits until those that were accepted have ended
+     * and their replies have left.
+     *
+     * @param limit maximum time to wait
+     */
+    public void endCalls(Duration limit) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        if (mGroupsDuty.offer(new SessionGroupsEvent.HostEnding(ended))) {
+            ended.completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS).join();
+        }
+        mThreads.awaitTasks(limit);
+    }
+
     /** Waits until the host has stopped. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
@@ -302,7 +317,7 @@
             mSessionsDuty.offer(new SessionEvent.ViewChanged(view));
             mEntryLinks.updateLinks(view.state().leaseholderLinkAddresses(mSettings.host()));
         }
-        updateDrain(drain -> drain.withView(view));
+        updateDrain(drain -> drain.withView(view, SteadyClock.nanoTime()));
         boolean hasConfiguration = view.state().configuration().version() > 0;
         if (hasConfiguration && mStateReceived.compareAndSet(false, true)) {
             mLifecycleDuty.offer(new LifecycleEvent.StateReceived());
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
@@ -86,6 +87,7 @@
     private long mNextReportNanos;
     private long mNextTokenRequestNanos;
     private boolean mReportUrgent;
+    private Optional<CompletableFuture<Void>> mCallsEnded = Optional.empty();
 
     private SessionGroupsDuty(
             HostId self,
@@ -161,6 +163,8 @@
         } else if (event instanceof SessionGroupsEvent.SessionEnded ended) {
             group(ended.end().group())
                     .ifPresent(g -> g.endTransaction(ended.origin(), ended.end().session()));
+        } else if (event instanceof SessionGroupsEvent.HostEnding ending) {
+            mCallsEnded = Optional.of(ending.callsEnded());
         } else if (event instanceof SessionGroupsEvent.OriginLost lost) {
             List.copyOf(mGroups.values()).forEach(g -> g.onOriginLost(lost.origin()));
         } else if (event instanceof SessionGroupsEvent.ViewChanged changed) {
@@ -186,6 +190,9 @@
             mNextTickNanos =
                     nowNanos + (busy ? BUSY_TICK_INTERVAL_NANOS : IDLE_TICK_INTERVAL_NANOS);
         }
+        if (mGroups.values().stream().allMatch(g -> g.activeCount() == 0)) {
+            mCallsEnded.ifPresent(ended -> ended.complete(null));
+        }
         // A host without leases has nothing to report but the term of a new leader.
         boolean hasLeases = !mGroups.isEmpty() || !mLastHeld.isEmpty();
         if (mReportUrgent || hasLeases && mNextReportNanos - nowNanos <= 0) {
@@ -208,7 +215,7 @@
     private void handleCall(HostId origin, SessionCall call) {
         long now = SteadyClock.nanoTime();
         Optional<LeasedGroup> group = group(call.group());
-        if (group.isEmpty() || !mView.isLeaseValid(call.group(), now)) {
+        if (mCallsEnded.isPresent() || group.isEmpty() || !mView.isLeaseValid(call.group(), now)) {
             refuse(origin, call);
             return;
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.endpoints;
 
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
@@ -30,6 +31,18 @@
         }
     }
 
+    /**
+     * The host ends: new calls are refused as not run.
+     *
+     * @param callsEnded completed once no call is queued or running and no transaction is open
+     */
+    record HostEnding(CompletableFuture<Void> callsEnded) implements SessionGroupsEvent {
+        /** Checks that the future is not null. */
+        public HostEnding {
+            Objects.requireNonNull(callsEnded, "callsEnded");
+        }
+    }
+
     /** The link that an origin identifies was lost. */
     record OriginLost(HostId origin) implements SessionGroupsEvent {
         /** Checks that the origin is not null. */
--- a/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /** I/O threads of a process. */
@@ -26,6 +27,11 @@
         return mGroup;
     }
 
+    /** Waits until the tasks that were submitted before, such as writes, have run. */
+    public void awaitTasks(Duration limit) {
+        mGroup.forEach(loop -> loop.submit(() -> {}).awaitUninterruptibly(limit.toMillis()));
+    }
+
     @Override
     public void close() {
         mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
