--- a/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.EventExecutor;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.ring.ThreadFailures;
 
@@ -31,6 +32,11 @@
         return mGroup;
     }
 
+    /** Waits until the tasks that were submitted before, such as writes, have run. */
+    public void awaitTasks(Duration limit) {
+        mGroup.forEach(loop -> loop.submit(() -> {}).awaitUninterruptibly(limit.toMillis()));
+    }
+
     @Override
     public void close() {
         mClosed = true;
