Show a consensus state only after its entries are applied

Cause: ConsensusDuty published the state of a step before it performed the actions of the step. Other threads saw a leader that had applied all entries, while the listener was still applying them.

Other threads now see a state after its actions have been performed. A state that they see longer is safe, because the leader lease and the confirmation of a majority are times, not flags.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
@@ -38,7 +38,11 @@
     private final Queue<ConsensusAction.Persist> mPendingPersists = new ArrayDeque<>();
     private final Queue<ConsensusInput> mInputs = new ArrayDeque<>();
     private final List<CompletableFuture<Void>> mTransfers = new ArrayList<>();
-    private volatile ConsensusState mState;
+    private ConsensusState mState;
+
+    /** The state whose actions have been performed, for other threads. */
+    private volatile ConsensusState mPublishedState;
+
     private volatile boolean mFailed;
     private boolean mStarted;
 
@@ -50,6 +54,7 @@
             BiConsumer<Long, ProposalResult> results,
             Runnable onFailed) {
         mState = state;
+        mPublishedState = state;
         mTransport = transport;
         mListener = listener;
         mPersistQueue = persistQueue;
@@ -83,9 +88,15 @@
                 Objects.requireNonNull(onFailed, "onFailed"));
     }
 
-    /** Returns the latest state. Safe for any thread. */
+    /**
+     * Returns the latest state whose entries have been applied. Safe for any thread.
+     *
+     * <p>A state that counts entries as applied must not be visible before the listener has applied
+     * them. A new leader would otherwise answer reads with a configuration that is older than
+     * acknowledged ones.
+     */
     public ConsensusState state() {
-        return mState;
+        return mPublishedState;
     }
 
     /** Returns whether the member has stopped because of a failure. Safe for any thread. */
@@ -158,6 +169,7 @@
                         Consensus.step(before, mInputs.remove(), SteadyClock.nanoTime());
                 mState = decision.state();
                 decision.actions().forEach(this::perform);
+                mPublishedState = mState;
                 reportStateChange(before, mState);
             }
         } catch (RuntimeException e) {
