Start a control host from a log that is larger than its heap

Cause: the storage read the whole log file into one array, copied each record, and kept every entry decoded.

The log file is now read in pieces of 64 KB. An entry with a large command refers to its place in the file (LogContent.StoredContent) and is decoded again when it is applied, sent or written. The file stays readable after it has been replaced, until no entry refers to it. Records of several entries are written in parts of at most 2 MB of memory, each synced before the next, and all writes use a buffer of 64 KB, because the JDK keeps a copy of larger ones outside the heap. The check whether a folder holds a state no longer reads the log.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.controlhosts;
 
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.crocusturn.core.operators.ControlCommand;
 
 /** The content of a log entry. */
@@ -13,6 +14,11 @@
         return SMALL_ENTRY_BYTES;
     }
 
+    /** Returns this content, or the one that a {@link StoredContent} refers to. */
+    default LogContent loaded() {
+        return this;
+    }
+
     /** A command that changes the replicated state, with the id of its proposal. */
     record CommandContent(long proposalId, ControlCommand command) implements LogContent {
         /** Checks that the command is not null. */
@@ -36,4 +42,23 @@
 
     /** No content. A new leader commits such an entry to learn which earlier ones are committed. */
     record EmptyContent() implements LogContent {}
+
+    /**
+     * A command that is read from the data folder each time it is needed, so that a member can start
+     * with a log that is larger than its heap.
+     *
+     * @param approximateBytes approximate size of the command in memory once it is loaded, in bytes
+     * @param source reads the command; throws a {@link RuntimeException} if that fails
+     */
+    record StoredContent(long approximateBytes, Supplier<LogContent> source) implements LogContent {
+        /** Checks that the source is not null. */
+        public StoredContent {
+            Objects.requireNonNull(source, "source");
+        }
+
+        @Override
+        public LogContent loaded() {
+            return source.get();
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -126,9 +126,9 @@
      * @throws org.crocusturn.core.CrocusturnException if the folder is damaged or in use
      */
     static boolean hasStoredState(Path folder, LogCodec codec) {
-        LogStorage storage = FileLogStorage.open(folder, codec);
+        FileLogStorage storage = FileLogStorage.open(folder, codec);
         try {
-            return storage.load().isPresent();
+            return storage.hasStoredState();
         } finally {
             storage.close();
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FileLogStorage.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FileLogStorage.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -22,6 +21,7 @@
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.controlhosts.ConsensusAction;
 import org.crocusturn.core.controlhosts.HardState;
+import org.crocusturn.core.controlhosts.LogContent.StoredContent;
 import org.crocusturn.core.controlhosts.LogEntry;
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.Snapshot;
@@ -41,6 +41,12 @@
 public final class FileLogStorage implements LogStorage {
     private static final Logger LOG = LogManager.getLogger(FileLogStorage.class);
 
+    /**
+     * Size in memory of the entries of a record of several, in bytes. A record is encoded in memory
+     * as a whole.
+     */
+    private static final long MAX_RECORD_BYTES = 2L << 20;
+
     /** Stores the state of a member that has lost its disk and received nothing yet. */
     private static final ConsensusAction.Persist INITIAL_PERSIST =
             new ConsensusAction.Persist(
@@ -110,22 +116,30 @@
         throw new IOException("file " + file + " is locked by another process or member");
     }
 
+    /**
+     * Returns whether the folder holds the state of a member.
+     *
+     * @throws CrocusturnException if the files of an interrupted first persist are not readable
+     */
+    public boolean hasStoredState() {
+        try {
+            return Files.exists(mHardStateFile) || checkInterruptedFirstPersist().isPresent();
+        } catch (IOException e) {
+            throw failure("the log in " + mLogFile.getParent() + " cannot be read", e);
+        }
+    }
+
     @Override
     public Optional<StoredLog> load() {
         try {
             if (!Files.exists(mHardStateFile)) {
                 return checkInterruptedFirstPersist();
             }
-            Snapshot snapshot = mCodec.decodeSnapshot(readSingleRecord(mSnapshotFile));
-            HardState hardState = LogRecords.decodeHardState(readSingleRecord(mHardStateFile));
-            List<LogEntry> entries = new ArrayList<>();
-            for (byte[] payload : readLog()) {
-                for (LogRecords.Change change : LogRecords.decodeChanges(payload, mCodec)) {
-                    applyChange(entries, change);
-                }
-            }
+            Snapshot snapshot = mCodec.decodeSnapshot(RecordFile.readSingle(mSnapshotFile));
+            HardState hardState = LogRecords.decodeHardState(RecordFile.readSingle(mHardStateFile));
+            List<LogEntry> entries = entriesAfter(snapshot, readLog());
             mWrittenHardState = Optional.of(hardState);
-            return Optional.of(new StoredLog(hardState, snapshot, entriesAfter(snapshot, entries)));
+            return Optional.of(new StoredLog(hardState, snapshot, entries));
         } catch (IOException e) {
             throw failure("the log in " + mLogFile.getParent() + " cannot be read", e);
         }
@@ -211,19 +225,47 @@
     private Optional<StoredLog> checkInterruptedFirstPersist() throws IOException {
         boolean atInitialSnapshot =
                 !Files.exists(mSnapshotFile)
-                        || mCodec.decodeSnapshot(readSingleRecord(mSnapshotFile)).position().index()
+                        || mCodec.decodeSnapshot(RecordFile.readSingle(mSnapshotFile))
+                                        .position()
+                                        .index()
                                 == 0;
         boolean emptyLog =
-                !Files.exists(mLogFile)
-                        || RecordFile.read(mLogFile).payloads().size() <= 1 && atInitialSnapshot;
+                !Files.exists(mLogFile) || countRecords(mLogFile) <= 1 && atInitialSnapshot;
         if (!atInitialSnapshot || !emptyLog) {
             throw new IOException("file " + mHardStateFile + " is missing");
         }
         return Optional.empty();
     }
 
-    private List<byte[]> readLog() throws IOException {
-        RecordFile.Content content = RecordFile.read(mLogFile);
+    private static int countRecords(Path file) throws IOException {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+            return RecordFile.scan(file, channel).payloads().size();
+        }
+    }
+
+    /** Reads the log file, which stays open if entries refer to it. */
+    private List<LogEntry> readLog() throws IOException {
+        FileChannel channel = FileChannel.open(mLogFile, StandardOpenOption.READ);
+        boolean needed = false;
+        try {
+            List<LogEntry> entries = new ArrayList<>();
+            for (FileRegion payload : findRecords(channel)) {
+                for (LogRecords.Change change : LogRecords.readChanges(payload, mCodec)) {
+                    applyChange(entries, change);
+                }
+            }
+            // The JDK closes the channel once no entry refers to it any more.
+            needed = entries.stream().anyMatch(e -> e.content() instanceof StoredContent);
+            return entries;
+        } finally {
+            if (!needed) {
+                channel.close();
+            }
+        }
+    }
+
+    private List<FileRegion> findRecords(FileChannel readChannel) throws IOException {
+        RecordFile.Content content = RecordFile.scan(mLogFile, readChannel);
         if (content.isTorn()) {
             LOG.warn(
                     "controlhosts: truncating {} from {} to {} bytes after an incomplete record",
@@ -241,14 +283,6 @@
         return content.payloads();
     }
 
-    private static byte[] readSingleRecord(Path file) throws IOException {
-        RecordFile.Content content = RecordFile.read(file);
-        if (content.isTorn() || content.payloads().size() != 1) {
-            throw new IOException("file " + file + " is damaged");
-        }
-        return content.payloads().get(0);
-    }
-
     private static void applyChange(List<LogEntry> entries, LogRecords.Change change)
             throws IOException {
         if (entries.isEmpty()) {
@@ -288,22 +322,24 @@
             throws IOException {
         closeLogChannel();
         RecordFile.replace(mSnapshotFile, mCodec.encodeSnapshot(snapshot));
-        byte[] changes =
-                LogRecords.encodeChanges(
-                        List.of(new LogRecords.Change(persist.fromIndex(), persist.entries())),
-                        mCodec);
-        RecordFile.replace(mLogFile, changes);
-        mSyncedLogBytes = RecordFile.size(changes);
+        List<LogRecords.Change> changes =
+                List.of(new LogRecords.Change(persist.fromIndex(), persist.entries()));
+        mSyncedLogBytes =
+                RecordFile.replace(
+                        mLogFile,
+                        LogRecords.split(changes, MAX_RECORD_BYTES).stream()
+                                .map(part -> LogRecords.encodeChanges(part, mCodec))
+                                .iterator());
     }
 
+    /** Appends records. Each is synced before the next one, so that only the last can be torn. */
     private void append(List<LogRecords.Change> changes) throws IOException {
-        if (!changes.isEmpty()) {
+        for (List<LogRecords.Change> part : LogRecords.split(changes, MAX_RECORD_BYTES)) {
             FileChannel channel = openLogChannel();
-            ByteBuffer record = RecordFile.encode(LogRecords.encodeChanges(changes, mCodec));
-            int size = record.remaining();
-            RecordFile.write(channel, record);
+            byte[] payload = LogRecords.encodeChanges(part, mCodec);
+            RecordFile.write(channel, payload);
             channel.force(true);
-            mSyncedLogBytes += size;
+            mSyncedLogBytes += RecordFile.size(payload);
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartFile.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/FirstStartFile.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.List;
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
@@ -33,12 +32,7 @@
             return ids;
         }
         try {
-            RecordFile.Content content = RecordFile.read(mFile);
-            List<byte[]> payloads = content.payloads();
-            if (content.isTorn() || payloads.size() != 1) {
-                throw new IOException("the file is damaged");
-            }
-            return FirstStartMapper.decodeIds(payloads.get(0));
+            return FirstStartMapper.decodeIds(RecordFile.readSingle(mFile));
         } catch (IOException e) {
             throw failure("cannot be read", e);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/LogMapper.java
@@ -17,11 +17,12 @@
         ControlHostsProto.LogEntry.Builder builder =
                 ControlHostsProto.LogEntry.newBuilder()
                         .setPosition(CommonMapper.encode(value.position()));
-        if (value.content() instanceof LogContent.CommandContent c) {
+        LogContent content = value.content().loaded();
+        if (content instanceof LogContent.CommandContent c) {
             builder.getCommandBuilder()
                     .setProposalId(c.proposalId())
                     .setCommand(CommandMapper.encode(c.command()));
-        } else if (value.content() instanceof LogContent.MembershipContent c) {
+        } else if (content instanceof LogContent.MembershipContent c) {
             builder.setMembership(encode(c.membership()));
         } else {
             builder.setEmpty(ControlHostsProto.EmptyContent.getDefaultInstance());
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ConsensusDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ConsensusDutyTest.java
@@ -85,7 +85,9 @@
         }
     }
 
-    /** A configuration that was acknowledged came back older from a leader that still applied it. */
+    /**
+     * A configuration that was acknowledged came back older from a leader that still applied it.
+     */
     @ParameterizedTest
     @ValueSource(ints = {1, 20})
     void showsEntriesAsAppliedOnlyAfterTheListenerHasAppliedThem(int commands) {
