--- a/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
@@ -44,8 +44,8 @@
     record EmptyContent() implements LogContent {}
 
     /**
-     * A command that is read from the data folder each time it is needed, so that a member can start
-     * with a log that is larger than its heap.
+     * A command that is read from the data folder each time it is needed, so that a member can
+     * start with a log that is larger than its heap.
      *
      * @param approximateBytes approximate size of the command in memory once it is loaded, in bytes
      * @param source reads the command; throws a {@link RuntimeException} if that fails
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
@@ -202,8 +202,7 @@
             mPendingPersists.add(persist);
             flushPersists();
         } else if (action instanceof ConsensusAction.Apply apply) {
-            if (apply.entry().content().loaded()
-                    instanceof LogContent.CommandContent content) {
+            if (apply.entry().content().loaded() instanceof LogContent.CommandContent content) {
                 mListener.onCommitted(apply.entry().position().index(), content.command());
             }
         } else if (action instanceof ConsensusAction.Restore restore) {
