--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
@@ -147,8 +147,8 @@
     private DatabaseResult read(String request, HttpResponse response) {
         try {
             return DatabaseCodec.result(request, response.status(), Json.read(response.body()));
-        } catch (CrocusturnException e) {
-            return closeAfterFailure(Failure.mayHaveRun(e.getMessage()));
+        } catch (RuntimeException | StackOverflowError e) {
+            return closeAfterFailure(Failure.mayHaveRun(String.valueOf(e.getMessage())));
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -527,6 +527,7 @@
                             .orElseGet(this::nowNanos);
             mPromotions
                     .promote(new PromotionOrder(group.service(), endpoint, fence, expires))
+                    .exceptionally(failure -> PromotionService.Answer.UNKNOWN)
                     .thenAccept(
                             ThreadFailures.guard(
                                     answer ->
