--- a/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/ControlDaemon.java
@@ -123,15 +123,17 @@
         mLifecycleDuty.offer(new LifecycleEvent.StopRequested());
     }
 
-    /** Waits until the host has stopped. */
+    /** Waits until the host has stopped and the requests that it had read are answered. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
+        mOperatorServer.stop(STOP_TIMEOUT);
+        mEndpointServer.stop(STOP_TIMEOUT);
     }
 
     @Override
     public void close() {
-        mOperatorServer.stop(STOP_TIMEOUT);
-        mEndpointServer.stop(STOP_TIMEOUT);
+        mOperatorServer.close();
+        mEndpointServer.close();
         mPlatformServer.close();
         mOperatorDuty.stop(STOP_TIMEOUT);
         mMember.close();
--- a/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/EntryDaemon.java
@@ -176,9 +176,10 @@
         return mStopped.getCount() == 0;
     }
 
-    /** Waits until the host has stopped. */
+    /** Waits until the host has stopped and the last answers have left. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
+        mCallerServer.stop(STOP_TIMEOUT);
     }
 
     @Override
