Keep the ends of sessions when the ring of the sessions is busy

Found by reading: the end of a session was dropped once 16,384 events waited, although three quarters of the ring were free. The session then counted until the limit of the next drain.

--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -195,9 +195,15 @@
                 Objects.requireNonNull(metrics, "metrics"));
     }
 
-    /** Queues an event of the front end; returns false if the queue is full. */
+    /**
+     * Queues an event of the front end; returns false if the queue is full. The end of a session
+     * may use the space that is reserved for replies, because a lost one would leave the session
+     * open until the limit of a drain.
+     */
     public boolean offer(SessionEvent event) {
-        return mSessionsDuty.offer(event, MAX_QUEUED_EVENTS);
+        return event instanceof SessionEvent.SessionEnded
+                ? mSessionsDuty.offer(event)
+                : mSessionsDuty.offer(event, MAX_QUEUED_EVENTS);
     }
 
     /** Returns whether the host accepts new sessions. */
