Apply committed configurations only as fast as the leader duty takes them

A control host that applied many large configurations at once ran out of heap ("Exception in thread ...-leader" and "duty control-consensus failed" of the users' record): with a log of 200 configurations of 1,400 routes it started, and then ended while it applied them.

Cause: the ring of the leader duty has room for 65,536 events, and each applied command refers to a configuration and a state of its own. The consensus thread adds them faster than the leader duty works out their differences.

A step now applies at most 2 MB of several entries, and none while an eighth of the heap waits for the leader duty (ByteBudget, HeapShare) or while a persist waits for the storage. The rest stays committed in the log. A leader counts as established, and refuses proposals, by what it has applied rather than by what is committed.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
@@ -47,7 +47,7 @@
     }
 
     private static Decision<ConsensusState, ConsensusAction> applyCommitted(ConsensusState state) {
-        long target = Math.min(state.commitIndex(), state.log().lastIndex());
+        long target = lastIndexToApply(state);
         List<ConsensusAction> actions = new ArrayList<>();
         Map<Long, Long> pending = new HashMap<>(pendingProposals(state));
         for (long index = state.appliedIndex() + 1; index <= target; index++) {
@@ -60,7 +60,7 @@
         boolean requestSnapshot =
                 !state.snapshotRequested()
                         && target > state.appliedIndex()
-                        && isSnapshotDue(state.log(), target);
+                        && isSnapshotDue(state, target);
         if (requestSnapshot) {
             actions.add(new ConsensusAction.TakeSnapshot(target));
         }
@@ -76,10 +76,34 @@
                 actions);
     }
 
-    private static boolean isSnapshotDue(ConsensusLog log, long appliedIndex) {
+    /** Returns the last index that is applied in one step, which has a limited size in memory. */
+    private static long lastIndexToApply(ConsensusState state) {
+        if (!state.hasEntriesToApply()) {
+            return state.appliedIndex();
+        }
+        long committed = Math.min(state.commitIndex(), state.log().lastIndex());
+        List<LogEntry> next =
+                state.log()
+                        .entriesFrom(
+                                state.appliedIndex() + 1,
+                                Math.toIntExact(committed - state.appliedIndex()),
+                                ConsensusTimings.MAX_APPLY_BYTES);
+        return state.appliedIndex() + next.size();
+    }
+
+    /**
+     * Returns whether a snapshot is due. While committed entries still wait to be applied, only
+     * those in memory count: each snapshot writes the rest of the log again.
+     */
+    private static boolean isSnapshotDue(ConsensusState state, long appliedIndex) {
+        ConsensusLog log = state.log();
+        boolean behind = appliedIndex < Math.min(state.commitIndex(), log.lastIndex());
+        long bytes =
+                behind
+                        ? log.retainedBytes(log.baseIndex(), appliedIndex)
+                        : log.approximateBytes(log.baseIndex(), appliedIndex);
         return appliedIndex - log.baseIndex() >= ConsensusTimings.SNAPSHOT_INTERVAL_ENTRIES
-                || log.approximateBytes(log.baseIndex(), appliedIndex)
-                        >= ConsensusTimings.SNAPSHOT_INTERVAL_BYTES;
+                || bytes >= ConsensusTimings.SNAPSHOT_INTERVAL_BYTES;
     }
 
     private static Map<Long, Long> pendingProposals(ConsensusState state) {
@@ -89,7 +113,7 @@
     private static Decision<ConsensusState, ConsensusAction> establishLeadership(
             ConsensusState state) {
         return state.leaderRole()
-                .filter(l -> !l.established() && state.commitIndex() >= l.firstIndex())
+                .filter(l -> !l.established() && state.appliedIndex() >= l.firstIndex())
                 .map(
                         leader ->
                                 Decision.<ConsensusState, ConsensusAction>of(
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
@@ -110,6 +110,8 @@
             return MembershipChanges.propose(state, change, nowNanos);
         } else if (input instanceof ConsensusInput.SnapshotTaken taken) {
             return Decision.of(Commits.withSnapshot(state, taken));
+        } else if (input instanceof ConsensusInput.ApplyPaused pause) {
+            return Decision.of(state.withApplyPaused(pause.paused()));
         } else if (input instanceof ConsensusInput.TransferRequested) {
             return Decision.of(LeadershipTransfers.begin(state, nowNanos));
         }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
@@ -46,6 +46,9 @@
         }
     }
 
+    /** Pauses or resumes applying, while the caller has not processed earlier commands. */
+    record ApplyPaused(boolean paused) implements ConsensusInput {}
+
     /** A request to transfer the leadership to another voter. */
     record TransferRequested() implements ConsensusInput {}
 }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusLog.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusLog.java
@@ -132,13 +132,23 @@
         return count > 1 && bytes > maxBytes ? next.subList(0, count - 1) : next.subList(0, count);
     }
 
-    /** Returns the approximate size in memory of the entries after an index, up to another one. */
+    /**
+     * Returns the approximate size in memory of the entries after an index, up to another one, once
+     * all of them are loaded.
+     */
     public long approximateBytes(long afterIndex, long lastIndex) {
         return entriesFrom(afterIndex + 1, Math.toIntExact(lastIndex - afterIndex)).stream()
                 .mapToLong(e -> e.content().approximateBytes())
                 .sum();
     }
 
+    /** Returns the approximate size that the entries after an index keep in memory, in bytes. */
+    public long retainedBytes(long afterIndex, long lastIndex) {
+        return entriesFrom(afterIndex + 1, Math.toIntExact(lastIndex - afterIndex)).stream()
+                .mapToLong(e -> e.content().retainedBytes())
+                .sum();
+    }
+
     /** Returns the membership after the entry at an index. */
     public Membership membershipAt(long index) {
         return lastMembership(entriesFrom(baseIndex() + 1, Math.toIntExact(index - baseIndex())))
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
@@ -21,6 +21,7 @@
  * @param electionTimer known leader, last contact with it and election timeout
  * @param commitIndex last index known to be committed
  * @param appliedIndex last index whose entry was handed to the caller
+ * @param applyPaused whether committed entries wait because the caller is busy with earlier ones
  * @param snapshotRequested whether a snapshot was requested and not delivered yet
  * @param recovery recovery from a lost disk, used only while the hard state says so
  * @param safeguards safety rules in force
@@ -34,6 +35,7 @@
         ElectionTimer electionTimer,
         long commitIndex,
         long appliedIndex,
+        boolean applyPaused,
         boolean snapshotRequested,
         Recovery recovery,
         Safeguards safeguards) {
@@ -152,6 +154,7 @@
                 log.baseIndex(),
                 log.baseIndex(),
                 false,
+                false,
                 new Recovery(seed, Optional.empty()),
                 Safeguards.ALL);
     }
@@ -166,6 +169,11 @@
         return electionTimer.leader();
     }
 
+    /** Returns whether committed entries can be applied now. */
+    public boolean hasEntriesToApply() {
+        return !applyPaused && appliedIndex < Math.min(commitIndex, log.lastIndex());
+    }
+
     /** Returns the membership in force. */
     public Membership membership() {
         return log.membership();
@@ -215,11 +223,28 @@
                 electionTimer,
                 commit,
                 applied,
+                applyPaused,
                 requested,
                 recovery,
                 safeguards);
     }
 
+    ConsensusState withApplyPaused(boolean paused) {
+        return new ConsensusState(
+                self,
+                hardState,
+                log,
+                persistQueue,
+                role,
+                electionTimer,
+                commitIndex,
+                appliedIndex,
+                paused,
+                snapshotRequested,
+                recovery,
+                safeguards);
+    }
+
     ConsensusState withCommit(long commit) {
         return withIndexes(Math.max(commitIndex, commit), appliedIndex, snapshotRequested);
     }
@@ -234,6 +259,7 @@
                 electionTimer,
                 commitIndex,
                 appliedIndex,
+                applyPaused,
                 snapshotRequested,
                 next,
                 safeguards);
@@ -249,6 +275,7 @@
                 electionTimer,
                 commitIndex,
                 appliedIndex,
+                applyPaused,
                 snapshotRequested,
                 recovery,
                 next);
@@ -269,6 +296,7 @@
                 nextElectionTimer,
                 commitIndex,
                 appliedIndex,
+                applyPaused,
                 snapshotRequested,
                 recovery,
                 safeguards);
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
@@ -32,17 +32,21 @@
      */
     public static final long SNAPSHOT_INTERVAL_BYTES = 8L << 20;
 
+    /** Maximum size in memory of several entries that are applied in one step, in bytes. */
+    public static final long MAX_APPLY_BYTES = 2L << 20;
+
     /** Maximum number of entries in an append request. */
     public static final int MAX_BATCH_ENTRIES = 256;
 
     /** Maximum size in memory of the entries in an append request of several, in bytes. */
     public static final long MAX_BATCH_BYTES = 1L << 20;
 
-    /** Maximum number of uncommitted entries; further proposals are rejected. */
+    /** Maximum number of entries that are not applied; further proposals are rejected. */
     public static final int MAX_UNCOMMITTED_ENTRIES = 1_024;
 
     /**
-     * Size in memory of uncommitted entries from which further proposals are rejected, in bytes.
+     * Size in memory of entries that are not applied from which further proposals are rejected, in
+     * bytes.
      */
     public static final long MAX_UNCOMMITTED_BYTES = 8L << 20;
 
--- a/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
@@ -14,6 +14,11 @@
         return SMALL_ENTRY_BYTES;
     }
 
+    /** Returns the approximate size of what an entry keeps in memory, in bytes. */
+    default long retainedBytes() {
+        return approximateBytes();
+    }
+
     /** Returns this content, or the one that a {@link StoredContent} refers to. */
     default LogContent loaded() {
         return this;
@@ -44,8 +49,8 @@
     record EmptyContent() implements LogContent {}
 
     /**
-     * A command that is read from the data folder each time it is needed, so that a member can start
-     * with a log that is larger than its heap.
+     * A command that is read from the data folder each time it is needed, so that a member can
+     * start with a log that is larger than its heap.
      *
      * @param approximateBytes approximate size of the command in memory once it is loaded, in bytes
      * @param source reads the command; throws a {@link RuntimeException} if that fails
@@ -56,6 +61,11 @@
             Objects.requireNonNull(source, "source");
         }
 
+        @Override
+        public long retainedBytes() {
+            return SMALL_ENTRY_BYTES;
+        }
+
         @Override
         public LogContent loaded() {
             return source.get();
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Proposals.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Proposals.java
@@ -31,8 +31,8 @@
             return Optional.of("this host does not hold the leader lease");
         }
         ConsensusLog log = state.log();
-        long waiting = log.lastIndex() - state.commitIndex();
-        long bytes = log.approximateBytes(state.commitIndex(), log.lastIndex());
+        long waiting = log.lastIndex() - state.appliedIndex();
+        long bytes = log.approximateBytes(state.appliedIndex(), log.lastIndex());
         boolean full =
                 waiting >= ConsensusTimings.MAX_UNCOMMITTED_ENTRIES
                         || bytes >= ConsensusTimings.MAX_UNCOMMITTED_BYTES;
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusDuty.java
@@ -24,8 +24,11 @@
 public final class ConsensusDuty implements DutyHandler<ConsensusEvent> {
     private static final Logger LOG = LogManager.getLogger(ConsensusDuty.class);
 
-    /** Time between two attempts to add persists to a full ring, in nanoseconds. */
-    private static final long PERSIST_RETRY_INTERVAL_NANOS = 2_000_000;
+    /**
+     * Time between two attempts to add persists to a full ring, or to apply commands while the
+     * listener accepts none, in nanoseconds.
+     */
+    private static final long RETRY_INTERVAL_NANOS = 2_000_000;
 
     /** Time between timer calls before the start and after a failure, in nanoseconds. */
     private static final long IDLE_INTERVAL_NANOS = 1_000_000_000;
@@ -114,6 +117,7 @@
             mTransfers.add(transfer.done());
             step(new ConsensusInput.TransferRequested());
         } else if (event instanceof ConsensusEvent.Input input && !rejectIfBlocked(input.input())) {
+            updateApplyPaused();
             step(input.input());
         }
     }
@@ -124,13 +128,28 @@
             return nowNanos + IDLE_INTERVAL_NANOS;
         }
         flushPersists();
-        if (nowNanos - Consensus.nextTickNanos(mState) >= 0) {
+        updateApplyPaused();
+        if (nowNanos - Consensus.nextTickNanos(mState) >= 0 || mState.hasEntriesToApply()) {
             step(new ConsensusInput.Tick());
         }
+        return nextTimerNanos(nowNanos);
+    }
+
+    private long nextTimerNanos(long nowNanos) {
+        if (mState.hasEntriesToApply()) {
+            return nowNanos;
+        }
         long next = Consensus.nextTickNanos(mState);
-        return mPendingPersists.isEmpty()
+        return mPendingPersists.isEmpty() && !mState.applyPaused()
                 ? next
-                : Math.min(next, nowNanos + PERSIST_RETRY_INTERVAL_NANOS);
+                : Math.min(next, nowNanos + RETRY_INTERVAL_NANOS);
+    }
+
+    private void updateApplyPaused() {
+        boolean paused = !mPendingPersists.isEmpty() || !mListener.acceptsCommands();
+        if (paused != mState.applyPaused()) {
+            step(new ConsensusInput.ApplyPaused(paused));
+        }
     }
 
     /**
@@ -202,8 +221,7 @@
             mPendingPersists.add(persist);
             flushPersists();
         } else if (action instanceof ConsensusAction.Apply apply) {
-            if (apply.entry().content().loaded()
-                    instanceof LogContent.CommandContent content) {
+            if (apply.entry().content().loaded() instanceof LogContent.CommandContent content) {
                 mListener.onCommitted(apply.entry().position().index(), content.command());
             }
         } else if (action instanceof ConsensusAction.Restore restore) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusListener.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ConsensusListener.java
@@ -24,6 +24,14 @@
      */
     void onCommitted(long index, ControlCommand command);
 
+    /**
+     * Returns whether further commands may be applied now. Committed commands wait in the log while
+     * this returns false.
+     */
+    default boolean acceptsCommands() {
+        return true;
+    }
+
     /** Returns the state after all commands that have been applied. */
     ControlState controlState();
 
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -29,11 +29,13 @@
 import org.crocusturn.core.controlhosts.ProposalReply;
 import org.crocusturn.core.controlhosts.Snapshot;
 import org.crocusturn.core.operators.ChangeOutcome;
-import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
+import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.ring.ByteBudget;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.HeapShare;
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
 import org.crocusturn.daemon.net.Addresses;
@@ -76,6 +78,9 @@
     private final Membership mConfiguredMembers;
     private final AtomicLong mOpenChangeBytes = new AtomicLong();
 
+    /** Bytes of the state changes that the leader duty has not handled. */
+    private final ByteBudget mStateChangeBytes = HeapShare.EIGHTH.newBudget();
+
     /** Null until it is decided whether this is a first start. */
     private volatile ControlNode mNode;
 
@@ -102,7 +107,8 @@
                 Duty.start(
                         mSelf + "-leader",
                         LEADER_RING_CAPACITY,
-                        LeaderDuty.create(mConnections, metrics),
+                        StateChangeAccounting.of(
+                                LeaderDuty.create(mConnections, metrics), mStateChangeBytes),
                         e -> LOG.error("entryhosts: the leader duty failed", e));
         mProposalDuty =
                 Duty.start(
@@ -390,6 +396,7 @@
      * entry hosts would otherwise miss the change.
      */
     private void offerStateChange(LeaderEvent event) {
+        mStateChangeBytes.reserve(StateChangeAccounting.approximateBytes(event));
         if (!mLeaderDuty.offer(event)) {
             throw new IllegalStateException(
                     "a state change was not accepted because the ring of the leader duty is full");
@@ -426,6 +433,11 @@
             offerStateChange(new LeaderEvent.CommandApplied(index, command, state));
         }
 
+        @Override
+        public boolean acceptsCommands() {
+            return !mStateChangeBytes.isExhausted();
+        }
+
         @Override
         public ControlState controlState() {
             return mStateHolder.state();
