Limit the memory for requests in progress of an HTTP server

The limits of the HTTP server held for each connection: a control host with a heap of 96 MB allowed 1,000 connections with 2 MiB of bodies each, and kept a decoded body until the answer, which may take 6 s.

All requests in progress of a server now share an eighth of the heap (never less than two bodies of the maximum size). An announced body is reserved before it is read, a chunked one as it arrives. What does not fit is answered at once with 503 as not run, with Retry-After. A read takes at most 16 KB, because connections that stop reading keep it.

With the check taken out, the four cases of HttpServerConnectionTest.refusesRequestsThatDoNotFitInTheMemoryForRequests fail; with it all 35 tests of the class pass.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServer.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,12 +16,25 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import org.crocusturn.core.ring.ByteBudget;
+import org.crocusturn.core.ring.HeapShare;
 
 /** HTTP/1.1 server with keep-alive and pipelining. */
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int ACCEPT_BACKLOG = 1_024;
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2_048;
+
+    /**
+     * Maximum bytes of one read. A connection that stops reading keeps them, so larger reads of
+     * 1,000 connections would fill a small heap.
+     */
+    private static final int MAX_READ_BYTES = 16_384;
+
+    /** Bodies of the maximum size that fit even if the share of the heap is smaller. */
+    private static final long MIN_BUDGET_BODIES = 2;
 
     private final Channel mChannel;
     private final ChannelGroup mConnections;
@@ -58,6 +72,20 @@
             HttpLimits limits,
             HttpHandler handler,
             Consumer<ChannelPipeline> pipelineCustomizer) {
+        long requestBytes =
+                Math.max(HeapShare.EIGHTH.bytes(), MIN_BUDGET_BODIES * limits.maxBodyBytes());
+        return start(
+                threads, address, limits, handler, pipelineCustomizer, ByteBudget.of(requestBytes));
+    }
+
+    /** Starts a server whose requests in progress share the given memory. */
+    static HttpServer start(
+            NetThreads threads,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpHandler handler,
+            Consumer<ChannelPipeline> pipelineCustomizer,
+            ByteBudget requestBudget) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         Channel channel =
                 new ServerBootstrap()
@@ -66,7 +94,17 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(limits, handler, connections, pipelineCustomizer))
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
+                        .childHandler(
+                                initializer(
+                                        limits,
+                                        handler,
+                                        requestBudget,
+                                        connections,
+                                        pipelineCustomizer))
                         .bind(address)
                         .syncUninterruptibly()
                         .channel();
@@ -97,6 +135,7 @@
     private static ChannelInitializer<SocketChannel> initializer(
             HttpLimits limits,
             HttpHandler handler,
+            ByteBudget requestBudget,
             ChannelGroup connections,
             Consumer<ChannelPipeline> pipelineCustomizer) {
         return new ChannelInitializer<>() {
@@ -107,7 +146,8 @@
                     return;
                 }
                 connections.add(channel);
-                HttpServerConnection connection = new HttpServerConnection(limits, handler);
+                HttpServerConnection connection =
+                        new HttpServerConnection(limits, handler, requestBudget);
                 channel.pipeline()
                         .addLast(new InboundBytesNotifier(connection))
                         .addLast(
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -25,6 +25,7 @@
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.Verdict;
+import org.crocusturn.core.ring.ByteBudget;
 
 /**
  * Reads the requests of one connection and writes their responses in request order.
@@ -47,6 +48,7 @@
 
     private final HttpLimits mLimits;
     private final HttpHandler mHandler;
+    private final ByteBudget mRequestBudget;
     private final ArrayDeque<PendingExchange> mPending = new ArrayDeque<>();
     private final ConnectionDeadline mDeadline = new ConnectionDeadline();
     private final SlowReaderDetector mSlowReaderDetector;
@@ -58,9 +60,17 @@
     private boolean mIgnoresInput;
     private boolean mLastResponseWritten;
 
-    HttpServerConnection(HttpLimits limits, HttpHandler handler) {
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param limits limits of the connection
+     * @param handler takes the requests
+     * @param requestBudget memory for the requests of all connections of the server
+     */
+    HttpServerConnection(HttpLimits limits, HttpHandler handler, ByteBudget requestBudget) {
         mLimits = limits;
         mHandler = handler;
+        mRequestBudget = requestBudget;
         mSlowReaderDetector = new SlowReaderDetector(limits.requestTimeout());
     }
 
@@ -128,19 +138,22 @@
     }
 
     private void beginRequest(io.netty.handler.codec.http.HttpRequest head) {
-        mAggregator = RequestAggregator.begin(head, mLimits.maxBodyBytes(), mContext.alloc());
+        mAggregator =
+                RequestAggregator.begin(
+                        head, mLimits.maxBodyBytes(), mContext.alloc(), mRequestBudget);
         mContinuePending = mAggregator.expectsContinue();
         sendPendingContinue();
     }
 
     private void dispatchRequest() {
         boolean keepAlive = mAggregator.keepAlive();
+        RequestMemory memory = mAggregator.memory();
         HttpRequest request = mAggregator.finish();
         mAggregator = null;
         mContinuePending = false;
         mReceivingRequest = false;
         mIgnoresInput = !keepAlive;
-        PendingExchange exchange = new PendingExchange(request);
+        PendingExchange exchange = new PendingExchange(request, memory);
         mPending.add(exchange);
         mPendingBytes += request.body().length;
         updateReadState();
@@ -161,7 +174,8 @@
     private void rejectRequest(Failure failure) {
         discardPartialRequest();
         mIgnoresInput = true;
-        PendingExchange exchange = new PendingExchange(HttpRequest.of("GET", "/"));
+        PendingExchange exchange =
+                new PendingExchange(HttpRequest.of("GET", "/"), RequestMemory.none(mRequestBudget));
         mPending.add(exchange);
         exchange.respond(FailureResponse.of(failure));
     }
@@ -170,7 +184,7 @@
         mReceivingRequest = false;
         mContinuePending = false;
         if (mAggregator != null) {
-            mAggregator.release();
+            mAggregator.discard();
             mAggregator = null;
         }
     }
@@ -263,11 +277,13 @@
     private final class PendingExchange implements HttpExchange {
         private final AtomicBoolean mResponded = new AtomicBoolean();
         private final int mBodyBytes;
+        private final RequestMemory mMemory;
         private volatile HttpRequest mRequest;
         private HttpResponse mResponse;
 
-        private PendingExchange(HttpRequest request) {
+        private PendingExchange(HttpRequest request, RequestMemory memory) {
             mRequest = request;
+            mMemory = memory;
             mBodyBytes = request.body().length;
         }
 
@@ -279,6 +295,7 @@
         @Override
         public void releaseRequest() {
             mRequest = null;
+            mMemory.release();
         }
 
         @Override
@@ -291,6 +308,7 @@
             if (!mResponded.compareAndSet(false, true)) {
                 return;
             }
+            mMemory.release();
             try {
                 mContext.executor()
                         .execute(
--- a/daemon/src/main/java/org/crocusturn/daemon/net/RequestAggregator.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/RequestAggregator.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
+import org.crocusturn.core.ring.ByteBudget;
 
 /**
  * Aggregates the parts of one request and enforces its limits.
@@ -30,25 +31,37 @@
                     "host",
                     "transfer-encoding");
 
+    /** Approximate size in memory of a request without its texts and body, in bytes. */
+    private static final long REQUEST_OBJECT_BYTES = 1_024;
+
     private final int mMaxBodyBytes;
     private final HttpRequest mHead;
     private final Map<String, String> mHeaders;
     private final ByteBuf mBody;
+    private final RequestMemory mMemory;
 
     private RequestAggregator(
-            int maxBodyBytes, HttpRequest head, Map<String, String> headers, ByteBuf body) {
+            int maxBodyBytes,
+            HttpRequest head,
+            Map<String, String> headers,
+            ByteBuf body,
+            RequestMemory memory) {
         mMaxBodyBytes = maxBodyBytes;
         mHead = head;
         mHeaders = headers;
         mBody = body;
+        mMemory = memory;
     }
 
     /**
-     * Starts a request with its request line and headers.
+     * Starts a request with its request line and headers. The memory for an announced body is
+     * reserved before the body is read.
      *
-     * @throws CrocusturnException if they are malformed or announce a body that is too large
+     * @throws CrocusturnException if they are malformed or announce a body that is too large, or if
+     *     the requests in progress take all memory that is meant for them
      */
-    static RequestAggregator begin(HttpRequest head, int maxBodyBytes, ByteBufAllocator allocator) {
+    static RequestAggregator begin(
+            HttpRequest head, int maxBodyBytes, ByteBufAllocator allocator, ByteBudget budget) {
         if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             throw malformed("the protocol is not HTTP/1.1");
@@ -60,8 +73,20 @@
         if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes) {
             throw tooLarge(maxBodyBytes);
         }
+        RequestMemory memory = RequestMemory.reserve(budget, size(head, headers));
         return new RequestAggregator(
-                maxBodyBytes, head, headers, allocator.buffer(0, maxBodyBytes));
+                maxBodyBytes, head, headers, allocator.buffer(0, maxBodyBytes), memory);
+    }
+
+    private static long size(HttpRequest head, Map<String, String> headers) {
+        long texts =
+                headers.entrySet().stream()
+                        .mapToLong(e -> (long) e.getKey().length() + e.getValue().length())
+                        .sum();
+        return REQUEST_OBJECT_BYTES
+                + head.uri().length()
+                + texts
+                + HttpUtil.getContentLength(head, 0L);
     }
 
     /**
@@ -74,9 +99,17 @@
         if (part.readableBytes() > mMaxBodyBytes - mBody.readableBytes()) {
             throw tooLarge(mMaxBodyBytes);
         }
+        if (HttpUtil.isTransferEncodingChunked(mHead)) {
+            mMemory.extend(part.readableBytes());
+        }
         mBody.writeBytes(part);
     }
 
+    /** Returns the reserved memory, which whoever handles the request releases. */
+    RequestMemory memory() {
+        return mMemory;
+    }
+
     boolean expectsContinue() {
         return HttpUtil.is100ContinueExpected(mHead);
     }
@@ -86,17 +119,19 @@
         return HttpUtil.isKeepAlive(mHead) && mHead.protocolVersion().equals(HttpVersion.HTTP_1_1);
     }
 
-    /** Returns the complete request and releases the buffer. */
+    /** Returns the complete request and releases the buffer, but not the reserved memory. */
     org.crocusturn.daemon.net.HttpRequest finish() {
         byte[] body = new byte[mBody.readableBytes()];
         mBody.readBytes(body);
-        release();
+        mBody.release();
         return new org.crocusturn.daemon.net.HttpRequest(
                 mHead.method().name(), mHead.uri(), mHeaders, body);
     }
 
-    void release() {
+    /** Discards the request and releases its memory. */
+    void discard() {
         mBody.release();
+        mMemory.release();
     }
 
     private static Map<String, String> headers(HttpRequest head) {
--- a/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.crocusturn.core.ring.ByteBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -150,6 +151,51 @@
         }
     }
 
+    /** Guards against bodies on many connections that together do not fit in the heap. */
+    @ParameterizedTest
+    @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+    void refusesRequestsThatDoNotFitInTheMemoryForRequests(boolean chunked, boolean released)
+            throws Exception {
+        ByteBudget budget = ByteBudget.of(4_000);
+        mServer.close();
+        mServer =
+                HttpServer.start(
+                        mThreads,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        new HttpLimits(MAX_BODY, MAX_PIPELINED, LONG, LONG, 3),
+                        mExchanges::add,
+                        pipeline -> {},
+                        budget);
+        String body = "y".repeat(MAX_BODY);
+        String request =
+                "POST /x HTTP/1.1\r\nhost: a\r\n"
+                        + (chunked
+                                ? "transfer-encoding: chunked\r\n\r\n3e8\r\n"
+                                        + body
+                                        + "\r\n0\r\n\r\n"
+                                : "content-length: " + MAX_BODY + "\r\n\r\n" + body);
+        try (RawHttpClient first = new RawHttpClient(mServer.address());
+                RawHttpClient second = new RawHttpClient(mServer.address());
+                RawHttpClient third = new RawHttpClient(mServer.address())) {
+            first.send(request);
+            HttpExchange held = take(1).get(0);
+            second.send(chunked ? request : request.replace(body, ""));
+            String refusal = second.read();
+            assertTrue(refusal.startsWith("503 "), refusal);
+            assertTrue(refusal.contains("\"verdict\":\"not_run\""), refusal);
+            assertTrue(refusal.contains("\"retryAfterMillis\":1000"), refusal);
+            if (released) {
+                held.releaseRequest();
+            } else {
+                echo(held);
+            }
+            third.send(request);
+            echo(take(1).get(0));
+            assertEquals("200 /x", third.read(), "there is room again");
+            assertEquals(0, budget.usedBytes());
+        }
+    }
+
     /** Guards against running requests whose response can no longer be sent. */
     @Test
     void ignoresRequestsAfterConnectionClose() throws Exception {
