--- a/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/LogContent.java
@@ -14,6 +14,11 @@
         return SMALL_ENTRY_BYTES;
     }
 
+    /** Returns the approximate size of what an entry keeps in memory, in bytes. */
+    default long retainedBytes() {
+        return approximateBytes();
+    }
+
     /** Returns this content, or the one that a {@link StoredContent} refers to. */
     default LogContent loaded() {
         return this;
@@ -56,6 +61,11 @@
             Objects.requireNonNull(source, "source");
         }
 
+        @Override
+        public long retainedBytes() {
+            return SMALL_ENTRY_BYTES;
+        }
+
         @Override
         public LogContent loaded() {
             return source.get();
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -33,7 +33,9 @@
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.ring.ByteBudget;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.HeapShare;
 import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
@@ -77,6 +79,9 @@
     private final Membership mConfiguredMembers;
     private final AtomicLong mOpenChangeBytes = new AtomicLong();
 
+    /** Bytes of the state changes that the leader duty has not handled. */
+    private final ByteBudget mStateChangeBytes = HeapShare.EIGHTH.newBudget();
+
     /** Null until it is decided whether this is a first start. */
     private volatile ControlNode mNode;
 
@@ -105,7 +110,8 @@
                 Duty.start(
                         mSelf + "-leader",
                         LEADER_RING_CAPACITY,
-                        LeaderDuty.create(mConnections, metrics),
+                        StateChangeAccounting.of(
+                                LeaderDuty.create(mConnections, metrics), mStateChangeBytes),
                         this::reportFailure);
         mProposalDuty =
                 Duty.start(
@@ -401,6 +407,7 @@
      * entry hosts would otherwise miss the change.
      */
     private void offerStateChange(LeaderEvent event) {
+        mStateChangeBytes.reserve(StateChangeAccounting.approximateBytes(event));
         if (!mLeaderDuty.offer(event)) {
             throw new IllegalStateException(
                     "a state change was not accepted because the ring of the leader duty is full");
@@ -437,6 +444,11 @@
             offerStateChange(new LeaderEvent.CommandApplied(index, command, state));
         }
 
+        @Override
+        public boolean acceptsCommands() {
+            return !mStateChangeBytes.isExhausted();
+        }
+
         @Override
         public ControlState controlState() {
             return mStateHolder.state();
