Bound the consensus ring and forwarded changes by size

A control host that is busy for a moment could fill its heap: the ring of the consensus duty limited messages and proposals to 4,096, of up to 11 MB each, and a leader took any number of changes that other members forwarded. The 16 MB for changes without an outcome counted only those of the host's own operators, and were a sixth of a heap of 96 MB.

Messages and proposals that wait for the consensus duty now share an eighth of the heap. Proposals that do not fit are rejected as not run; messages are dropped, as the network may do, with a line in the log once a second. Changes of own operators and forwarded ones have a budget each, of an eighth of the heap and at most 16 MB, and are refused as not run. A single one that is larger is taken if nothing else waits.

The refusal of forwarded changes has no test of its own.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
@@ -10,6 +10,11 @@
     /** A timer expired. */
     record Tick() implements ConsensusInput {}
 
+    /** Returns the approximate size of the entries or the state in memory, in bytes. */
+    default long approximateBytes() {
+        return 0;
+    }
+
     /** A message from another member arrived. */
     record Received(HostId from, ConsensusMessage message) implements ConsensusInput {
         /** Checks that no part is null. */
@@ -17,6 +22,18 @@
             Objects.requireNonNull(from, "from");
             Objects.requireNonNull(message, "message");
         }
+
+        @Override
+        public long approximateBytes() {
+            if (message instanceof ConsensusMessage.AppendRequest append) {
+                return append.entries().stream()
+                        .mapToLong(e -> e.content().approximateBytes())
+                        .sum();
+            }
+            return message instanceof ConsensusMessage.InstallSnapshot install
+                    ? install.snapshot().state().configuration().approximateBytes()
+                    : 0;
+        }
     }
 
     /** A persist and all earlier ones are synced. */
@@ -28,6 +45,11 @@
         public Propose {
             Objects.requireNonNull(command, "command");
         }
+
+        @Override
+        public long approximateBytes() {
+            return command.approximateBytes();
+        }
     }
 
     /** A request to add, promote or remove a member. */
--- a/core/src/main/java/org/crocusturn/core/ring/ByteBudget.java
+++ b/core/src/main/java/org/crocusturn/core/ring/ByteBudget.java
@@ -45,6 +45,16 @@
         return bytes <= limit - before;
     }
 
+    /**
+     * Reserves bytes if they fit, or if nothing is reserved, so that work that is larger than the
+     * limit is done by itself.
+     *
+     * @return whether the bytes were reserved
+     */
+    public boolean tryReserveOrSole(long bytes) {
+        return tryReserve(bytes) || mUsed.compareAndSet(0, bytes);
+    }
+
     /** Reserves bytes for work that cannot be refused, also beyond the limit. */
     public void reserve(long bytes) {
         mUsed.addAndGet(bytes);
--- a/core/src/test/java/org/crocusturn/core/ring/ByteBudgetTest.java
+++ b/core/src/test/java/org/crocusturn/core/ring/ByteBudgetTest.java
@@ -80,6 +80,16 @@
         assertEquals(0, budget.usedBytes());
     }
 
+    /** Guards against a snapshot that is larger than the limit and never taken. */
+    @ParameterizedTest
+    @CsvSource({"0, 10, true", "0, 11, true", "1, 9, true", "1, 10, false", "10, 11, false"})
+    void reservesMoreThanTheLimitIfNothingElseIsReserved(long used, long bytes, boolean expected) {
+        ByteBudget budget = ByteBudget.of(10);
+        budget.reserve(used);
+        assertEquals(expected, budget.tryReserveOrSole(bytes));
+        assertEquals(expected ? used + bytes : used, budget.usedBytes());
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {0, -1})
     void rejectsAnEmptyBudget(long limit) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,6 +32,7 @@
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
+import org.crocusturn.core.ring.BudgetedHandler;
 import org.crocusturn.core.ring.ByteBudget;
 import org.crocusturn.core.ring.Duty;
 import org.crocusturn.core.ring.HeapShare;
@@ -58,7 +58,10 @@
     private static final int PROPOSAL_RING_CAPACITY = 1_024;
     private static final int FIRST_START_RING_CAPACITY = 256;
 
-    /** Size in memory of changes without an outcome from which further ones are refused. */
+    /**
+     * Size in memory of changes without an outcome from which further ones are refused, in bytes;
+     * an eighth of a smaller heap.
+     */
     static final long MAX_OPEN_CHANGE_BYTES = 16L << 20;
 
     private static final LogCodec CODEC = ProtobufLogCodec.create();
@@ -76,7 +79,10 @@
     private final Duty<FirstStartEvent> mFirstStartDuty;
     private final Path mDataFolder;
     private final Membership mConfiguredMembers;
-    private final AtomicLong mOpenChangeBytes = new AtomicLong();
+    private final ByteBudget mOpenChangeBytes = newChangeBudget();
+
+    /** Bytes of the changes that other members forwarded to this one and that have no outcome. */
+    private final ByteBudget mForwardedBytes = newChangeBudget();
 
     /** Bytes of the state changes that the leader duty has not handled. */
     private final ByteBudget mStateChangeBytes = HeapShare.EIGHTH.newBudget();
@@ -107,8 +113,10 @@
                 Duty.start(
                         mSelf + "-leader",
                         LEADER_RING_CAPACITY,
-                        StateChangeAccounting.of(
-                                LeaderDuty.create(mConnections, metrics), mStateChangeBytes),
+                        BudgetedHandler.of(
+                                LeaderDuty.create(mConnections, metrics),
+                                mStateChangeBytes,
+                                ControlMember::stateChangeBytes),
                         e -> LOG.error("entryhosts: the leader duty failed", e));
         mProposalDuty =
                 Duty.start(
@@ -216,19 +224,27 @@
     public CompletableFuture<ChangeOutcome> propose(OperatorCommand command) {
         CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
         long bytes = command.approximateBytes();
-        boolean fits = mOpenChangeBytes.getAndAdd(bytes) < MAX_OPEN_CHANGE_BYTES;
-        outcome.whenComplete((result, error) -> mOpenChangeBytes.addAndGet(-bytes));
-        if (!fits || !mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
-            outcome.complete(
-                    refusedOutcome(
-                            command.changeId(),
-                            Failure.notRun(
-                                    ErrorCode.OVERLOADED,
-                                    "too many changes are queued on this control host")));
+        if (!mOpenChangeBytes.tryReserveOrSole(bytes)) {
+            return CompletableFuture.completedFuture(overloadedOutcome(command));
+        }
+        outcome.whenComplete((result, error) -> mOpenChangeBytes.release(bytes));
+        if (!mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
+            outcome.complete(overloadedOutcome(command));
         }
         return outcome;
     }
 
+    private static ByteBudget newChangeBudget() {
+        return ByteBudget.of(Math.min(MAX_OPEN_CHANGE_BYTES, HeapShare.EIGHTH.bytes()));
+    }
+
+    private static ChangeOutcome overloadedOutcome(OperatorCommand command) {
+        return refusedOutcome(
+                command.changeId(),
+                Failure.notRun(
+                        ErrorCode.OVERLOADED, "too many changes are queued on this control host"));
+    }
+
     @Override
     public CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress) {
         boolean alreadyVoter =
@@ -396,13 +412,20 @@
      * entry hosts would otherwise miss the change.
      */
     private void offerStateChange(LeaderEvent event) {
-        mStateChangeBytes.reserve(StateChangeAccounting.approximateBytes(event));
+        mStateChangeBytes.reserve(stateChangeBytes(event));
         if (!mLeaderDuty.offer(event)) {
             throw new IllegalStateException(
                     "a state change was not accepted because the ring of the leader duty is full");
         }
     }
 
+    /** Returns the approximate size in memory of what only this event refers to, in bytes. */
+    private static long stateChangeBytes(LeaderEvent event) {
+        return event instanceof LeaderEvent.CommandApplied applied
+                ? applied.command().approximateBytes()
+                : 0;
+    }
+
     /** Proposes a change on this host; the result has the stored outcome if it was committed. */
     private CompletableFuture<ProposalEvent.AttemptEnded> commit(
             long attempt, OperatorCommand command) {
@@ -511,16 +534,21 @@
         @Override
         public void onForwardedProposal(HostId from, ForwardedProposal proposal) {
             if (proposal.command() instanceof OperatorCommand command && mNode != null) {
+                long bytes = command.approximateBytes();
+                if (!mForwardedBytes.tryReserveOrSole(bytes)) {
+                    reply(from, proposal, overloadedOutcome(command));
+                    return;
+                }
                 commit(proposal.id(), command)
-                        .thenAccept(
-                                ended ->
-                                        mLinks.sendOverIncomingLink(
-                                                from,
-                                                new ProposalReply(
-                                                        proposal.id(), toOutcome(command, ended))));
+                        .whenComplete((ended, error) -> mForwardedBytes.release(bytes))
+                        .thenAccept(ended -> reply(from, proposal, toOutcome(command, ended)));
             }
         }
 
+        private void reply(HostId to, ForwardedProposal proposal, ChangeOutcome outcome) {
+            mLinks.sendOverIncomingLink(to, new ProposalReply(proposal.id(), outcome));
+        }
+
         @Override
         public void onProposalReply(ProposalReply reply) {
             mForwardedChanges.onReply(reply);
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -22,7 +22,10 @@
 import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.MembershipChange;
 import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.ring.BudgetedHandler;
+import org.crocusturn.core.ring.ByteBudget;
 import org.crocusturn.core.ring.Duty;
+import org.crocusturn.core.ring.HeapShare;
 import org.crocusturn.core.ring.SteadyClock;
 
 /**
@@ -35,6 +38,10 @@
     private static final Logger LOG = LogManager.getLogger(ControlNode.class);
 
     private static final int RING_CAPACITY = 4_096;
+
+    /** Minimum time between two lines about dropped messages, in nanoseconds. */
+    private static final long DROP_LINE_INTERVAL_NANOS = 1_000_000_000;
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
 
     /**
@@ -54,6 +61,8 @@
     private final StorageDuty mStorageHandler;
     private final Duty<ConsensusAction.Persist> mStorageDuty;
     private final Duty<ConsensusEvent> mConsensusDuty;
+    private final ByteBudget mInputBytes = HeapShare.EIGHTH.newBudget();
+    private final AtomicLong mNextDropLineNanos = new AtomicLong(SteadyClock.nanoTime());
     private volatile boolean mClosed;
 
     /** Size of all persists that were queued; used only by the consensus thread. */
@@ -78,7 +87,11 @@
         mStorageDuty =
                 Duty.start("control-storage", RING_CAPACITY, mStorageHandler, this::reportFailure);
         mConsensusDuty =
-                Duty.start("control-consensus", RING_CAPACITY, mHandler, this::reportFailure);
+                Duty.start(
+                        "control-consensus",
+                        RING_CAPACITY,
+                        BudgetedHandler.of(mHandler, mInputBytes, ControlNode::approximateBytes),
+                        this::reportFailure);
     }
 
     /**
@@ -195,13 +208,25 @@
     }
 
     /**
-     * Handles a message of another member, or drops it if the ring of the consensus duty is full.
+     * Handles a message of another member, or drops it if the messages and proposals that wait for
+     * the consensus duty are too many or too large. The network may lose a message as well.
      */
     public void onMessage(HostId from, ConsensusMessage message) {
         if (!offer(new ConsensusInput.Received(from, message))) {
-            LOG.debug(
-                    "controlhosts: dropped a message from {} because the consensus ring is full",
-                    from);
+            logDrop(from);
+        }
+    }
+
+    private void logDrop(HostId from) {
+        long now = SteadyClock.nanoTime();
+        long due = mNextDropLineNanos.get();
+        if (now - due >= 0
+                && mNextDropLineNanos.compareAndSet(due, now + DROP_LINE_INTERVAL_NANOS)) {
+            LOG.warn(
+                    "controlhosts: dropping messages, such as one from {}, because {} bytes wait"
+                            + " for the consensus duty",
+                    from,
+                    mInputBytes.usedBytes());
         }
     }
 
@@ -254,7 +279,19 @@
     }
 
     private boolean offer(ConsensusInput input) {
-        return mConsensusDuty.offer(new ConsensusEvent.Input(input));
+        long bytes = input.approximateBytes();
+        if (!mInputBytes.tryReserveOrSole(bytes)) {
+            return false;
+        }
+        boolean accepted = mConsensusDuty.offer(new ConsensusEvent.Input(input));
+        if (!accepted) {
+            mInputBytes.release(bytes);
+        }
+        return accepted;
+    }
+
+    private static long approximateBytes(ConsensusEvent event) {
+        return event instanceof ConsensusEvent.Input input ? input.input().approximateBytes() : 0;
     }
 
     private void completeProposal(long id, ProposalResult result) {
