Answer what is still open when a stopping entry host closes its connections

Callers whose statements waited for a slot or ran longer than the drain got no answer: their connections were cut at the end of the time for answers.

--- a/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/SessionEntryDaemon.java
@@ -262,6 +262,13 @@
         mThreads.awaitTasks(limit);
     }
 
+    /** Answers the statements that have no answer yet with what is known of each. */
+    public void answerOpenStatements() {
+        if (!mSessionsDuty.offer(new SessionEvent.HostEnding())) {
+            LOG.error("callers: open statements get no answer because the ring is full");
+        }
+    }
+
     /** Waits until the host has stopped. */
     public void awaitStopped() throws InterruptedException {
         mStopped.await();
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
@@ -45,14 +45,15 @@
         mChannel.answer(statement, outcome, mState.phase());
     }
 
-    /** Answers all statements after a failure of this host, with what is known of each. */
-    void failStatements() {
-        Failure notRun =
-                Failure.notRun(ErrorCode.INTERNAL, "this host failed before the statement ran");
-        Failure current =
-                mCall.filter(call -> call.mMayHaveRun).isPresent()
-                        ? Failure.mayHaveRun("this host failed while the statement ran")
-                        : notRun;
+    /**
+     * Answers all statements that this host can serve no longer, with what is known of each.
+     *
+     * @param notRun failure of the statements that did not run
+     * @param mayHaveRun failure of a statement that a leaseholder may have received
+     */
+    void failStatements(Failure notRun, Failure mayHaveRun) {
+        boolean sent = mCall.filter(call -> call.mMayHaveRun).isPresent();
+        Failure current = sent ? mayHaveRun : notRun;
         mCall = Optional.empty();
         mUnanswered.ifPresent(
                 statement -> answer(statement, SessionOutcome.failed(current, false)));
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionEvent.java
@@ -62,6 +62,9 @@
         }
     }
 
+    /** The time for answers at a planned stop is over; the connections are closed next. */
+    record HostEnding() implements SessionEvent {}
+
     /** The process entered another phase. */
     record PhaseChanged(Phase phase) implements SessionEvent {
         /** Checks that the phase is not null. */
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -50,6 +50,9 @@
     /** Interval at which calls that wait for a leaseholder or a reply are checked. */
     private static final long TICK_NANOS = Duration.ofMillis(20).toNanos();
 
+    private static final Failure STOPPED_CALL =
+            Failure.mayHaveRun("this host stopped while the statement ran");
+
     private static final long IDLE_TICK_NANOS = Duration.ofMillis(500).toNanos();
 
     /**
@@ -144,6 +147,9 @@
                             onLeaseholderLost(call);
                         }
                     });
+        } else if (event instanceof SessionEvent.HostEnding) {
+            mSessions.values().forEach(this::answerAtEnd);
+            mCalls.clear();
         } else if (event instanceof SessionEvent.PhaseChanged changed) {
             mPhase = changed.phase();
             if (mPhase == Phase.LEAVING) {
@@ -187,11 +193,19 @@
         }
     }
 
+    /** Answers the statements that the end of the process would leave without an answer. */
+    private void answerAtEnd(CallerSession session) {
+        session.mUnanswered.ifPresent(statement -> mLog.refused(session.mNumber, STOPPED_CALL));
+        session.failStatements(Refusals.stopping(), STOPPED_CALL);
+    }
+
     /** Answers each statement of a session as far as its outcome is known, and closes it. */
     private void abandon(CallerSession session, RuntimeException failure) {
         mLog.abandoned(session.mNumber, failure);
         session.mCall.ifPresent(call -> mCalls.remove(call.mMessage.id()));
-        session.failStatements();
+        session.failStatements(
+                Failure.notRun(ErrorCode.INTERNAL, "this host failed before the statement ran"),
+                Failure.mayHaveRun("this host failed while the statement ran"));
         session.mChannel.close();
         endSession(session.mNumber);
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/SessionsDutyTest.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.callers.SessionOutcome;
 import org.crocusturn.core.callers.SessionState;
@@ -182,6 +183,18 @@
         assertEquals(events, String.join(" ", mChannelEvents));
     }
 
+    /** Guards against statements that are still open when the process closes their connections. */
+    @ParameterizedTest
+    @CsvSource({"0, accepted", "1, accepted answered", "3, accepted answered answered answered"})
+    void answersOpenStatementsAtTheEnd(int open, String events) {
+        mDuty.onEvent(new SessionEvent.ViewChanged(configured()));
+        mDuty.onEvent(new SessionEvent.OpenRequested(1, new RecordingChannel(), "db", ""));
+        IntStream.range(0, open)
+                .forEach(n -> mDuty.onEvent(statement(StatementKind.WRITE, "item", "data")));
+        mDuty.onEvent(new SessionEvent.HostEnding());
+        assertEquals(events, String.join(" ", mChannelEvents));
+    }
+
     /**
      * Guards against a statement of an open transaction that runs when the process ends, so that
      * its caller gets no answer.
