Test which failures the leader duty contains

Change: LeaderDuty takes its decisions through a small interface, so that a test can make one fail. An exception in the decision about a message of one entry host or endpoint is contained, and the next report is answered. One in a decision about a change, the leadership or the timer, or in an action, is not.

--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -54,11 +54,11 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final ControlLeader mLeader = ControlLeader.standard();
     private final DecisionLog mLog = DecisionLog.create(LOG, "");
     private final Map<EndpointId, String> mWatchedAddresses = new HashMap<>();
     private final Map<GroupId, Long> mFailoverStartNanos = new HashMap<>();
     private final Map<HostId, PendingJoin> mJoinRequests = new HashMap<>();
+    private final Decisions mDecisions;
     private final LeaderContext mContext;
     private final Metrics mMetrics;
     private CommandHistory mHistory = CommandHistory.of(ControlState.EMPTY);
@@ -67,7 +67,8 @@
     private long mNextTickNanos;
     private long mNextMembershipNanos;
 
-    private LeaderDuty(LeaderContext context, Metrics metrics) {
+    private LeaderDuty(Decisions decisions, LeaderContext context, Metrics metrics) {
+        mDecisions = decisions;
         mContext = context;
         mMetrics = metrics;
     }
@@ -80,9 +81,20 @@
      */
     private record PendingJoin(String linkAddress, long requestedNanos) {}
 
+    /** Decisions of the control leader, without side effects. */
+    interface Decisions {
+        Decision<LeaderState, LeaderAction> step(
+                LeaderState state, LeaderInput input, long nowNanos);
+    }
+
     /** Creates the handler. */
     public static LeaderDuty create(LeaderContext context, Metrics metrics) {
+        return create(ControlLeader.standard()::step, context, metrics);
+    }
+
+    static LeaderDuty create(Decisions decisions, LeaderContext context, Metrics metrics) {
         return new LeaderDuty(
+                Objects.requireNonNull(decisions, "decisions"),
                 Objects.requireNonNull(context, "context"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
@@ -222,7 +234,7 @@
     private void step(LeaderInput input) {
         Decision<LeaderState, LeaderAction> decision;
         try {
-            decision = mLeader.step(mState, input, SteadyClock.nanoTime());
+            decision = mDecisions.step(mState, input, SteadyClock.nanoTime());
         } catch (RuntimeException e) {
             if (!isMessage(input)) {
                 throw e;
