End the process at errors in connection attempts and listeners

Cause: ThreadFailureTest failed once for the event loop of an entry host. The error had hit the loop while it connected, and Netty turned it into the failure of that attempt. A listener that failed would not have reconnected a link.

Change: the causes of failed connection attempts and the errors of the listeners that act for duties are reported as well.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -71,6 +71,7 @@
                             if (done.isSuccess()) {
                                 result.complete(new HttpClientConnection(done.channel(), handler));
                             } else {
+                                ThreadFailures.reportError(done.cause());
                                 result.completeExceptionally(connectFailure(address, done.cause()));
                             }
                         });
@@ -99,7 +100,7 @@
 
     /** Runs an action when the connection closes, or at once if it is closed already. */
     public void onClosed(Runnable action) {
-        mChannel.closeFuture().addListener(done -> action.run());
+        mChannel.closeFuture().addListener(done -> ThreadFailures.guardTask(action).run());
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -317,7 +317,7 @@
 
         @Override
         public void onClosed(Runnable action) {
-            channel.closeFuture().addListener(done -> action.run());
+            channel.closeFuture().addListener(done -> ThreadFailures.guardTask(action).run());
         }
 
         @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -113,7 +114,12 @@
         if (mClosed) {
             connectFuture.channel().close();
         }
-        connectFuture.channel().closeFuture().addListener(done -> scheduleReconnect());
+        connectFuture.addListener(
+                done -> Optional.ofNullable(done.cause()).ifPresent(ThreadFailures::reportError));
+        connectFuture
+                .channel()
+                .closeFuture()
+                .addListener(done -> ThreadFailures.guardTask(this::scheduleReconnect).run());
     }
 
     private void scheduleReconnect() {
