--- a/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/CallerSession.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.SessionOutcome;
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -228,11 +228,11 @@
         CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
         long bytes = command.approximateBytes();
         if (!mOpenChangeBytes.tryReserveOrSole(bytes)) {
-            return CompletableFuture.completedFuture(overloadedOutcome(command));
+            return CompletableFuture.completedFuture(ChangeRefusals.overloaded(command));
         }
         outcome.whenComplete((result, error) -> mOpenChangeBytes.release(bytes));
         if (!mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
-            outcome.complete(overloadedOutcome(command));
+            outcome.complete(ChangeRefusals.overloaded(command));
         }
         return outcome;
     }
@@ -241,13 +241,6 @@
         return ByteBudget.of(Math.min(MAX_OPEN_CHANGE_BYTES, HeapShare.EIGHTH.bytes()));
     }
 
-    private static ChangeOutcome overloadedOutcome(OperatorCommand command) {
-        return refusedOutcome(
-                command.changeId(),
-                Failure.notRun(
-                        ErrorCode.OVERLOADED, "too many changes are queued on this control host"));
-    }
-
     @Override
     public CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress) {
         boolean alreadyVoter =
@@ -307,7 +300,7 @@
             Failure failure =
                     Failure.notRun(
                             ErrorCode.UNAVAILABLE, "the consensus group has not started yet");
-            return CompletableFuture.completedFuture(refusedOutcome("member", failure));
+            return CompletableFuture.completedFuture(ChangeRefusals.of("member", failure));
         }
         return mNode.changeMembership(change)
                 .thenApply(
@@ -315,7 +308,7 @@
                             if (result instanceof ProposalResult.Committed) {
                                 return acceptedOutcome();
                             }
-                            return refusedOutcome("member", toFailure(result));
+                            return ChangeRefusals.of("member", result);
                         });
     }
 
@@ -323,18 +316,6 @@
         return new ChangeOutcome("member", mStateHolder.state().version(), Optional.empty());
     }
 
-    private static Failure toFailure(ProposalResult result) {
-        if (result instanceof ProposalResult.Rejected rejected) {
-            String hint = rejected.leader().map(l -> "; " + l + " leads").orElse("");
-            return Failure.notRun(ErrorCode.UNAVAILABLE, rejected.reason() + hint);
-        }
-        return Failure.mayHaveRun("the leader changed before the outcome was known");
-    }
-
-    private static ChangeOutcome refusedOutcome(String changeId, Failure failure) {
-        return new ChangeOutcome(changeId, 0, Optional.of(failure));
-    }
-
     /** Uses the incoming link if the address of the member is unknown, as during a recovery. */
     private void sendConsensusMessage(HostId to, ConsensusMessage message) {
         if (!mLinks.sendToMember(to, message)) {
@@ -547,14 +528,18 @@
             if (proposal.command() instanceof OperatorCommand command && mNode != null) {
                 long bytes = command.approximateBytes();
                 if (!mForwardedBytes.tryReserveOrSole(bytes)) {
-                    reply(from, proposal, overloadedOutcome(command));
+                    reply(from, proposal, ChangeRefusals.overloaded(command));
                     return;
                 }
                 commit(proposal.id(), command)
                         .whenComplete((ended, error) -> mForwardedBytes.release(bytes))
                         .thenAccept(
                                 ThreadFailures.guard(
-                                        ended -> reply(from, proposal, toOutcome(command, ended))));
+                                        ended ->
+                                                reply(
+                                                        from,
+                                                        proposal,
+                                                        ChangeRefusals.outcome(command, ended))));
             }
         }
 
@@ -571,20 +556,6 @@
         public void onLinkClosed(HostId host) {
             offerToLeader(new LeaderEvent.EntryLinkClosed(host));
         }
-
-        private ChangeOutcome toOutcome(OperatorCommand command, ProposalEvent.AttemptEnded ended) {
-            return ended.outcome()
-                    .orElseGet(
-                            () ->
-                                    refusedOutcome(
-                                            command.changeId(),
-                                            ended.mayHaveRun()
-                                                    ? Failure.mayHaveRun(
-                                                            "the outcome of the change is unknown")
-                                                    : Failure.notRun(
-                                                            ErrorCode.UNAVAILABLE,
-                                                            "this host is not the leader")));
-        }
     }
 
     /** Gives the proposal duty access to this member. */
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -71,7 +71,7 @@
                             if (done.isSuccess()) {
                                 result.complete(new HttpClientConnection(done.channel(), handler));
                             } else {
-                                ThreadFailures.reportError(done.cause());
+                                ChannelFailures.report(done.cause());
                                 result.completeExceptionally(connectFailure(address, done.cause()));
                             }
                         });
@@ -237,7 +237,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            ThreadFailures.reportError(cause);
+            ChannelFailures.report(cause);
             closeAndFail(context.channel(), "the connection failed: " + cause.getMessage());
         }
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -113,7 +113,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        ThreadFailures.reportError(cause);
+        ChannelFailures.report(cause);
         context.close();
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkHandshake.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkHandshake.java
@@ -68,7 +68,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        ThreadFailures.reportError(cause);
+        ChannelFailures.report(cause);
         abort(context, cause.getMessage());
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/net/LinkMessageHandler.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/LinkMessageHandler.java
@@ -9,7 +9,6 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.wire.PeerMessageCodec;
 
 /**
@@ -83,7 +82,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        ThreadFailures.reportError(cause);
+        ChannelFailures.report(cause);
         closeLink(context, cause.toString());
     }
 
