--- a/core/src/main/java/org/crocusturn/core/ring/ByteBudget.java
+++ b/core/src/main/java/org/crocusturn/core/ring/ByteBudget.java
@@ -52,7 +52,12 @@
      * @return whether the bytes were reserved
      */
     public boolean tryReserveOrSole(long bytes) {
-        return tryReserve(bytes) || mUsed.compareAndSet(0, bytes);
+        return tryReserve(bytes) || tryReserveIfUnused(bytes);
+    }
+
+    /** Reserves bytes if nothing is reserved, and returns whether they were. */
+    public boolean tryReserveIfUnused(long bytes) {
+        return mUsed.compareAndSet(0, bytes);
     }
 
     /** Reserves bytes for work that cannot be refused, also beyond the limit. */
