Lower the shares of the control rings so that they fit together

The bounded buffers of a control host added up to about 105% of its heap. The two rings and the forwarded changes now take a sixteenth each, which makes 84%, of which the rings mostly hold what the other rows hold too.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -28,8 +28,8 @@
 import org.crocusturn.core.controlhosts.ProposalReply;
 import org.crocusturn.core.controlhosts.Snapshot;
 import org.crocusturn.core.operators.ChangeOutcome;
-import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.operators.ControlCommand;
+import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.ring.BudgetedHandler;
@@ -79,13 +79,13 @@
     private final Duty<FirstStartEvent> mFirstStartDuty;
     private final Path mDataFolder;
     private final Membership mConfiguredMembers;
-    private final ByteBudget mOpenChangeBytes = newChangeBudget();
+    private final ByteBudget mOpenChangeBytes = newChangeBudget(HeapShare.EIGHTH);
 
     /** Bytes of the changes that other members forwarded to this one and that have no outcome. */
-    private final ByteBudget mForwardedBytes = newChangeBudget();
+    private final ByteBudget mForwardedBytes = newChangeBudget(HeapShare.SIXTEENTH);
 
     /** Bytes of the state changes that the leader duty has not handled. */
-    private final ByteBudget mStateChangeBytes = HeapShare.EIGHTH.newBudget();
+    private final ByteBudget mStateChangeBytes = HeapShare.SIXTEENTH.newBudget();
 
     /** Null until it is decided whether this is a first start. */
     private volatile ControlNode mNode;
@@ -116,7 +116,7 @@
                         BudgetedHandler.of(
                                 LeaderDuty.create(mConnections, metrics),
                                 mStateChangeBytes,
-                                ControlMember::stateChangeBytes),
+                                LeaderEvent::approximateBytes),
                         e -> LOG.error("entryhosts: the leader duty failed", e));
         mProposalDuty =
                 Duty.start(
@@ -234,8 +234,8 @@
         return outcome;
     }
 
-    private static ByteBudget newChangeBudget() {
-        return ByteBudget.of(Math.min(MAX_OPEN_CHANGE_BYTES, HeapShare.EIGHTH.bytes()));
+    private static ByteBudget newChangeBudget(HeapShare share) {
+        return ByteBudget.of(Math.min(MAX_OPEN_CHANGE_BYTES, share.bytes()));
     }
 
     private static ChangeOutcome overloadedOutcome(OperatorCommand command) {
@@ -412,20 +412,13 @@
      * entry hosts would otherwise miss the change.
      */
     private void offerStateChange(LeaderEvent event) {
-        mStateChangeBytes.reserve(stateChangeBytes(event));
+        mStateChangeBytes.reserve(event.approximateBytes());
         if (!mLeaderDuty.offer(event)) {
             throw new IllegalStateException(
                     "a state change was not accepted because the ring of the leader duty is full");
         }
     }
 
-    /** Returns the approximate size in memory of what only this event refers to, in bytes. */
-    private static long stateChangeBytes(LeaderEvent event) {
-        return event instanceof LeaderEvent.CommandApplied applied
-                ? applied.command().approximateBytes()
-                : 0;
-    }
-
     /** Proposes a change on this host; the result has the stored outcome if it was committed. */
     private CompletableFuture<ProposalEvent.AttemptEnded> commit(
             long attempt, OperatorCommand command) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -61,7 +61,7 @@
     private final StorageDuty mStorageHandler;
     private final Duty<ConsensusAction.Persist> mStorageDuty;
     private final Duty<ConsensusEvent> mConsensusDuty;
-    private final ByteBudget mInputBytes = HeapShare.EIGHTH.newBudget();
+    private final ByteBudget mInputBytes = HeapShare.SIXTEENTH.newBudget();
     private final AtomicLong mNextDropLineNanos = new AtomicLong(SteadyClock.nanoTime());
     private volatile boolean mClosed;
 
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderEvent.java
@@ -15,6 +15,11 @@
 
 /** An event of {@link LeaderDuty}. */
 public sealed interface LeaderEvent {
+    /** Returns the approximate size in memory of what only this event refers to, in bytes. */
+    default long approximateBytes() {
+        return 0;
+    }
+
     /** This host became the leader; the state includes all entries of earlier terms. */
     record LeadershipGained(long term, ControlState state) implements LeaderEvent {
         /** Checks that the state is not null. */
@@ -42,6 +47,11 @@
             Objects.requireNonNull(command, "command");
             Objects.requireNonNull(state, "state");
         }
+
+        @Override
+        public long approximateBytes() {
+            return command.approximateBytes();
+        }
     }
 
     /** A report arrived over the link of an entry host. */
