--- a/daemon/src/test/java/org/crocusturn/daemon/platform/FailingStopMain.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/platform/FailingStopMain.java
@@ -11,26 +11,16 @@
 
     /** Takes the name of the failing thread. */
     public static void main(String[] arguments) throws InterruptedException {
+        StopSignal stop = StopSignal.install();
         FatalFailureHandler.install();
         Duty<String> duty = Duty.start("duty", 1, new FailingHandler(), FailureHandler.ENDING);
-        StopSignal.onStop(
-                () -> {
-                    if (arguments[0].equals("duty")) {
-                        duty.offer("fail");
-                        awaitForever();
-                    }
-                    throw new IllegalStateException("the stop fails");
-                });
         System.out.println("ready");
-        awaitForever();
-    }
-
-    private static void awaitForever() {
-        try {
+        stop.requested().join();
+        if (arguments[0].equals("duty")) {
+            duty.offer("fail");
             new CountDownLatch(1).await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
+        throw new IllegalStateException("the stop fails");
     }
 
     /** Fails at each event. */
--- a/daemon/src/test/java/org/crocusturn/daemon/platform/FailingStopTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/platform/FailingStopTest.java
@@ -17,7 +17,7 @@
     private static final long EXIT_TIMEOUT_SECONDS = 30;
 
     @ParameterizedTest
-    @CsvSource({"stop-signal, the stop fails", "duty, StackOverflowError: fail"})
+    @CsvSource({"main, the stop fails", "duty, StackOverflowError: fail"})
     void endsProcessWithItsOwnStatus(String thread, String cause) throws Exception {
         Process process =
                 new ProcessBuilder(
