Report an event loop that ends from its own thread

Cause: ThreadFailureTest failed once for the event loop of a control host: the thread had ended and the process lived on. The end was taken from the termination future of Netty, which is not completed if another error hits the cleanup of the loop.

Change: the thread factory of the event loops reports the end in the thread itself.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/NetThreads.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import org.crocusturn.core.ring.ThreadFailures;
 
@@ -12,18 +12,17 @@
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
     private final EventLoopGroup mGroup;
-
     private volatile boolean mClosed;
 
-    private NetThreads(EventLoopGroup group) {
-        mGroup = group;
-        group.forEach(loop -> loop.terminationFuture().addListener(done -> onEnded(loop)));
+    private NetThreads(String name, int threads) {
+        ThreadFactory names = new DefaultThreadFactory(name + "-io", true);
+        ThreadFactory factory = task -> names.newThread(() -> runEventLoop(task));
+        mGroup = new NioEventLoopGroup(threads, factory);
     }
 
     /** Creates I/O threads whose names start with a prefix. */
     public static NetThreads start(String name, int threads) {
-        return new NetThreads(
-                new NioEventLoopGroup(threads, new DefaultThreadFactory(name + "-io", true)));
+        return new NetThreads(name, threads);
     }
 
     /** Returns the event loops, for servers and clients inside and outside this package. */
@@ -38,10 +37,14 @@
                 .awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
     }
 
-    /** Reports an event loop that ended by itself; Netty logs the cause and ends the thread. */
-    private void onEnded(EventExecutor loop) {
-        if (!mClosed) {
-            ThreadFailures.report(new IllegalStateException("event loop ended: " + loop));
+    /** Runs an event loop and reports if it ends by itself; Netty only logs the cause. */
+    private void runEventLoop(Runnable task) {
+        try {
+            task.run();
+        } finally {
+            if (!mClosed) {
+                ThreadFailures.report(new IllegalStateException("the event loop has ended"));
+            }
         }
     }
 }
