--- a/review/standin-2/org/review2/EvacuationTransaction.java
+++ b/review/standin-2/org/review2/EvacuationTransaction.java
@@ -54,15 +54,15 @@
                 fleet.runs.stream()
                         .filter(Fleet.Run::inTx)
                         .collect(Collectors.groupingBy(r -> r.db().zone, Collectors.counting()));
-        String holder =
-                fleet.runs.stream().map(r -> rig.zoneOf(r.from())).reduce((a, b) -> b).orElse("");
-        rig.log("open transactions " + open + ", sent on by a machine in " + holder);
+        String holder = rig.leaseholderZone();
+        rig.log("open transactions " + open + ", the leaseholder is in " + holder);
         String zone =
                 open.keySet().stream().filter(z -> !z.equals(holder)).findFirst().orElse("");
-        if (zone.isEmpty()) {
+        if (holder.isEmpty() || zone.isEmpty()) {
             return Rig.NOT_RUN;
         }
-        double acked = rig.order("POST", "/evacuations/" + (trouble ? zone : "z9"), "", 5);
+        double acked =
+                trouble ? rig.order("POST", "/evacuations/" + zone, "", 5) : rig.seconds();
         rig.log("zone " + zone + (trouble ? " is evacuated" : " stays in service"));
         for (int i = 1; i < STATEMENTS; i++) {
             Rig.pause(PAUSE_MILLIS);
--- a/review/standin-2/org/review2/Fleet.java
+++ b/review/standin-2/org/review2/Fleet.java
@@ -49,6 +49,7 @@
         volatile String state = "ready";
         volatile boolean beats = true;
         volatile boolean deaf;
+        volatile double lastBeat;
         long term = 1;
         long held;
         private int mSequence;
@@ -130,14 +131,21 @@
 
     /** Starts the heartbeats, each acknowledged by one of the control hosts. */
     void announce() {
-        dbs.forEach(db -> Rig.background(() -> beat(db)));
+        dbs.forEach(this::announce);
+    }
+
+    /** Starts the heartbeats of one database. */
+    void announce(Db db) {
+        Rig.background(() -> beat(db));
     }
 
     private void beat(Db db) {
         int host = 0;
         List<Rig.Proc> hosts = mRig.role("control");
+        double next = mRig.seconds();
         while (!mRig.closed()) {
             boolean done = true;
+            db.lastBeat = mRig.seconds();
             if (db.up && db.beats) {
                 done =
                         mRig.call(
@@ -150,7 +158,8 @@
                                 .ok();
                 host += done ? 0 : 1;
             }
-            Rig.pause(done ? 1_200 : 100);
+            next = done ? Math.max(next + 1.2, mRig.seconds()) : mRig.seconds() + 0.1;
+            Rig.pause(Math.round((next - mRig.seconds()) * 1_000));
         }
     }
 
--- a/review/standin-2/org/review2/Rig.java
+++ b/review/standin-2/org/review2/Rig.java
@@ -426,6 +426,27 @@
         return -1;
     }
 
+    /** Returns the zone of the process that holds the only lease, by the programs' own metrics. */
+    String leaseholderZone() {
+        return procs.stream()
+                .filter(p -> !p.role.equals("control"))
+                .filter(
+                        p ->
+                                call(
+                                                p.ip,
+                                                p.role.equals("entry") ? 9464 : 9465,
+                                                "GET",
+                                                "/metrics",
+                                                "",
+                                                1_000)
+                                        .body()
+                                        .lines()
+                                        .anyMatch(l -> l.matches("crocusturn_group_leases 1(\\.0)?")))
+                .map(p -> p.zone)
+                .findFirst()
+                .orElse("");
+    }
+
     /** Waits until all entry hosts report ready. */
     boolean awaitReady(double limitSeconds) {
         double until = seconds() + limitSeconds;
--- a/review/standin-2/org/review2/ServiceReturn.java
+++ b/review/standin-2/org/review2/ServiceReturn.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,7 +44,7 @@
             return Rig.NOT_RUN;
         }
         Rig.pause(3_000);
-        roll(rig);
+        roll(rig, false);
         Rig.pause(4_000);
         double removed =
                 rig.order(
@@ -56,7 +58,7 @@
             return Rig.NOT_RUN;
         }
         Rig.pause(4_000);
-        roll(rig);
+        roll(rig, true);
         Rig.pause(8_000);
         boolean broken = false;
         for (Fleet f : List.of(fleet, other)) {
@@ -71,15 +73,18 @@
         return broken ? Rig.BROKEN : Rig.HELD;
     }
 
-    /** Stops the machines in turn, each for good measure with its grace period, and starts them. */
-    private static void roll(Rig rig) {
-        rig.procs.stream()
-                .filter(p -> !p.role.equals("control"))
-                .forEach(
-                        p -> {
-                            p.terminate();
-                            Rig.pause(1_300);
-                        });
+    /** Stops the entry hosts and leaseholders in turn; each starts again. */
+    private static void roll(Rig rig, boolean backwards) {
+        List<Rig.Proc> procs =
+                new ArrayList<>(
+                        rig.procs.stream().filter(p -> !p.role.equals("control")).toList());
+        if (backwards) {
+            Collections.reverse(procs);
+        }
+        for (Rig.Proc proc : procs) {
+            proc.terminate();
+            Rig.pause(1_300);
+        }
         Rig.pause(8_000);
     }
 }
