--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: no freeze.
+# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: the service stays
+# in all configurations, and all replicas receive.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
-[ -f target/review-2/org/review2/EvacuationRepeat.class ] || exit 2
+[ -f target/review-2/org/review2/ServiceReturnLoss.class ] || exit 2
 [ -f target/platform/crocusturn-platform.jar ] || exit 2
-exec java -Xmx512m -cp target/review-2 org.review2.EvacuationRepeat review/6/record.txt
+exec java -Xmx512m -cp target/review-2 org.review2.ServiceReturnLoss review/6/record.txt
--- a/review/standin-2/org/review2/Client.java
+++ b/review/standin-2/org/review2/Client.java
@@ -1,10 +1,12 @@
 package org.review2;
 
-import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A client session. */
@@ -12,7 +14,10 @@
     private static final AtomicLong NEXT_ID = new AtomicLong(1);
 
     private final Socket mSocket = new Socket();
-    private final BufferedReader mIn;
+    private final InputStream mIn;
+
+    /** Rows of the last answer. */
+    final List<String> rows = new ArrayList<>();
 
     /** Answer to a statement: DONE or ERR line, and the state. */
     record Answer(String id, String result, String state) {
@@ -25,9 +30,9 @@
         mSocket.setTcpNoDelay(true);
         mSocket.connect(new InetSocketAddress(ip, rig.callerPort), 2_000);
         mSocket.setSoTimeout(5_000);
-        mIn = Rig.reader(mSocket);
+        mIn = Rig.input(mSocket);
         send("START " + database + " " + key + "\r\n");
-        String line = mIn.readLine();
+        String line = Rig.readLine(mIn);
         if (line == null || !line.startsWith("READY")) {
             mSocket.close();
             throw new IOException("START was answered with " + line);
@@ -39,19 +44,29 @@
         mSocket.getOutputStream().flush();
     }
 
+    static String newId() {
+        return String.format("%016x", 0xc0de_0000_0000L + NEXT_ID.getAndIncrement());
+    }
+
     Answer query(String text) throws IOException {
-        String id = String.format("%016x", 0xc0de_0000_0000L + NEXT_ID.getAndIncrement());
+        return query(newId(), text);
+    }
+
+    Answer query(String id, String text) throws IOException {
+        rows.clear();
         send("QUERY " + id + " " + text + "\r\n");
         String result = "";
         while (true) {
-            String line = mIn.readLine();
+            String line = Rig.readLine(mIn);
             if (line == null) {
                 throw new IOException("the connection was closed");
             }
             if (line.startsWith("READY")) {
                 return new Answer(id, result, line.split(" ")[1]);
             }
-            if (!line.startsWith("ROW")) {
+            if (line.startsWith("ROW ")) {
+                rows.add(line.substring(4));
+            } else {
                 result = line;
             }
         }
--- a/review/standin-2/org/review2/Fleet.java
+++ b/review/standin-2/org/review2/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -25,6 +26,8 @@
     final List<Run> runs = new CopyOnWriteArrayList<>();
     final List<Promotion> promotions = new CopyOnWriteArrayList<>();
     long workMillis = 2;
+    String multiLineItem = "";
+    String multiLineRow = "";
     private final int mSlots;
     private final Map<String, Long> mHighestFence = new TreeMap<>();
     private long mTerm = 1;
@@ -305,9 +308,9 @@
         void serve() throws IOException {
             mDb.sockets.add(mSocket);
             try {
-                BufferedReader in = Rig.reader(mSocket);
+                InputStream in = Rig.input(mSocket);
                 OutputStream out = mSocket.getOutputStream();
-                String line = in.readLine();
+                String line = Rig.readLine(in);
                 String[] start = line == null ? new String[0] : line.split(" ");
                 if (start.length < 3 || !start[1].equals(service)) {
                     write(out, "ERR WRONGNODE " + mDb.id + "\r\n");
@@ -320,7 +323,7 @@
                 mTenant = start[2];
                 Rig.pause(5);
                 write(out, ready());
-                for (line = in.readLine(); line != null; line = in.readLine()) {
+                for (line = Rig.readLine(in); line != null; line = Rig.readLine(in)) {
                     String[] fields = line.split(" ", 3);
                     if (fields[0].equals("BYE")) {
                         return;
@@ -459,6 +462,7 @@
             if (needsLead && mDb != mPrimary || inTransaction && mReadOnly && writes) {
                 return error("READONLY");
             }
+            String[] words = text.split(" ");
             record(id, text, inTransaction);
             Rig.pause(workMillis);
             if (writes && inTransaction) {
@@ -466,7 +470,12 @@
             } else if (writes && !Fleet.this.commit(mDb, id, List.of(id))) {
                 return error("READONLY");
             }
-            return (writes ? "" : "ROW row-" + id + "\r\n") + done(mDb.id + "." + id);
+            return (writes ? "" : "ROW " + rowOf(words[1], id) + "\r\n")
+                    + done(mDb.id + "." + id);
+        }
+
+        private String rowOf(String item, String id) {
+            return item.equals(multiLineItem) ? multiLineRow : "row-" + id;
         }
 
         private void record(String id, String text, boolean inTransaction) {
--- a/review/standin-2/org/review2/Rig.java
+++ b/review/standin-2/org/review2/Rig.java
@@ -1,6 +1,8 @@
 package org.review2;
 
+import java.io.BufferedInputStream;
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -493,12 +495,31 @@
         void handle(Socket socket) throws IOException;
     }
 
+    static InputStream input(Socket socket) throws IOException {
+        return new BufferedInputStream(socket.getInputStream(), 1 << 16);
+    }
+
     static BufferedReader reader(Socket socket) throws IOException {
         return new BufferedReader(
                 new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1),
                 1 << 16);
     }
 
+    /** Reads a line that ends with CR LF, as the wire's page says; null at the end of the input. */
+    static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int previous = -1;
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            if (previous == '\r' && next == '\n') {
+                byte[] bytes = line.toByteArray();
+                return new String(bytes, 0, bytes.length - 1, StandardCharsets.ISO_8859_1);
+            }
+            line.write(next);
+            previous = next;
+        }
+        return null;
+    }
+
     private void endAll() {
         mClosed = true;
         procs.stream()
