--- a/review/standin-2/org/review2/LineFeed.java
+++ b/review/standin-2/org/review2/LineFeed.java
@@ -45,6 +45,9 @@
                 0,
                 sent,
                 "WRITE 1b0 note" + separator + "QUERY " + inner + " WRITE 9z9 smuggled");
+        fleet.multiLineItem = "2c0";
+        fleet.multiLineRow = "two lines" + separator + "ROW in one row";
+        int mixed = read(rig, sent, fleet.multiLineRow);
         Rig.pause(2_000);
         int changed = 0;
         for (Fleet.Run run : fleet.runs) {
@@ -67,9 +70,25 @@
         if (fleet.runs.isEmpty() && !trouble) {
             return Rig.NOT_RUN;
         }
+        rig.log(mixed + " reads were answered with success and other rows");
         return changed > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
+    /** Reads an item whose row has the same separator; returns the number of wrong successes. */
+    private static int read(Rig rig, Map<String, String> sent, String row) {
+        String id = Client.newId();
+        sent.put(id, "READ 2c0");
+        try (Client client =
+                new Client(rig, rig.role("entry").get(1).ip, "tafdb-b", Configs.KEY)) {
+            Client.Answer answer = client.query(id, "READ 2c0");
+            rig.log("client gets rows " + client.rows + ", " + answer);
+            return answer.ok() && !client.rows.equals(List.of(row)) ? 1 : 0;
+        } catch (IOException e) {
+            rig.log("client: " + e.getMessage());
+            return 0;
+        }
+    }
+
     private static void write(Rig rig, int entry, Map<String, String> sent, String text) {
         String id = Client.newId();
         sent.put(id, text);
