--- a/review/standin-2/org/review2/Fleet.java
+++ b/review/standin-2/org/review2/Fleet.java
@@ -26,8 +26,6 @@
     final List<Run> runs = new CopyOnWriteArrayList<>();
     final List<Promotion> promotions = new CopyOnWriteArrayList<>();
     long workMillis = 2;
-    String multiLineItem = "";
-    String multiLineRow = "";
     private final int mSlots;
     private final Map<String, Long> mHighestFence = new TreeMap<>();
     private long mTerm = 1;
@@ -462,7 +460,6 @@
             if (needsLead && mDb != mPrimary || inTransaction && mReadOnly && writes) {
                 return error("READONLY");
             }
-            String[] words = text.split(" ");
             record(id, text, inTransaction);
             Rig.pause(workMillis);
             if (writes && inTransaction) {
@@ -470,12 +467,7 @@
             } else if (writes && !Fleet.this.commit(mDb, id, List.of(id))) {
                 return error("READONLY");
             }
-            return (writes ? "" : "ROW " + rowOf(words[1], id) + "\r\n")
-                    + done(mDb.id + "." + id);
-        }
-
-        private String rowOf(String item, String id) {
-            return item.equals(multiLineItem) ? multiLineRow : "row-" + id;
+            return (writes ? "" : "ROW row-" + id + "\r\n") + done(mDb.id + "." + id);
         }
 
         private void record(String id, String text, boolean inTransaction) {
