--- a/review/standin-2/org/review2/Fleet.java
+++ b/review/standin-2/org/review2/Fleet.java
@@ -26,6 +26,11 @@
     final List<Run> runs = new CopyOnWriteArrayList<>();
     final List<Promotion> promotions = new CopyOnWriteArrayList<>();
     long workMillis = 2;
+
+    /** Item whose reads are answered with many rows. */
+    String longItem = "";
+
+    int longRows;
     private final int mSlots;
     private final Map<String, Long> mHighestFence = new TreeMap<>();
     private long mTerm = 1;
@@ -495,7 +500,13 @@
             } else if (writes && !Fleet.this.commit(mDb, id, List.of(id))) {
                 return error("READONLY");
             }
-            return (writes ? "" : "ROW row-" + id + "\r\n") + done(mDb.id + "." + id);
+            return (writes ? "" : rows(id, text)) + done(mDb.id + "." + id);
+        }
+
+        private String rows(String id, String text) {
+            return text.equals("READ " + longItem)
+                    ? ("ROW " + "r".repeat(1_000) + "\r\n").repeat(longRows)
+                    : "ROW row-" + id + "\r\n";
         }
 
         private void record(String id, String text, boolean inTransaction) {
--- a/review/standin-2/org/review2/LargeStatements.java
+++ b/review/standin-2/org/review2/LargeStatements.java
@@ -8,8 +8,8 @@
 
 /** Clients write items whose statements stay below the largest allowed message. */
 public final class LargeStatements {
-    private static final int SESSIONS = Integer.getInteger("sessions", 35);
-    private static final int LARGE_CHARACTERS = Integer.getInteger("chars", 1_000_000);
+    private static final int SESSIONS = 35;
+    private static final int LARGE_CHARACTERS = 1_000_000;
     private static final int SMALL_CHARACTERS = 1_000;
 
     private LargeStatements() {}
@@ -62,7 +62,7 @@
                         }
                     });
         }
-        for (int i = 0; i < Integer.getInteger("rounds", 6); i++) {
+        for (int i = 0; i < 6; i++) {
             Rig.pause(5_000);
             rig.log(served + " served, " + refused + " refused, " + cut + " without an answer");
         }
