Promote only what is known to be complete

A replica that was behind was promoted beside the running primary.

Cause: a leaseholder took the endpoints that had announced themselves for all endpoints of a group. A dropped service had its endpoints and groups removed from the replicated state, so that the first heartbeat after its return made one replica the only copy. Epochs, and with them fencing numbers, started at 1 again. The same conclusion was wrong for a first start with copies cut off, for a new leaseholder after the loss of a replica, and for a commit that an unannounced copy had received.

Change: the replicated state keeps whether a leaseholder has confirmed that all acknowledged commits are in two of the registered logs (CopyCoverage, ConfirmCoverage). The loss of a copy takes that back by the command that changes its record. A leaseholder that has seen no primary promotes only if that is confirmed and at most one copy is silent, or if as many copies answer as the service has (KnownCopies); otherwise it does not pause replicas either. One that has acknowledged commits goes by their positions alone. Groups and endpoints of a service that is left out stay in the state, without leases.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/HeldLease.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/HeldLease.java
@@ -11,10 +11,23 @@
  * @param droppedTerm highest term for which the holder acknowledges no more writes; 0 if none
  * @param released whether the holder closed all connections and released the lease
  * @param busy number of running requests and open transactions
+ * @param coveredVersion version of the state with whose endpoints all acknowledged commits are in
+ *     the logs of the primary and of a replica; 0 if that is not known
  */
-public record HeldLease(GroupId group, long epoch, long droppedTerm, boolean released, int busy) {
+public record HeldLease(
+        GroupId group,
+        long epoch,
+        long droppedTerm,
+        boolean released,
+        int busy,
+        long coveredVersion) {
     /** Checks that the group is not null. */
     public HeldLease {
         Objects.requireNonNull(group, "group");
     }
+
+    /** Creates the state of a lease whose holder knows nothing of the copies. */
+    public HeldLease(GroupId group, long epoch, long droppedTerm, boolean released, int busy) {
+        this(group, epoch, droppedTerm, released, busy, 0);
+    }
 }
--- a/core/src/main/java/org/crocusturn/core/endpoints/PromotionPlan.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/PromotionPlan.java
@@ -15,7 +15,8 @@
  * received all positions that the leaseholder knows to be acknowledged. It is also safe if the
  * positions of all copies but one are known, none of them is ahead of the candidate, and the
  * candidate has what the remaining copy may be the only one to have. If the positions of all copies
- * are known, waiting could not preserve more, and the newest copy is promoted.
+ * are known, waiting could not preserve more, and the newest copy is promoted. Copies that have not
+ * announced themselves count as copies with an unknown position.
  */
 public final class PromotionPlan {
     private PromotionPlan() {}
@@ -47,19 +48,23 @@
     /**
      * Returns the copy to promote, or empty if no candidate is safe yet.
      *
-     * @param copies all copies, including the old primary without a position
+     * @param copies all announced copies, including the old primary without a position
+     * @param missing number of other copies that the group may have
      * @param acknowledged newest position that may have been acknowledged, if known
      * @param coverage what the old primary may be the only copy to have
      */
     public static Optional<EndpointId> choose(
-            List<Candidate> copies, Optional<LogPosition> acknowledged, ReplicaCoverage coverage) {
+            List<Candidate> copies,
+            int missing,
+            Optional<LogPosition> acknowledged,
+            ReplicaCoverage coverage) {
         Comparator<Candidate> best =
                 Comparator.<Candidate, Boolean>comparing(c -> !c.terminating())
                         .thenComparing(Candidate::position)
                         .thenComparing(Candidate::endpoint, Comparator.reverseOrder());
         return copies.stream()
                 .filter(c -> c.received().isPresent() && !c.drained())
-                .filter(c -> isSafe(c, copies, acknowledged, coverage))
+                .filter(c -> isSafe(c, copies, missing, acknowledged, coverage))
                 .max(best)
                 .map(Candidate::endpoint);
     }
@@ -67,11 +72,12 @@
     private static boolean isSafe(
             Candidate candidate,
             List<Candidate> copies,
+            int missing,
             Optional<LogPosition> acknowledged,
             ReplicaCoverage coverage) {
         boolean hasAcknowledged =
                 acknowledged.filter(p -> candidate.position().compareTo(p) >= 0).isPresent();
-        long unknown = copies.stream().filter(c -> c.received().isEmpty()).count();
+        long unknown = missing + copies.stream().filter(c -> c.received().isEmpty()).count();
         boolean othersKnown = unknown == 0 || unknown == 1 && coverage.covers(candidate.position());
         boolean isNewest =
                 copies.stream().allMatch(c -> c.position().compareTo(candidate.position()) <= 0);
--- a/core/src/main/java/org/crocusturn/core/endpoints/ReplicaCoverage.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/ReplicaCoverage.java
@@ -18,6 +18,8 @@
  */
 public record ReplicaCoverage(Optional<LogPosition> exposed) {
     private static final ReplicaCoverage COMPLETE = new ReplicaCoverage(Optional.empty());
+    private static final ReplicaCoverage UNKNOWN =
+            new ReplicaCoverage(Optional.of(LogPosition.of(Long.MAX_VALUE, Long.MAX_VALUE)));
 
     /** Rejects a null position. */
     public ReplicaCoverage {
@@ -29,6 +31,11 @@
         return COMPLETE;
     }
 
+    /** Returns the coverage of a group of which nothing is known: any commit may be at one copy. */
+    public static ReplicaCoverage unknown() {
+        return UNKNOWN;
+    }
+
     /** Returns the coverage after a leaseholder accepted a primary with a log up to a position. */
     public static ReplicaCoverage behindPrimary(LogPosition received) {
         return new ReplicaCoverage(Optional.of(received));
--- a/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/ControlLeader.java
@@ -195,6 +195,9 @@
         if (command instanceof ControlCommand.BeginFailover begin) {
             return Optional.of(begin.group());
         }
+        if (command instanceof ControlCommand.ConfirmCoverage confirm) {
+            return Optional.of(confirm.group());
+        }
         return command instanceof ControlCommand.CompletePromotion complete
                 ? Optional.of(complete.group())
                 : Optional.empty();
@@ -282,6 +285,21 @@
         if (held.released()) {
             new LeaseDecisions(step).checkGroup(held.group());
         }
+        confirmCoverage(step, held);
+    }
+
+    /** Records what a holder found out about the copies, for the leaseholders after it. */
+    private static void confirmCoverage(LeaderStep step, HeldLease held) {
+        GroupRecord record = step.mState.control().groups().get(held.group());
+        if (record != null
+                && !record.coverage().isConfirmed()
+                && record.leaseholder().filter(h -> h.epoch() == held.epoch()).isPresent()
+                && held.coveredVersion() > 0
+                && held.coveredVersion() >= record.coverage().lostVersion()) {
+            step.propose(
+                    new ControlCommand.ConfirmCoverage(
+                            held.group(), held.epoch(), held.coveredVersion()));
+        }
     }
 
     private static void handleCommandFinished(LeaderStep step, EndpointCommandResult result) {
@@ -300,7 +318,7 @@
     private static void handleAnnouncement(LeaderStep step, EndpointRecord endpoint) {
         ControlState control = step.mState.control();
         boolean known =
-                control.configuration().service(endpoint.service()).isPresent()
+                control.recordsEndpointsOf(endpoint.service())
                         && control.configuration().acceptsDataCentre(endpoint.dataCentre());
         if (!known) {
             return;
--- a/core/src/main/java/org/crocusturn/core/entryhosts/FailoverTable.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/FailoverTable.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.endpoints.CopyHealth;
@@ -102,8 +104,12 @@
 
     /** Returns the table after a change of the endpoints or the configuration. */
     public FailoverTable withState(ControlState state, long nowNanos) {
+        Set<GroupId> configured =
+                state.groups().keySet().stream()
+                        .filter(state::isConfigured)
+                        .collect(Collectors.toSet());
         PMap<GroupId, FailoverState> nextGroups = groups;
-        for (GroupId id : state.groups().keySet()) {
+        for (GroupId id : configured) {
             if (!nextGroups.containsKey(id)) {
                 nextGroups = nextGroups.plus(id, FailoverState.of(id, nowNanos));
             }
@@ -117,12 +123,12 @@
             }
         }
         return new FailoverTable(
-                nextGroups.minusAll(absent(nextGroups.keySet(), state.groups().keySet())),
+                nextGroups.minusAll(absent(nextGroups.keySet(), configured)),
                 nextHealth.minusAll(absent(nextHealth.keySet(), state.endpoints().keySet())),
                 nextAnnounced.minusAll(absent(nextAnnounced.keySet(), state.endpoints().keySet())),
                 copiesOf(state),
-                state.groups().keySet().stream().sorted().toList(),
-                inFailover.minusAll(absent(inFailover, state.groups().keySet())),
+                configured.stream().sorted().toList(),
+                inFailover.minusAll(absent(inFailover, configured)),
                 instancesOf(state));
     }
 
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderStep.java
@@ -179,6 +179,7 @@
                 .sorted(Comparator.naturalOrder())
                 .map(id -> mState.leases().lease(id).orElseThrow())
                 .filter(lease -> lease.isRenewable(host.incarnation()))
+                .filter(lease -> mState.control().isConfigured(lease.group()))
                 .forEach(lease -> grants.add(grant(host, lease)));
         long version = mState.control().version();
         SentChanges sent = mState.sentChanges();
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -35,7 +35,10 @@
     void checkGroup(GroupId id) {
         GroupRecord record = mStep.mState.control().groups().get(id);
         Optional<LeaseState> known = mStep.mState.leases().lease(id);
-        if (record == null || known.isEmpty() || isProposed(known.get())) {
+        if (record == null
+                || known.isEmpty()
+                || isProposed(known.get())
+                || !mStep.mState.control().isConfigured(id)) {
             return;
         }
         LeaseState lease = known.get();
--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
@@ -76,15 +76,22 @@
     }
 
     static ControlState accept(ControlState state, Configuration next, String changeId) {
-        Map<GroupId, GroupRecord> groups =
+        Map<GroupId, GroupRecord> configured =
                 next.services().stream()
                         .flatMap(s -> s.databases().stream().map(d -> GroupId.of(s.name(), d)))
                         .collect(
                                 Collectors.toMap(
                                         Function.identity(),
                                         id -> state.groups().getOrDefault(id, GroupRecord.of(id))));
+        // A group that had a leaseholder has acknowledged commits. Its epochs must not be used
+        // again, and its endpoints stay known in case a later configuration has it again.
+        Map<GroupId, GroupRecord> groups =
+                state.groups().entrySet().stream()
+                        .filter(e -> e.getValue().lastEpoch() > 0)
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        groups.putAll(configured);
         Set<String> services =
-                next.services().stream().map(Service::name).collect(Collectors.toSet());
+                groups.keySet().stream().map(GroupId::service).collect(Collectors.toSet());
         Map<EndpointId, EndpointRecord> endpoints =
                 state.endpoints().entrySet().stream()
                         .filter(e -> services.contains(e.getValue().service()))
@@ -107,7 +114,7 @@
                 .withEndpoints(endpoints)
                 .withDrained(drained)
                 .withKeys(keys, state.withdrawn())
-                .withPlacements(assignPlacements(state, next, groups.keySet()));
+                .withPlacements(assignPlacements(state, next, configured.keySet()));
     }
 
     // A placement is kept after its workspace is removed while the group exists, because the group
--- a/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
@@ -118,6 +118,21 @@
         }
     }
 
+    /**
+     * Records that all acknowledged commits of a group are in the logs of its primary and of an
+     * announced replica; ignored unless the lease has the epoch.
+     *
+     * @param group the group
+     * @param epoch epoch of the leaseholder that found this out
+     * @param version version of the state whose endpoints the leaseholder knew
+     */
+    record ConfirmCoverage(GroupId group, long epoch, long version) implements ControlCommand {
+        /** Checks that the group is not null. */
+        public ConfirmCoverage {
+            Objects.requireNonNull(group, "group");
+        }
+    }
+
     /** Adds an endpoint or replaces its record. */
     record RegisterEndpoint(EndpointRecord endpoint) implements ControlCommand {
         /** Checks that no component is null. */
--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -94,6 +94,24 @@
                 .map(database -> GroupId.of(service, database));
     }
 
+    /** Returns whether the configuration in force has the group. */
+    public boolean isConfigured(GroupId group) {
+        return configuration
+                .service(group.service())
+                .filter(s -> s.databases().contains(group.database()))
+                .isPresent();
+    }
+
+    /**
+     * Returns whether endpoints of a service are recorded: the service is configured, or a group of
+     * it had a leaseholder. A later configuration may have the service again, and what is known of
+     * its logs must not be forgotten until then.
+     */
+    public boolean recordsEndpointsOf(String service) {
+        return configuration.service(service).isPresent()
+                || groups.keySet().stream().anyMatch(g -> g.service().equals(service));
+    }
+
     /** Returns whether an endpoint may be given new work. */
     public boolean isInService(EndpointRecord endpoint) {
         return !endpoint.leaving() && !drained.contains(endpoint.dataCentre());
--- a/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.crocusturn.core.operators.ControlCommand.AssignLease;
 import org.crocusturn.core.operators.ControlCommand.BeginFailover;
 import org.crocusturn.core.operators.ControlCommand.CompletePromotion;
+import org.crocusturn.core.operators.ControlCommand.ConfirmCoverage;
 import org.crocusturn.core.operators.ControlCommand.IssueKey;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
 import org.crocusturn.core.operators.ControlCommand.PatchConfiguration;
@@ -210,6 +212,13 @@
                     g -> g.leaseholder().filter(h -> h.epoch() == release.epoch()).isPresent(),
                     GroupRecord::withoutLeaseholder);
         }
+        if (command instanceof ConfirmCoverage confirm) {
+            return updateGroup(
+                    state,
+                    confirm.group(),
+                    g -> g.leaseholder().filter(h -> h.epoch() == confirm.epoch()).isPresent(),
+                    g -> g.withCoverage(g.coverage().withConfirmed(confirm.version())));
+        }
         if (command instanceof BeginFailover begin) {
             return updateGroup(
                     state,
@@ -244,10 +253,28 @@
                         && endpoint.incarnation() > 0
                         && known.incarnation() == endpoint.incarnation()
                         && known.leaving();
+        List<EndpointRecord> lost =
+                state.endpoints().values().stream().filter(endpoint::losesLogOf).toList();
         Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
         endpoints.values().removeIf(endpoint::replaces);
         endpoints.put(endpoint.id(), hasLeft ? endpoint.withLeaving(true) : endpoint);
-        return state.withEndpoints(endpoints);
+        return withLosses(state.withEndpoints(endpoints), lost);
+    }
+
+    /** Returns the state after endpoints were lost together with their logs. */
+    private static ControlState withLosses(ControlState state, List<EndpointRecord> lost) {
+        Map<GroupId, GroupRecord> groups = new HashMap<>(state.groups());
+        lost.stream()
+                .flatMap(e -> e.databases().stream().map(d -> GroupId.of(e.service(), d.name())))
+                .forEach(
+                        id ->
+                                groups.computeIfPresent(
+                                        id,
+                                        (key, group) ->
+                                                group.withCoverage(
+                                                        group.coverage()
+                                                                .withLoss(state.version()))));
+        return lost.isEmpty() ? state : state.withGroups(groups);
     }
 
     // A primary is kept until a failover has replaced it, because entry hosts need its address.
@@ -259,8 +286,8 @@
             return state;
         }
         Map<EndpointId, EndpointRecord> endpoints = new HashMap<>(state.endpoints());
-        endpoints.remove(endpoint);
-        return state.withEndpoints(endpoints);
+        EndpointRecord lost = endpoints.remove(endpoint);
+        return withLosses(state.withEndpoints(endpoints), List.of(lost));
     }
 
     private static ControlState updateGroup(
--- a/core/src/main/java/org/crocusturn/core/operators/EndpointRecord.java
+++ b/core/src/main/java/org/crocusturn/core/operators/EndpointRecord.java
@@ -62,6 +62,14 @@
                 && incarnation > other.incarnation;
     }
 
+    /**
+     * Returns whether another record describes an earlier process of this endpoint or at its
+     * address, whose log ended with it.
+     */
+    boolean losesLogOf(EndpointRecord other) {
+        return replaces(other) || id.equals(other.id) && incarnation != other.incarnation;
+    }
+
     /** Returns a copy with another value of {@link #leaving}. */
     public EndpointRecord withLeaving(boolean value) {
         return new EndpointRecord(
--- a/core/src/main/java/org/crocusturn/core/operators/GroupRecord.java
+++ b/core/src/main/java/org/crocusturn/core/operators/GroupRecord.java
@@ -14,6 +14,7 @@
  * @param startIndex log index at which the term began; later indexes belong to the term
  * @param leaseholder entry host that the lease is assigned to, if any
  * @param lastEpoch highest epoch assigned so far; 0 before the first assignment
+ * @param coverage whether acknowledged commits are in the logs of two endpoints
  */
 public record GroupRecord(
         GroupId id,
@@ -21,12 +22,25 @@
         Optional<EndpointId> primary,
         long startIndex,
         Optional<Leaseholder> leaseholder,
-        long lastEpoch) {
+        long lastEpoch,
+        CopyCoverage coverage) {
     /** Checks that no component is null. */
     public GroupRecord {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(primary, "primary");
         Objects.requireNonNull(leaseholder, "leaseholder");
+        Objects.requireNonNull(coverage, "coverage");
+    }
+
+    /** Creates a record whose coverage no leaseholder has confirmed. */
+    public GroupRecord(
+            GroupId id,
+            long term,
+            Optional<EndpointId> primary,
+            long startIndex,
+            Optional<Leaseholder> leaseholder,
+            long lastEpoch) {
+        this(id, term, primary, startIndex, leaseholder, lastEpoch, CopyCoverage.UNKNOWN);
     }
 
     /** Creates the record of a group that has neither primary nor leaseholder. */
@@ -36,21 +50,30 @@
 
     /** Returns a copy with a leaseholder and its epoch. */
     public GroupRecord withLeaseholder(Leaseholder holder) {
-        return new GroupRecord(id, term, primary, startIndex, Optional.of(holder), holder.epoch());
+        return new GroupRecord(
+                id, term, primary, startIndex, Optional.of(holder), holder.epoch(), coverage);
     }
 
     /** Returns a copy without a leaseholder. */
     public GroupRecord withoutLeaseholder() {
-        return new GroupRecord(id, term, primary, startIndex, Optional.empty(), lastEpoch);
+        return new GroupRecord(
+                id, term, primary, startIndex, Optional.empty(), lastEpoch, coverage);
     }
 
     /** Returns a copy with a new term and no primary. */
     public GroupRecord withFailover(long newTerm) {
-        return new GroupRecord(id, newTerm, Optional.empty(), startIndex, leaseholder, lastEpoch);
+        return new GroupRecord(
+                id, newTerm, Optional.empty(), startIndex, leaseholder, lastEpoch, coverage);
     }
 
     /** Returns a copy with the primary of the current term. */
     public GroupRecord withPrimary(EndpointId endpoint, long start) {
-        return new GroupRecord(id, term, Optional.of(endpoint), start, leaseholder, lastEpoch);
+        return new GroupRecord(
+                id, term, Optional.of(endpoint), start, leaseholder, lastEpoch, coverage);
+    }
+
+    /** Returns a copy with another coverage. */
+    GroupRecord withCoverage(CopyCoverage value) {
+        return new GroupRecord(id, term, primary, startIndex, leaseholder, lastEpoch, value);
     }
 }
--- a/core/src/test/java/org/crocusturn/core/endpoints/PromotionPlanTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PromotionPlanTest.java
@@ -19,6 +19,10 @@
     private static final Optional<LogPosition> UNKNOWN = Optional.empty();
 
     static Stream<Arguments> plans() {
+        return Stream.concat(plansOfKnownCopies(), plansOfUnknownCopies());
+    }
+
+    private static Stream<Arguments> plansOfKnownCopies() {
         return Stream.of(
                 plan(
                         "the newest copy is promoted",
@@ -91,6 +95,40 @@
                         ""));
     }
 
+    private static Stream<Arguments> plansOfUnknownCopies() {
+        return Stream.of(
+                plan(
+                        "a commit may be at the silent copy alone if nothing is known",
+                        List.of(copyAt("a", 5), copyAt("b", 7), unknown("p")),
+                        UNKNOWN,
+                        ReplicaCoverage.unknown(),
+                        ""),
+                plan(
+                        "the newest of all copies is promoted if nothing is known",
+                        List.of(copyAt("a", 5), copyAt("b", 7), copyAt("p", 6)),
+                        UNKNOWN,
+                        ReplicaCoverage.unknown(),
+                        "b"),
+                missing(
+                        "the only announced copy of three may be behind",
+                        List.of(copyAt("a", 5)),
+                        2,
+                        UNKNOWN,
+                        ""),
+                missing(
+                        "a copy that is not announced and a silent one may be newer",
+                        List.of(copyAt("a", 5), unknown("p")),
+                        1,
+                        UNKNOWN,
+                        ""),
+                missing(
+                        "a copy with all acknowledged commits needs no others",
+                        List.of(copyAt("a", 5), unknown("p")),
+                        1,
+                        known(5),
+                        "a"));
+    }
+
     private static Arguments plan(
             String description,
             List<PromotionPlan.Candidate> copies,
@@ -105,7 +143,17 @@
             Optional<LogPosition> acknowledged,
             ReplicaCoverage coverage,
             String chosen) {
-        return Arguments.of(description, copies, acknowledged, coverage, chosen);
+        return Arguments.of(description, copies, 0, acknowledged, coverage, chosen);
+    }
+
+    private static Arguments missing(
+            String description,
+            List<PromotionPlan.Candidate> copies,
+            int missing,
+            Optional<LogPosition> acknowledged,
+            String chosen) {
+        return Arguments.of(
+                description, copies, missing, acknowledged, ReplicaCoverage.complete(), chosen);
     }
 
     private static ReplicaCoverage exposed(long index) {
@@ -117,12 +165,13 @@
     void choosesSafely(
             String description,
             List<PromotionPlan.Candidate> copies,
+            int missing,
             Optional<LogPosition> acknowledged,
             ReplicaCoverage coverage,
             String chosen) {
         assertEquals(
                 chosen,
-                PromotionPlan.choose(copies, acknowledged, coverage)
+                PromotionPlan.choose(copies, missing, acknowledged, coverage)
                         .map(EndpointId::value)
                         .orElse(""),
                 description);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/FailoverController.java
@@ -14,7 +14,6 @@
 import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.PromotionOrders;
 import org.crocusturn.core.endpoints.PromotionPlan;
-import org.crocusturn.core.endpoints.ReplicaCoverage;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
 import org.crocusturn.core.endpoints.SessionResult;
@@ -61,8 +60,9 @@
     private Optional<EndpointId> mPrimary = Optional.empty();
     private Optional<EndpointId> mTarget = Optional.empty();
     private PromotionOrders mOrders = PromotionOrders.none();
-    private ReplicaCoverage mCoverage = ReplicaCoverage.complete();
+    private final KnownCopies mKnownCopies;
     private boolean mReplacingPrimary;
+    private boolean mWaitLogged;
     private long mTerm;
     private FenceRegistration mRegistration;
 
@@ -79,6 +79,7 @@
     FailoverController(LeasedGroup group, GroupContext context) {
         mGroup = group;
         mContext = context;
+        mKnownCopies = new KnownCopies(group);
         mPhaseStartNanos = context.nowNanos();
         mRegistration = FenceRegistration.of(context.fencing(), group.epoch(), mPhaseStartNanos);
     }
@@ -108,7 +109,7 @@
     /** Requests the roles of all copies again because the known primary may be wrong. */
     void rediscover(String reason) {
         if (mPhase == Phase.SERVING) {
-            mContext.logEvent("group " + mGroup.id() + " looks for its primary: " + reason);
+            logEvent("looks for its primary: " + reason);
             restartDiscovery();
         }
     }
@@ -132,10 +133,20 @@
         mProbes.remove(pool.record().id());
         mNextProbeNanos.remove(pool.record().id());
         mFencedPositions.remove(pool.record().id());
-        boolean replica = mPrimary.filter(pool.record().id()::equals).isEmpty();
-        if (replica && mGroup.settings().durable()) {
-            mGroup.history().ifPresent(h -> mCoverage = mCoverage.withReplicaLost(h.latest()));
-        }
+        mKnownCopies.onCopyRemoved(
+                pool.record().id(), mPrimary.filter(pool.record().id()::equals).isPresent());
+    }
+
+    /**
+     * Returns the version of the state with whose endpoints all acknowledged commits are in the
+     * logs of the primary and of a replica; 0 if that is not known.
+     */
+    long coveredVersion() {
+        boolean covered =
+                mPhase == Phase.SERVING
+                        && mKnownCopies.isCoverageComplete()
+                        && mPrimary.flatMap(mGroup::pool).isPresent();
+        return covered ? mGroup.settings().copies().version() : 0;
     }
 
     private ReplicationProbe probe(CopyPool pool) {
@@ -193,7 +204,7 @@
         List.copyOf(mProbes.values()).forEach(probe -> probe.tick(nowNanos));
         replicas().stream()
                 .filter(p -> p.status().filter(s -> !s.primary()).isPresent())
-                .forEach(p -> mCoverage = mCoverage.withReplicaAt(p.newestPosition()));
+                .forEach(p -> mKnownCopies.onReplicaAt(p.newestPosition()));
         // Another host may hold the lease by now and may have paused the replicas for a failover.
         if (!mGroup.leaseValid()) {
             return;
@@ -249,10 +260,23 @@
             considerPrimary(primary.get(), primary.get().status().orElseThrow());
         } else if (mGroup.pools().stream().anyMatch(p -> p.status().isPresent())
                 && (late || primary.isEmpty())) {
-            startFencing("no copy reports the primary role in the newest term");
+            if (mKnownCopies.allowPromotion()) {
+                startFencing("no copy reports the primary role in the newest term");
+            } else if (late) {
+                waitForCopies();
+            }
         }
     }
 
+    /** Asks all copies again: one may have become the primary, or others may answer by now. */
+    private void waitForCopies() {
+        if (!mWaitLogged) {
+            mWaitLogged = true;
+            logEvent("waits for its primary: " + mKnownCopies);
+        }
+        restartDiscovery();
+    }
+
     private long newestTerm() {
         return mGroup.pools().stream()
                 .flatMap(p -> p.status().stream())
@@ -286,10 +310,10 @@
     private void acceptPrimary(CopyPool pool, ReplicationStatus status) {
         long nowNanos = mContext.nowNanos();
         mReplacingPrimary = false;
+        mWaitLogged = false;
         boolean changed = mPrimary.filter(pool.record().id()::equals).isEmpty();
-        if (changed && mGroup.settings().durable()) {
-            // Neither a new leaseholder nor a promotion knows which copies were lost before.
-            mCoverage = ReplicaCoverage.behindPrimary(status.received());
+        if (changed) {
+            mKnownCopies.onPrimaryAccepted(status.received());
         }
         mPrimary = Optional.of(pool.record().id());
         mTerm = Math.max(mTerm, status.term());
@@ -298,17 +322,9 @@
                 mGroup.history()
                         .map(h -> h.with(status.received(), nowNanos))
                         .orElseGet(() -> PositionHistory.startingAt(status.received(), nowNanos)));
-        mContext.logEvent(
-                "group "
-                        + mGroup.id()
-                        + " epoch "
-                        + mGroup.epoch()
-                        + " has primary "
-                        + pool.record().id()
-                        + " in term "
-                        + status.term()
-                        + " at "
-                        + status.received());
+        String primary = pool.record().id() + " in term " + status.term();
+        logEvent(
+                "epoch " + mGroup.epoch() + " has primary " + primary + " at " + status.received());
         enterPhase(Phase.SERVING);
         registerFence(nowNanos);
         resumeReplicas();
@@ -330,7 +346,9 @@
                         p ->
                                 probe(p).send(
                                                 new SessionCommand.ResumeReplication(),
-                                                result -> onResumed(p, result)));
+                                                result ->
+                                                        logRefusal(
+                                                                p, "resume replication", result)));
         mFencedPositions.clear();
         mGroup.pools().stream().filter(this::isOutdatedPrimary).forEach(this::demote);
     }
@@ -343,36 +361,25 @@
 
     /** Makes a copy a replica that was cut off while another one was promoted. */
     private void demote(CopyPool pool) {
-        mContext.logEvent(
-                "group "
-                        + mGroup.id()
-                        + " demotes "
-                        + pool.record().id()
-                        + ", a primary of term "
-                        + pool.status().orElseThrow().term());
+        long term = pool.status().orElseThrow().term();
+        logEvent("demotes " + pool.record().id() + ", a primary of term " + term);
         probe(pool)
                 .send(
                         new SessionCommand.StepDown(mTerm),
                         result -> {
-                            if (result.status().isPresent()) {
-                                pool.setStatus(result.status());
-                            } else {
-                                mContext.logEvent(
-                                        pool.record().id()
-                                                + " did not step down: "
-                                                + result.text());
-                            }
+                            logRefusal(pool, "step down", result);
+                            result.status().ifPresent(s -> pool.setStatus(result.status()));
                         });
     }
 
-    private void onResumed(CopyPool pool, SessionResult result) {
-        result.error()
-                .ifPresent(
-                        error ->
-                                mContext.logEvent(
-                                        pool.record().id()
-                                                + " did not resume replication: "
-                                                + result.text()));
+    private void logEvent(String text) {
+        mContext.logEvent("group " + mGroup.id() + " " + text);
+    }
+
+    private void logRefusal(CopyPool pool, String request, SessionResult result) {
+        if (result.status().isEmpty()) {
+            mContext.logEvent(pool.record().id() + " did not " + request + ": " + result.text());
+        }
     }
 
     private void checkPrimary(long nowNanos) {
@@ -384,7 +391,7 @@
             startFencing("the primary is down");
             return;
         }
-        if (mCoverage.exposed().isPresent() && nowNanos - mNextAttemptNanos >= 0) {
+        if (mKnownCopies.isAnyCommitExposed() && nowNanos - mNextAttemptNanos >= 0) {
             mNextAttemptNanos = nowNanos + RETRY_INTERVAL_NANOS;
             replicas().stream()
                     .filter(p -> p.health() == CopyPool.Health.UP)
@@ -397,7 +404,7 @@
         if (mustMove && nowNanos - mNextSwitchoverNanos >= 0 && successor().isPresent()) {
             mNextSwitchoverNanos = nowNanos + SWITCHOVER_INTERVAL_NANOS;
             mTarget = successor();
-            mContext.logEvent("group " + mGroup.id() + " moves its primary to " + mTarget.get());
+            logEvent("moves its primary to " + mTarget.get());
             enterPhase(Phase.QUIESCING);
         }
     }
@@ -436,7 +443,7 @@
     }
 
     private void startFencing(String reason) {
-        mContext.logEvent("group " + mGroup.id() + " needs another primary: " + reason);
+        logEvent("needs another primary: " + reason);
         mTerm = Math.max(mTerm, newestTerm());
         mFencedPositions.clear();
         enterPhase(Phase.FENCING);
@@ -458,16 +465,15 @@
         if (allPaused || nowNanos - mPhaseStartNanos >= FENCING_TIMEOUT_NANOS) {
             PromotionPlan.choose(
                             mGroup.pools().stream().map(this::candidate).toList(),
+                            mKnownCopies.missing(),
                             mGroup.history().map(PositionHistory::latest),
-                            mCoverage)
+                            mKnownCopies.coverage())
                     .map(this::unansweredTargetOr)
                     .ifPresent(this::promote);
         }
         if (mPhase == Phase.FENCING && nowNanos - mPhaseStartNanos >= PROMOTION_TIMEOUT_NANOS) {
-            mContext.logEvent(
-                    "group "
-                            + mGroup.id()
-                            + " has no copy that is safe to promote: acknowledged up to "
+            logEvent(
+                    "has no copy that is safe to promote: acknowledged up to "
                             + mGroup.history().map(PositionHistory::latest)
                             + ", received "
                             + mFencedPositions);
@@ -541,19 +547,14 @@
         mOrders =
                 (mOrders.conflictWith(target) ? PromotionOrders.none() : mOrders).withSent(target);
         mRegistration = mRegistration.withOrderSent(mContext.nowNanos());
-        mContext.logEvent(
-                "group "
-                        + mGroup.id()
-                        + " orders "
-                        + target
-                        + " with fencing number "
-                        + mGroup.epoch());
+        String order = "orders " + target + " with fencing number " + mGroup.epoch();
+        logEvent(order);
         mContext.promote(mGroup.id(), target, mGroup.epoch());
     }
 
     /** Handles the answer of the platform to a promotion request. */
     void onPromotionAnswer(EndpointId target, PromotionService.Answer answer) {
-        mContext.logEvent("group " + mGroup.id() + " ordered " + target + ": " + answer);
+        logEvent("ordered " + target + ": " + answer);
         mOrders =
                 answer == PromotionService.Answer.UNKNOWN
                         ? mOrders.withLostAnswer(mContext.nowNanos())
@@ -569,14 +570,14 @@
         if (mContext.fencing().registersEpoch()) {
             returnLease("the platform refused the fencing number");
         } else if (mPhase == Phase.CONFIRMING) {
-            mContext.logEvent("group " + mGroup.id() + ": the ordered endpoint is not running");
+            logEvent("cannot promote: the ordered endpoint is not running");
             restartDiscovery();
         }
     }
 
     private void confirmPromotion(long nowNanos) {
         if (nowNanos - mPhaseStartNanos >= PROMOTION_TIMEOUT_NANOS) {
-            mContext.logEvent("group " + mGroup.id() + ": the promotion timed out");
+            logEvent("gives up a promotion: it timed out");
             restartDiscovery();
             return;
         }
@@ -587,8 +588,7 @@
     }
 
     private void returnLease(String reason) {
-        mContext.logEvent(
-                "group " + mGroup.id() + " gives epoch " + mGroup.epoch() + " back: " + reason);
+        logEvent("gives epoch " + mGroup.epoch() + " back: " + reason);
         enterPhase(Phase.GIVEN_BACK);
         mContext.returnLease(mGroup.id());
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupSettings.java
@@ -18,6 +18,7 @@
  * @param dataCentre data centre of the leaseholder
  * @param workspaces workspaces that may send statements
  * @param durable whether a commit is acknowledged only after a replica has received it
+ * @param copies what the replicated state says of the copies
  */
 record GroupSettings(
         List<EndpointRecord> endpoints,
@@ -26,12 +27,24 @@
         Duration idleTransaction,
         DataCentreId dataCentre,
         List<WorkspaceId> workspaces,
-        boolean durable) {
+        boolean durable,
+        Copies copies) {
     GroupSettings {
         endpoints = List.copyOf(endpoints);
         drained = Set.copyOf(drained);
         workspaces = List.copyOf(workspaces);
         Objects.requireNonNull(idleTransaction, "idleTransaction");
         Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(copies, "copies");
     }
+
+    /**
+     * What the replicated state says of the copies of a group.
+     *
+     * @param version version of the state
+     * @param expected number of copies that the service is expected to have
+     * @param coverageConfirmed whether all acknowledged commits are known to be in the logs of two
+     *     of the endpoints
+     */
+    record Copies(long version, int expected, boolean coverageConfirmed) {}
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -340,7 +340,16 @@
                 state.configuration()
                         .service(id.service())
                         .filter(s -> s.acknowledge() == AcknowledgeMode.DURABLE)
-                        .isPresent());
+                        .isPresent(),
+                new GroupSettings.Copies(
+                        state.version(),
+                        state.configuration()
+                                .service(id.service())
+                                .map(Service::instances)
+                                .orElse(Integer.MAX_VALUE),
+                        Optional.ofNullable(state.groups().get(id))
+                                .filter(g -> g.coverage().isConfirmed())
+                                .isPresent()));
     }
 
     private void grant(GrantedTokens granted) {
@@ -361,7 +370,8 @@
                                                 g.epoch(),
                                                 0,
                                                 g.isReleased(),
-                                                g.activeCount()))
+                                                g.activeCount(),
+                                                g.failover().coveredVersion()))
                         .toList();
         List<TokenDemand> demands =
                 mGroups.isEmpty()
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
@@ -68,6 +68,11 @@
                             CommonMapper.decode(value.getBeginFailover().getGroup()),
                             value.getBeginFailover().getTerm());
             case COMPLETE_PROMOTION -> decode(value.getCompletePromotion());
+            case CONFIRM_COVERAGE ->
+                    new ControlCommand.ConfirmCoverage(
+                            CommonMapper.decode(value.getConfirmCoverage().getGroup()),
+                            value.getConfirmCoverage().getEpoch(),
+                            value.getConfirmCoverage().getVersion());
             case KIND_NOT_SET -> throw WireFormat.malformed("unknown kind of command");
         };
     }
@@ -110,6 +115,11 @@
             builder.getBeginFailoverBuilder()
                     .setGroup(CommonMapper.encode(c.group()))
                     .setTerm(c.term());
+        } else if (value instanceof ControlCommand.ConfirmCoverage c) {
+            builder.getConfirmCoverageBuilder()
+                    .setGroup(CommonMapper.encode(c.group()))
+                    .setEpoch(c.epoch())
+                    .setVersion(c.version());
         } else if (value instanceof ControlCommand.CompletePromotion c) {
             builder.getCompletePromotionBuilder()
                     .setGroup(CommonMapper.encode(c.group()))
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/RecordMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/RecordMapper.java
@@ -6,6 +6,7 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.ChangeOutcome;
+import org.crocusturn.core.operators.CopyCoverage;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.GroupRecord;
@@ -87,7 +88,9 @@
                         .setId(CommonMapper.encode(value.id()))
                         .setTerm(value.term())
                         .setStartIndex(value.startIndex())
-                        .setLastEpoch(value.lastEpoch());
+                        .setLastEpoch(value.lastEpoch())
+                        .setCopyLostVersion(value.coverage().lostVersion())
+                        .setCoverageConfirmedVersion(value.coverage().confirmedVersion());
         value.primary().ifPresent(p -> builder.setPrimary(p.value()));
         value.leaseholder().ifPresent(l -> builder.setLeaseholder(encode(l)));
         return builder.build();
@@ -104,7 +107,10 @@
                 value.hasLeaseholder()
                         ? Optional.of(decode(value.getLeaseholder()))
                         : Optional.empty(),
-                value.getLastEpoch());
+                value.getLastEpoch(),
+                new CopyCoverage(
+                        Math.max(0, value.getCopyLostVersion()),
+                        Math.max(0, value.getCoverageConfirmedVersion())));
     }
 
     static OperatorsProto.ChangeOutcome encode(ChangeOutcome value) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -73,6 +73,7 @@
                 .setDroppedTerm(value.droppedTerm())
                 .setReleased(value.released())
                 .setBusy(value.busy())
+                .setCoveredVersion(value.coveredVersion())
                 .build();
     }
 
@@ -82,7 +83,8 @@
                 value.getEpoch(),
                 value.getDroppedTerm(),
                 value.getReleased(),
-                value.getBusy());
+                value.getBusy(),
+                value.getCoveredVersion());
     }
 
     private static ControlHostsProto.TokenDemand encode(TokenDemand value) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
@@ -97,7 +97,8 @@
                 Duration.ofSeconds(3),
                 MARKA,
                 List.of(),
-                true);
+                true,
+                new GroupSettings.Copies(1, 3, true));
     }
 
     private long call(TransactionStep step, StatementKind kind, Consistency consistency) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/OverlappingTransactionsTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/OverlappingTransactionsTest.java
@@ -81,7 +81,8 @@
                                 Duration.ofSeconds(3),
                                 DataCentreId.of("dc"),
                                 List.of(),
-                                true),
+                                true,
+                                new GroupSettings.Copies(1, 3, true)),
                         mContext);
         for (int i = 0; i < 3; i++) {
             mContext.mNowNanos += 20_000_000;
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/PromotionSafetyTest.java
@@ -93,7 +93,8 @@
                 Duration.ofSeconds(3),
                 DataCentreId.of("dc"),
                 List.of(),
-                true);
+                true,
+                new GroupSettings.Copies(1, 3, true));
     }
 
     private void tick(int count) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
@@ -98,7 +98,8 @@
                 Duration.ofSeconds(3),
                 DataCentreId.of("dc"),
                 List.of(),
-                true);
+                true,
+                new GroupSettings.Copies(1, 3, false));
     }
 
     private static ReplicationStatus status(boolean primary, long term, long index) {
