Reject evacuation orders that would undo a later one

Cause: orders to drain or restore a data centre have no id. A control host that froze read the old request when it woke up, and proposed it as a new order; hosts that were slow, deposed or cut off did the same within 6 s, also when the operator had closed the connection.

Change: an order carries the version of the latest order for the data centre that its sender may have known, by when its connection was accepted, or the previous response on it was written, and by when the host applied later orders. The state machine rejects one that would undo a later order with "unavailable", which operators repeat.

--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationChange.java
@@ -1,11 +1,11 @@
 package org.crocusturn.core.operators;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.crocusturn.core.DataCentreId;
@@ -96,27 +96,36 @@
                 state.endpoints().entrySet().stream()
                         .filter(e -> services.contains(e.getValue().service()))
                         .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        Set<DataCentreId> drained = new HashSet<>(state.drained());
-        drained.removeIf(dataCentre -> !next.acceptsDataCentre(dataCentre));
-        next.dataCentreStates()
-                .forEach(
-                        (dataCentre, dataCentreState) -> {
-                            if (dataCentreState == DataCentreState.DRAINED) {
-                                drained.add(dataCentre);
-                            } else {
-                                drained.remove(dataCentre);
-                            }
-                        });
         Map<String, KeyRecord> keys = new HashMap<>(state.keys());
         next.keys().forEach(key -> keys.put(key.hash(), key));
-        return state.withConfiguration(next, changeId)
+        return withDataCentreStates(state, next)
+                .withConfiguration(next, changeId)
                 .withGroups(groups)
                 .withEndpoints(endpoints)
-                .withDrained(drained)
                 .withKeys(keys, state.withdrawn())
                 .withPlacements(assignPlacements(state, next, configured.keySet()));
     }
 
+    private static ControlState withDataCentreStates(ControlState state, Configuration next) {
+        Map<DataCentreId, Boolean> changes = new TreeMap<>();
+        state.drained().stream()
+                .filter(dataCentre -> !next.acceptsDataCentre(dataCentre))
+                .forEach(dataCentre -> changes.put(dataCentre, false));
+        next.dataCentreStates()
+                .forEach(
+                        (dataCentre, value) ->
+                                changes.put(dataCentre, value == DataCentreState.DRAINED));
+        ControlState result = state;
+        for (Map.Entry<DataCentreId, Boolean> change : changes.entrySet()) {
+            boolean drained = change.getValue();
+            result =
+                    result.drained().contains(change.getKey()) == drained
+                            ? result
+                            : result.withDrainOrder(change.getKey(), drained);
+        }
+        return result;
+    }
+
     // A placement is kept after its workspace is removed while the group exists, because the group
     // still holds the data.
     private static Map<PlacementKey, String> assignPlacements(
--- a/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlCommand.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.operators;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
@@ -108,13 +109,32 @@
         }
     }
 
-    /** Takes a data centre out of service or brings it back. */
-    record SetDataCentreDrained(String changeId, DataCentreId dataCentre, boolean drained)
+    /**
+     * Takes a data centre out of service or brings it back.
+     *
+     * @param changeId id of the change
+     * @param dataCentre the data centre
+     * @param drained whether it goes out of service
+     * @param precedingOrder state version of the latest order for the data centre that the sender
+     *     may have known, 0 if there was none; the command is rejected if it would undo a later
+     *     order. Empty if it may undo any.
+     */
+    record SetDataCentreDrained(
+            String changeId,
+            DataCentreId dataCentre,
+            boolean drained,
+            Optional<Long> precedingOrder)
             implements OperatorCommand {
         /** Checks that no component is null. */
         public SetDataCentreDrained {
             Objects.requireNonNull(changeId, "changeId");
             Objects.requireNonNull(dataCentre, "dataCentre");
+            Objects.requireNonNull(precedingOrder, "precedingOrder");
+        }
+
+        /** Creates a command that may undo any earlier order. */
+        public SetDataCentreDrained(String changeId, DataCentreId dataCentre, boolean drained) {
+            this(changeId, dataCentre, drained, Optional.empty());
         }
     }
 
--- a/core/src/main/java/org/crocusturn/core/operators/ControlState.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlState.java
@@ -1,5 +1,7 @@
 package org.crocusturn.core.operators;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +27,7 @@
  * @param changes outcomes of the latest operators' changes, by change id
  * @param configurationChange change id of the configuration in force; empty before the first
  * @param withdrawn latest withdrawn key ids, with the state version of each withdrawal
+ * @param drainOrders state version of the latest order to drain or restore each data centre
  */
 public record ControlState(
         long version,
@@ -36,7 +39,8 @@
         Map<PlacementKey, String> placements,
         Map<String, ChangeOutcome> changes,
         String configurationChange,
-        Map<String, Long> withdrawn) {
+        Map<String, Long> withdrawn,
+        Map<DataCentreId, Long> drainOrders) {
     /** The state before the first command. */
     public static final ControlState EMPTY =
             new ControlState(
@@ -49,6 +53,7 @@
                     Map.of(),
                     Map.of(),
                     "",
+                    Map.of(),
                     Map.of());
 
     /** Copies the collections. */
@@ -60,6 +65,7 @@
         placements = Map.copyOf(placements);
         changes = Map.copyOf(changes);
         withdrawn = Map.copyOf(withdrawn);
+        drainOrders = Map.copyOf(drainOrders);
     }
 
     /** Creates a state without the id of its configuration change and without withdrawn keys. */
@@ -82,6 +88,7 @@
                 placements,
                 changes,
                 "",
+                Map.of(),
                 Map.of());
     }
 
@@ -138,7 +145,8 @@
                 placements,
                 changes,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 
     /** Returns a copy with other keys and withdrawn key ids. */
@@ -153,22 +161,35 @@
                 placements,
                 changes,
                 configurationChange,
-                withdrawnIds);
+                withdrawnIds,
+                drainOrders);
     }
 
-    /** Returns a copy with other data centres out of service. */
-    public ControlState withDrained(Set<DataCentreId> value) {
+    /**
+     * Returns a copy in which a data centre was ordered out of service or back. Each order counts,
+     * also one that changes nothing.
+     */
+    public ControlState withDrainOrder(DataCentreId dataCentre, boolean out) {
+        Set<DataCentreId> nextDrained = new HashSet<>(drained);
+        if (out) {
+            nextDrained.add(dataCentre);
+        } else {
+            nextDrained.remove(dataCentre);
+        }
+        Map<DataCentreId, Long> nextOrders = new HashMap<>(drainOrders);
+        nextOrders.put(dataCentre, version);
         return new ControlState(
                 version,
                 configuration,
                 keys,
-                value,
+                nextDrained,
                 endpoints,
                 groups,
                 placements,
                 changes,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                nextOrders);
     }
 
     /** Returns a copy with other endpoints. */
@@ -183,7 +204,8 @@
                 placements,
                 changes,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 
     /** Returns a copy with other groups. */
@@ -198,7 +220,8 @@
                 placements,
                 changes,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 
     /** Returns a copy with other placements. */
@@ -213,7 +236,8 @@
                 value,
                 changes,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 
     /** Returns a copy with other outcomes of operators' changes. */
@@ -228,7 +252,8 @@
                 placements,
                 value,
                 configurationChange,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 
     /** Returns a copy with another configuration and the id of the change that applied it. */
@@ -243,6 +268,7 @@
                 placements,
                 changes,
                 changeId,
-                withdrawn);
+                withdrawn,
+                drainOrders);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ControlStateMachine.java
@@ -2,15 +2,14 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
+import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
@@ -124,12 +123,28 @@
                     exists, ErrorCode.NOT_FOUND, "key \"" + withdraw.keyId() + "\" does not exist");
         }
         if (command instanceof SetDataCentreDrained drain) {
+            return drainRefusal(state, drain);
+        }
+        throw new IllegalArgumentException("command " + command + " is not supported");
+    }
+
+    /** An order that waited while its sender gave later ones must not undo them. */
+    private static Optional<Failure> drainRefusal(ControlState state, SetDataCentreDrained drain) {
+        DataCentreId dataCentre = drain.dataCentre();
+        if (!state.configuration().acceptsDataCentre(dataCentre)) {
             return refuseUnless(
-                    state.configuration().acceptsDataCentre(drain.dataCentre()),
+                    false,
                     ErrorCode.NOT_FOUND,
-                    "data centre \"" + drain.dataCentre() + "\" is not declared");
+                    "data centre \"" + dataCentre + "\" is not declared");
         }
-        throw new IllegalArgumentException("command " + command + " is not supported");
+        boolean changesNothing = state.drained().contains(dataCentre) == drain.drained();
+        long latest = state.drainOrders().getOrDefault(dataCentre, 0L);
+        return refuseUnless(
+                changesNothing || drain.precedingOrder().orElse(latest) == latest,
+                ErrorCode.UNAVAILABLE,
+                "another order for data centre \""
+                        + dataCentre
+                        + "\" may have been given after this one; send it again");
     }
 
     private static Optional<Failure> issueRefusal(ControlState state, KeyRecord key) {
@@ -163,13 +178,7 @@
             return withdrawKey(state, withdraw.keyId());
         }
         SetDataCentreDrained drain = (SetDataCentreDrained) command;
-        Set<org.crocusturn.core.DataCentreId> drained = new HashSet<>(state.drained());
-        if (drain.drained()) {
-            drained.add(drain.dataCentre());
-        } else {
-            drained.remove(drain.dataCentre());
-        }
-        return state.withDrained(drained);
+        return state.withDrainOrder(drain.dataCentre(), drain.drained());
     }
 
     private static ControlState withdrawKey(ControlState state, String keyId) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.HostId;
@@ -225,18 +226,31 @@
 
     @Override
     public CompletableFuture<ChangeOutcome> propose(OperatorCommand command) {
+        return propose(command, ProposalDuty.PROPOSAL_TIMEOUT);
+    }
+
+    /**
+     * Proposes a change like {@link #propose(OperatorCommand)}, but starts no attempt after some
+     * time, when its sender has given it up.
+     */
+    public CompletableFuture<ChangeOutcome> propose(OperatorCommand command, Duration limit) {
         CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
         long bytes = command.approximateBytes();
         if (!mOpenChangeBytes.tryReserveOrSole(bytes)) {
             return CompletableFuture.completedFuture(ChangeRefusals.overloaded(command));
         }
         outcome.whenComplete((result, error) -> mOpenChangeBytes.release(bytes));
-        if (!mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome))) {
+        if (!mProposalDuty.offer(new ProposalEvent.Submitted(command, outcome, limit))) {
             outcome.complete(ChangeRefusals.overloaded(command));
         }
         return outcome;
     }
 
+    @Override
+    public long precedingDrainOrder(DataCentreId dataCentre, long earliestSentNanos) {
+        return mStateHolder.drainOrders().precedingOrder(dataCentre, earliestSentNanos);
+    }
+
     private static ByteBudget newChangeBudget(HeapShare share) {
         return ByteBudget.of(Math.min(MAX_OPEN_CHANGE_BYTES, share.bytes()));
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalDuty.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.controlhosts;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,8 +20,8 @@
  * <p>Attempts can be repeated because each change id is applied at most once.
  */
 public final class ProposalDuty implements DutyHandler<ProposalEvent> {
-    /** Maximum time until an operator gets an answer, in nanoseconds. */
-    private static final long PROPOSAL_TIMEOUT_NANOS = 6_000_000_000L;
+    /** Maximum time until an operator gets an answer. */
+    static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(6);
 
     /** Time after which an attempt without a result is abandoned, in nanoseconds. */
     private static final long ATTEMPT_TIMEOUT_NANOS = 1_500_000_000L;
@@ -79,7 +80,7 @@
                     new Proposal(
                             submitted.command(),
                             submitted.outcome(),
-                            SteadyClock.nanoTime() + PROPOSAL_TIMEOUT_NANOS,
+                            SteadyClock.nanoTime() + submitted.limit().toNanos(),
                             0,
                             0,
                             false));
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ProposalEvent.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.controlhosts;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -8,13 +9,21 @@
 
 /** An event of {@link ProposalDuty}. */
 public sealed interface ProposalEvent {
-    /** An operator submitted a change to this host. */
-    record Submitted(OperatorCommand command, CompletableFuture<ChangeOutcome> outcome)
+    /**
+     * An operator submitted a change to this host.
+     *
+     * @param command the change
+     * @param outcome future of its outcome
+     * @param limit time after which the operator is answered and no attempt starts
+     */
+    record Submitted(
+            OperatorCommand command, CompletableFuture<ChangeOutcome> outcome, Duration limit)
             implements ProposalEvent {
         /** Checks that no part is null. */
         public Submitted {
             Objects.requireNonNull(command, "command");
             Objects.requireNonNull(outcome, "outcome");
+            Objects.requireNonNull(limit, "limit");
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpExchange.java
@@ -10,6 +10,17 @@
         throw new UnsupportedOperationException("this exchange has no connection");
     }
 
+    /**
+     * Returns a steady time before which the client cannot have sent the request: when its
+     * connection was accepted or the response to the previous request was written.
+     */
+    long earliestSentNanos();
+
+    /** Returns whether the client has closed the connection, so that it waits for no response. */
+    default boolean isAbandoned() {
+        return false;
+    }
+
     /**
      * Releases the request, so that its headers and body are not kept in memory until the response.
      * {@link #request} must not be called afterwards.
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpServerConnection.java
@@ -26,6 +26,7 @@
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.Verdict;
 import org.crocusturn.core.ring.ByteBudget;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.core.ring.ThreadFailures;
 
 /**
@@ -57,6 +58,7 @@
     private ChannelHandlerContext mContext;
     private RequestAggregator mAggregator;
     private long mPendingBytes;
+    private long mQuietSinceNanos;
     private boolean mReceivingRequest;
     private boolean mContinuePending;
     private boolean mIgnoresInput;
@@ -85,6 +87,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mContext = context;
+        mQuietSinceNanos = SteadyClock.nanoTime();
     }
 
     @Override
@@ -263,6 +266,9 @@
                         Unpooled.wrappedBuffer(response.body()));
         response.headers().forEach((name, value) -> encoded.headers().set(name, value));
         encoded.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+        if (mPending.isEmpty() && !mReceivingRequest) {
+            mQuietSinceNanos = SteadyClock.nanoTime();
+        }
         mSlowReaderDetector.addPending(response.body().length + ESTIMATED_HEADER_BYTES);
         if (mIgnoresInput && mPending.isEmpty()) {
             encoded.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -294,6 +300,7 @@
         private final AtomicBoolean mResponded = new AtomicBoolean();
         private final int mBodyBytes;
         private final RequestMemory mMemory;
+        private final long mEarliestSentNanos = mQuietSinceNanos;
         private volatile HttpRequest mRequest;
         private HttpResponse mResponse;
 
@@ -308,6 +315,16 @@
             return mRequest;
         }
 
+        @Override
+        public long earliestSentNanos() {
+            return mEarliestSentNanos;
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            return !mContext.channel().isActive();
+        }
+
         @Override
         public void releaseRequest() {
             mRequest = null;
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/ControlAccess.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/ControlAccess.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.operators;
 
 import java.util.concurrent.CompletableFuture;
+import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.operators.ChangeOutcome;
 import org.crocusturn.core.operators.ControlCommand.OperatorCommand;
@@ -15,6 +16,15 @@
      */
     CompletableFuture<ChangeOutcome> propose(OperatorCommand command);
 
+    /**
+     * Returns the state version of the latest order to drain or restore a data centre that the
+     * sender of another one may have known.
+     *
+     * @param dataCentre the data centre
+     * @param earliestSentNanos steady time before which the request cannot have been sent
+     */
+    long precedingDrainOrder(DataCentreId dataCentre, long earliestSentNanos);
+
     /** Adds a control host as a learner, which becomes a voter once its log has caught up. */
     CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress);
 
--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorDuty.java
@@ -115,7 +115,7 @@
             case "POST v1/keys" -> propose(exchange, issueKey(request));
             case "DELETE v1/keys" ->
                     propose(exchange, new WithdrawKey(changeId(request), segment(segments, 2, 3)));
-            case "POST v1/data-centres" -> propose(exchange, setDrained(request, segments));
+            case "POST v1/data-centres" -> propose(exchange, setDrained(exchange, segments));
             case "POST v1/members" -> addMember(exchange);
             case "DELETE v1/members" ->
                     respondWhenDecided(
@@ -168,14 +168,19 @@
                 new KeyRecord(id, hash, WorkspaceId.of(textField(body, "workspace"))));
     }
 
-    private static OperatorCommand setDrained(HttpRequest request, List<String> segments) {
+    private OperatorCommand setDrained(HttpExchange exchange, List<String> segments) {
         String action = segment(segments, 3, 4);
         if (!action.equals("drain") && !action.equals("restore")) {
             throw CrocusturnException.notRun(
                     ErrorCode.NOT_FOUND, "the last segment of the path must be drain or restore");
         }
+        DataCentreId dataCentre = DataCentreId.of(segments.get(2));
         return new SetDataCentreDrained(
-                changeId(request), DataCentreId.of(segments.get(2)), action.equals("drain"));
+                changeId(exchange.request()),
+                dataCentre,
+                action.equals("drain"),
+                Optional.of(
+                        mControl.precedingDrainOrder(dataCentre, exchange.earliestSentNanos())));
     }
 
     private void propose(HttpExchange exchange, OperatorCommand command) {
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/CommandMapper.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.wire;
 
+import java.util.Optional;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.operators.ControlCommand;
@@ -44,11 +45,7 @@
                     new ControlCommand.WithdrawKey(
                             value.getWithdrawKey().getChangeId(),
                             value.getWithdrawKey().getKeyId());
-            case SET_DATA_CENTRE_DRAINED ->
-                    new ControlCommand.SetDataCentreDrained(
-                            value.getSetDataCentreDrained().getChangeId(),
-                            DataCentreId.of(value.getSetDataCentreDrained().getDataCentre()),
-                            value.getSetDataCentreDrained().getDrained());
+            case SET_DATA_CENTRE_DRAINED -> decode(value.getSetDataCentreDrained());
             case REGISTER_ENDPOINT ->
                     new ControlCommand.RegisterEndpoint(
                             RecordMapper.decode(value.getRegisterEndpoint()));
@@ -98,6 +95,8 @@
                     .setChangeId(c.changeId())
                     .setDataCentre(c.dataCentre().value())
                     .setDrained(c.drained());
+            c.precedingOrder()
+                    .ifPresent(builder.getSetDataCentreDrainedBuilder()::setPrecedingOrder);
         }
     }
 
@@ -129,6 +128,16 @@
         }
     }
 
+    private static ControlCommand decode(OperatorsProto.SetDataCentreDrained value) {
+        return new ControlCommand.SetDataCentreDrained(
+                value.getChangeId(),
+                DataCentreId.of(value.getDataCentre()),
+                value.getDrained(),
+                value.hasPrecedingOrder()
+                        ? Optional.of(value.getPrecedingOrder())
+                        : Optional.empty());
+    }
+
     private static ControlCommand decode(OperatorsProto.ApplyConfiguration value) {
         WireFormat.requireField(value.hasConfiguration(), "configuration");
         return new ControlCommand.ApplyConfiguration(
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/StateMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/StateMapper.java
@@ -28,6 +28,9 @@
                         .setConfiguration(ConfigurationMapper.encode(value.configuration()))
                         .setConfigurationChange(value.configurationChange());
         new TreeMap<>(value.withdrawn()).forEach(builder::putWithdrawn);
+        value.drainOrders().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(e -> builder.putDrainOrders(e.getKey().value(), e.getValue()));
         value.drained().stream().sorted().forEach(d -> builder.addDrained(d.value()));
         addKeys(builder, value);
         addEndpoints(builder, value);
@@ -64,7 +67,11 @@
                         OperatorsProto.StoredChange::getKey,
                         c -> RecordMapper.decode(c.getOutcome())),
                 value.getConfigurationChange(),
-                value.getWithdrawnMap());
+                value.getWithdrawnMap(),
+                value.getDrainOrdersMap().entrySet().stream()
+                        .collect(
+                                Collectors.toMap(
+                                        e -> DataCentreId.of(e.getKey()), Map.Entry::getValue)));
     }
 
     private static void addKeys(OperatorsProto.ControlState.Builder builder, ControlState value) {
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/CallerFrontEndTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/CallerFrontEndTest.java
@@ -283,6 +283,11 @@
             return mRequest;
         }
 
+        @Override
+        public long earliestSentNanos() {
+            return System.nanoTime();
+        }
+
         @Override
         public void releaseRequest() {
             mRequest = null;
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/AnnouncementHandlerTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/AnnouncementHandlerTest.java
@@ -109,6 +109,11 @@
                                 return request;
                             }
 
+                            @Override
+                            public long earliestSentNanos() {
+                                return System.nanoTime();
+                            }
+
                             @Override
                             public void respond(HttpResponse response) {
                                 responses.add(response);
--- a/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
@@ -17,7 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.crocusturn.core.ring.ByteBudget;
+import org.crocusturn.core.ring.SteadyClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,6 +93,46 @@
         }
     }
 
+    /**
+     * Guards against an order that is taken for a new one although it waited on its connection: the
+     * handler has to learn since when the request may have been on its way.
+     */
+    @Test
+    void tellsSinceWhenARequestMayHaveBeenSent() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/0"));
+            HttpExchange first = take(1).get(0);
+            client.send("GET /1 HTTP/1.1\r\n");
+            echo(first);
+            assertEquals("200 /0", client.read());
+            long beforeEndNanos = SteadyClock.nanoTime();
+            client.send("host: a\r\n\r\n");
+            HttpExchange second = take(1).get(0);
+            assertTrue(second.earliestSentNanos() <= beforeEndNanos);
+            echo(second);
+            assertEquals("200 /1", client.read());
+            client.send(get("/2"));
+            HttpExchange third = take(1).get(0);
+            assertTrue(third.earliestSentNanos() > beforeEndNanos);
+            assertFalse(third.isAbandoned());
+        }
+    }
+
+    /** Guards against orders that are carried out although their sender has gone. */
+    @Test
+    void tellsThatTheClientHasGone() throws Exception {
+        HttpExchange exchange;
+        try (RawHttpClient client = new RawHttpClient(mServer.address())) {
+            client.send(get("/"));
+            exchange = take(1).get(0);
+        }
+        long deadlineNanos = System.nanoTime() + LONG.toNanos();
+        while (!exchange.isAbandoned() && System.nanoTime() - deadlineNanos < 0) {
+            LockSupport.parkNanos(SHORT.toNanos() / 10);
+        }
+        assertTrue(exchange.isAbandoned());
+    }
+
     private static boolean isPending(CompletableFuture<Void> future) throws Exception {
         try {
             future.get(SHORT.toMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/crocusturn/daemon/operators/CommandLineTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/operators/CommandLineTest.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
+import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.HostId;
@@ -152,6 +153,11 @@
                     new ChangeOutcome(command.changeId(), 7, refusal));
         }
 
+        @Override
+        public long precedingDrainOrder(DataCentreId dataCentre, long earliestSentNanos) {
+            return 0;
+        }
+
         @Override
         public CompletableFuture<ChangeOutcome> addMember(HostId host, String linkAddress) {
             return removeMember(host);
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -66,6 +66,7 @@
 import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.operators.CopyCoverage;
 import org.crocusturn.core.operators.DataCentreState;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
@@ -154,7 +155,7 @@
                 "127.0.0.1:7100",
                 17,
                 99,
-                List.of(new HeldLease(GROUP, 12, 3, true, 2)),
+                List.of(new HeldLease(GROUP, 12, 3, true, 2, 41)),
                 List.of(new TokenDemand(WORKSPACE, 40, 1_000)),
                 Set.of(ENDPOINT, EndpointId.of("db-2")),
                 true,
@@ -209,6 +210,9 @@
                 new ControlCommand.IssueKey("change-2", KEY),
                 new ControlCommand.WithdrawKey("change-3", "tablet-9"),
                 new ControlCommand.SetDataCentreDrained("change-4", ABDALI, true),
+                new ControlCommand.SetDataCentreDrained("change-7", ABDALI, false, Optional.of(0L)),
+                new ControlCommand.SetDataCentreDrained("change-8", ABDALI, true, Optional.of(39L)),
+                new ControlCommand.ConfirmCoverage(GROUP, 12, 41),
                 new ControlCommand.RegisterEndpoint(endpoint()),
                 new ControlCommand.RemoveEndpoint(ENDPOINT),
                 new ControlCommand.AssignLease(GROUP, LEASEHOLDER),
@@ -320,11 +324,20 @@
                 Map.of(
                         GROUP,
                         new GroupRecord(
-                                GROUP, 3, Optional.of(ENDPOINT), 40, Optional.of(LEASEHOLDER), 12),
+                                GROUP,
+                                3,
+                                Optional.of(ENDPOINT),
+                                40,
+                                Optional.of(LEASEHOLDER),
+                                12,
+                                new CopyCoverage(38, 39)),
                         GroupId.of("taftish-db", "a2"),
                         GroupRecord.of(GroupId.of("taftish-db", "a2"))),
                 Map.of(new PlacementKey(WORKSPACE, "taftish-db"), "a1"),
-                Map.of("change-1", outcome(Optional.empty())));
+                Map.of("change-1", outcome(Optional.empty())),
+                "change-1",
+                Map.of("tablet-3", 17L),
+                Map.of(ABDALI, 39L));
     }
 
     private static ChangeOutcome outcome(Optional<Failure> refusal) {
