Announce a new control leader and keep reports while its lease lapses

What callers saw: with the control leader frozen, calls of all groups were refused for seconds, not only those of the frozen host's groups.

Followers still name it as the leader, so that they wait for it again, which takes longer than the rest of a lease of 1 s. The new leader's own lease lapses for moments while it has too much to do; it then answers "not the leader" to all hosts at once (at 3.61, 3.82, 4.19, 4.56, 4.85, 5.50 s), and they search, with a report each 50 ms or 200 ms. Leaseholders send a request for tokens each 20 ms whether or not the last one was answered.

Change: a new leader makes itself known to all linked hosts. Entry hosts follow a leader of a newer term at once, and ignore hints to a host that has stopped answering. A leader whose lease has lapsed keeps the latest report of each host until it can prove again that it leads, or has lost the leadership. A host requests tokens only after the last report was answered.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -70,6 +70,10 @@
     private final Set<EndpointId> mSuspects = new HashSet<>();
     private ControlView mView;
     private Optional<HostId> mLeader = Optional.empty();
+
+    /** Leader that stopped answering and has sent nothing since. */
+    private Optional<HostId> mSilentLeader = Optional.empty();
+
     private long mLastHintNanos;
     private boolean mLeaderConfirmed;
     private List<HeldLease> mLeases = List.of();
@@ -156,6 +160,7 @@
     public long onTimer(long nowNanos) {
         if (mLeader.isPresent()
                 && nowNanos - mLastUpdateNanos >= reportIntervalNanos() + ANSWER_TIMEOUT_NANOS) {
+            mSilentLeader = mLeader;
             clearLeader(mLeader.get(), "it has not answered in time");
         }
         boolean fullDue = fullReportDueNanos() - nowNanos <= 0;
@@ -181,8 +186,10 @@
         return mLeases.isEmpty() ? IDLE_REPORT_INTERVAL_NANOS : REPORT_INTERVAL_NANOS;
     }
 
+    /** A leader that has not answered the last report yet gets no further request for tokens. */
     private long tokenRequestDueNanos() {
-        return mNeeded.isEmpty() || mLeader.isEmpty()
+        boolean answered = mView.answeredSequence() >= mView.nextSequence() - 1;
+        return mNeeded.isEmpty() || mLeader.isEmpty() || !answered
                 ? mLastReportNanos + REPORT_INTERVAL_NANOS
                 : mLastReportNanos + MIN_TOKEN_REQUEST_INTERVAL_NANOS;
     }
@@ -249,45 +256,62 @@
     }
 
     private Optional<HostId> nextCandidate() {
-        List<HostId> connected = mConnectedHosts.stream().sorted().toList();
+        List<HostId> connected =
+                mConnectedHosts.stream().filter(h -> !isSilent(h)).sorted().toList();
         if (connected.isEmpty()) {
-            return Optional.empty();
+            return mSilentLeader.filter(mConnectedHosts::contains);
         }
         mNextCandidate = (mNextCandidate + 1) % connected.size();
         return Optional.of(connected.get(mNextCandidate));
     }
 
+    private boolean isSilent(HostId host) {
+        return mSilentLeader.equals(Optional.of(host));
+    }
+
     private void onMessage(ControlLinkEvent.MessageReceived received) {
+        if (isSilent(received.host())) {
+            mSilentLeader = Optional.empty();
+        }
         if (received.message() instanceof ControlUpdate update) {
             applyUpdate(received.host(), update);
         } else if (received.message() instanceof NotLeader notLeader) {
             if (!notLeader.members().isEmpty()) {
                 mOnMembers.accept(notLeader.members());
             }
-            onNotLeader(received.host(), notLeader.leader());
+            onNotLeader(received.host(), notLeader);
         }
     }
 
     /**
-     * Handles the answer of a host that does not lead, or cannot prove yet that it does. Another
-     * host that it names gets a report at once, but only once in a search interval. If each of a
-     * hundred hosts reported again at each answer, a new leader would have no time to begin.
+     * Handles the answer of a host that does not lead, or the notice of a host that has begun to
+     * lead. A host that it names gets a report at once if this host holds leases, but only once in
+     * a search interval. If each of a hundred hosts reported again at each answer, a new leader
+     * would have no time to begin.
+     *
+     * <p>Followers name the earlier leader until the next one is elected. Waiting for its answers
+     * again would take longer than a lease lasts.
      */
-    private void onNotLeader(HostId host, Optional<HostId> hint) {
-        if (mLeaderConfirmed && !mLeader.equals(Optional.of(host))) {
+    private void onNotLeader(HostId host, NotLeader message) {
+        boolean newer = message.term() > mView.leaderTerm();
+        if (mLeaderConfirmed && !mLeader.equals(Optional.of(host)) && !newer) {
             return;
         }
-        if (mLeaderConfirmed) {
+        if (mLeaderConfirmed && !newer) {
             LOG.info(
                     "controlhosts: {} is not the leader any more: it has answered that it is not"
                             + " the leader",
                     host);
         }
         mLeaderConfirmed = false;
-        mLeader = hint.filter(mConnectedHosts::contains);
+        mLeader =
+                message.leader()
+                        .filter(mConnectedHosts::contains)
+                        .filter(named -> newer || !isSilent(named));
         mLastUpdateNanos = SteadyClock.nanoTime();
         boolean paced = mLastUpdateNanos - mLastHintNanos < searchIntervalNanos();
-        if (mLeader.isPresent() && !mLeader.equals(Optional.of(host)) && !paced) {
+        boolean other = !mLeader.equals(Optional.of(host)) || newer && !mLeases.isEmpty();
+        if (mLeader.isPresent() && other && !paced) {
             mLastHintNanos = mLastUpdateNanos;
             mUrgent = true;
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinks.java
@@ -132,6 +132,11 @@
         return link != null && link.send(message);
     }
 
+    /** Sends a message over all incoming links. */
+    void sendOverIncomingLinks(PeerMessage message) {
+        mIncomingLinks.values().forEach(link -> link.send(message));
+    }
+
     @Override
     public void close() {
         mMemberClients.values().forEach(LinkClient::close);
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -108,6 +108,7 @@
                         threads,
                         this::node,
                         this::sendToEntryHost,
+                        this::sendToLinkedHosts,
                         this::offerToLeader,
                         settings.automaticMembers()
                                 ? new AutomaticMembership(
@@ -229,10 +230,7 @@
         return propose(command, ProposalDuty.PROPOSAL_TIMEOUT);
     }
 
-    /**
-     * Proposes a change like {@link #propose(OperatorCommand)}, but starts no attempt after some
-     * time, when its sender has given it up.
-     */
+    /** Proposes a change, but starts no attempt after a time in which its sender gives it up. */
     public CompletableFuture<ChangeOutcome> propose(OperatorCommand command, Duration limit) {
         CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
         long bytes = command.approximateBytes();
@@ -341,6 +339,10 @@
         mLinks.sendOverIncomingLink(host, message);
     }
 
+    private void sendToLinkedHosts(PeerMessage message) {
+        mLinks.sendOverIncomingLinks(message);
+    }
+
     private boolean sendToMember(HostId host, PeerMessage message) {
         return mLinks.sendToMember(host, message);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
@@ -26,6 +26,7 @@
 
     private final Supplier<Optional<ControlNode>> mNode;
     private final BiConsumer<HostId, PeerMessage> mSender;
+    private final Consumer<PeerMessage> mBroadcaster;
     private final Consumer<LeaderEvent> mLeaderEvents;
     private final EndpointCommandClient mCommandClient;
     private final StatusMonitor mStatusMonitor;
@@ -35,9 +36,11 @@
             NetThreads threads,
             Supplier<Optional<ControlNode>> node,
             BiConsumer<HostId, PeerMessage> sender,
+            Consumer<PeerMessage> broadcaster,
             Consumer<LeaderEvent> leaderEvents,
             MembershipManager membershipManager) {
         mNode = node;
+        mBroadcaster = broadcaster;
         mMembershipManager = membershipManager;
         mSender = sender;
         mLeaderEvents = leaderEvents;
@@ -55,6 +58,7 @@
      * @param threads I/O threads
      * @param node supplier of the consensus node; empty until it has started
      * @param sender sends a message to an entry host
+     * @param broadcaster sends a message to all hosts whose links to this host are open
      * @param leaderEvents consumer of command results and status observations of endpoints
      * @param membershipManager maintains the membership of the consensus group
      */
@@ -62,9 +66,11 @@
             NetThreads threads,
             Supplier<Optional<ControlNode>> node,
             BiConsumer<HostId, PeerMessage> sender,
+            Consumer<PeerMessage> broadcaster,
             Consumer<LeaderEvent> leaderEvents,
             MembershipManager membershipManager) {
-        return new LeaderConnections(threads, node, sender, leaderEvents, membershipManager);
+        return new LeaderConnections(
+                threads, node, sender, broadcaster, leaderEvents, membershipManager);
     }
 
     @Override
@@ -77,6 +83,16 @@
         return mNode.get().flatMap(ControlNode::leaderHint);
     }
 
+    @Override
+    public long term() {
+        return mNode.get().map(n -> n.state().term()).orElse(0L);
+    }
+
+    @Override
+    public void sendToAll(PeerMessage message) {
+        mBroadcaster.accept(message);
+    }
+
     @Override
     public void propose(ControlCommand command) {
         mNode.get().ifPresent(node -> node.propose(command));
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderContext.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderContext.java
@@ -18,6 +18,12 @@
     /** Returns the leader that this host knows, if any. */
     Optional<HostId> leaderHint();
 
+    /** Returns the consensus term that this host knows. */
+    long term();
+
+    /** Sends a message to all hosts whose links to this host are open. */
+    void sendToAll(PeerMessage message);
+
     /** Proposes a command. A committed one arrives as a {@link LeaderEvent.CommandApplied}. */
     void propose(ControlCommand command);
 
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -1,6 +1,8 @@
 package org.crocusturn.daemon.entryhosts;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -63,6 +65,10 @@
     private final Metrics mMetrics;
     private CommandHistory mHistory = CommandHistory.of(ControlState.EMPTY);
     private LeaderState mState = LeaderState.idle();
+
+    /** Latest report of each host that arrived while the leader lease was not valid. */
+    private final Map<HostId, EntryReport> mDeferredReports = new LinkedHashMap<>();
+
     private boolean mLeadershipGained;
     private long mNextTickNanos;
     private long mNextMembershipNanos;
@@ -110,11 +116,15 @@
                     new LeaderInput.LeadershipGained(
                             gained.term(), gained.state(), historyUpTo(gained.state())));
             watch(gained.state());
+            // Entry hosts would otherwise search for the leader until their leases have ended.
+            mContext.sendToAll(notLeader());
         } else if (event instanceof LeaderEvent.LeadershipLost) {
             keepHistory();
             mLeadershipGained = false;
             mState = LeaderState.idle();
             unwatchAll();
+            mDeferredReports.keySet().forEach(host -> mContext.send(host, notLeader()));
+            mDeferredReports.clear();
         } else if (event instanceof LeaderEvent.StateRestored restored) {
             mHistory = CommandHistory.of(restored.state());
         } else if (event instanceof LeaderEvent.CommandApplied applied) {
@@ -142,6 +152,7 @@
 
     @Override
     public long onTimer(long nowNanos) {
+        handleDeferredReports();
         if (mNextTickNanos - nowNanos <= 0) {
             mMetrics.setLeads(isLeader());
             stepIfLeading(new LeaderInput.Tick());
@@ -218,13 +229,36 @@
 
     private void onReport(LeaderEvent.ReportReceived reported) {
         EntryReport report = reported.report();
-        if (!isLeader()) {
-            mContext.send(report.host(), new NotLeader(mContext.leaderHint(), mContext.members()));
-        } else if (report.host().equals(reported.link())) {
+        if (!report.host().equals(reported.link())) {
+            return;
+        }
+        if (isLeader()) {
+            handleDeferredReports();
             step(new LeaderInput.ReportReceived(report));
+        } else if (mLeadershipGained) {
+            mDeferredReports.put(report.host(), report);
+        } else {
+            mContext.send(report.host(), notLeader());
         }
     }
 
+    /**
+     * Handles the reports that waited until this host could prove again that it leads. Nobody else
+     * leads meanwhile, so "not the leader" would only make all hosts search, and their reports
+     * would keep a leader with too much work from leading.
+     */
+    private void handleDeferredReports() {
+        if (!mDeferredReports.isEmpty() && isLeader()) {
+            List<EntryReport> reports = List.copyOf(mDeferredReports.values());
+            mDeferredReports.clear();
+            reports.forEach(report -> step(new LeaderInput.ReportReceived(report)));
+        }
+    }
+
+    private NotLeader notLeader() {
+        return new NotLeader(mContext.leaderHint(), mContext.term(), mContext.members());
+    }
+
     private void stepIfLeading(LeaderInput input) {
         if (isLeader()) {
             step(input);
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -56,6 +56,7 @@
     static ControlHostsProto.NotLeader encode(NotLeader value) {
         ControlHostsProto.NotLeader.Builder builder = ControlHostsProto.NotLeader.newBuilder();
         value.leader().ifPresent(l -> builder.setLeader(l.value()));
+        builder.setTerm(value.term());
         builder.addAllMembers(LogMapper.encode(new Membership(value.members())).getMembersList());
         return builder.build();
     }
@@ -63,6 +64,7 @@
     static NotLeader decode(ControlHostsProto.NotLeader value) {
         return new NotLeader(
                 value.hasLeader() ? Optional.of(HostId.of(value.getLeader())) : Optional.empty(),
+                value.getTerm(),
                 LogMapper.decodeMembers(value.getMembersList()));
     }
 
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
@@ -8,12 +8,15 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.PeerMessage;
+import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.ControlView;
 import org.crocusturn.core.controlhosts.EntryHost;
@@ -21,9 +24,12 @@
 import org.crocusturn.core.controlhosts.Member;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.controlhosts.StateUpdate;
+import org.crocusturn.core.controlhosts.TokenDemand;
 import org.crocusturn.core.ring.SteadyClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -39,7 +45,7 @@
 
     static Stream<PeerMessage> messages() {
         return Stream.of(
-                new NotLeader(Optional.of(HostId.of("c4")), MEMBERS),
+                new NotLeader(Optional.of(HostId.of("c4")), 1, MEMBERS),
                 new ControlUpdate(
                         1,
                         1,
@@ -69,6 +75,144 @@
         assertEquals(MEMBERS, learned);
     }
 
+    private static ControlUpdate update(long term, long sequence) {
+        return new ControlUpdate(
+                term,
+                sequence,
+                0,
+                new StateUpdate.Unchanged(),
+                1_500,
+                List.of(),
+                List.of(),
+                MEMBERS);
+    }
+
+    /** Runs the duty for some time and answers its reports. */
+    private static void run(
+            ControlLinkDuty duty,
+            List<HostId> sent,
+            Duration time,
+            Function<HostId, Optional<PeerMessage>> answers) {
+        long start = SteadyClock.nanoTime();
+        int answered = sent.size();
+        while (SteadyClock.nanoTime() - start < time.toNanos()) {
+            LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+            duty.onTimer(SteadyClock.nanoTime());
+            while (answered < sent.size()) {
+                HostId host = sent.get(answered++);
+                answers.apply(host)
+                        .ifPresent(
+                                m -> duty.onEvent(new ControlLinkEvent.MessageReceived(host, m)));
+            }
+        }
+    }
+
+    /** What an entry host hears after its leader c1 has frozen. */
+    enum Notice {
+        /** The others name the frozen leader until c4 leads. */
+        STALE_HINTS,
+        /** The new leader c4 makes itself known. */
+        ANNOUNCED,
+        /** The new leader makes itself known before the frozen one counts as silent. */
+        ANNOUNCED_EARLY
+    }
+
+    /**
+     * Guards against leaseholders that go back to a frozen leader because a follower still names
+     * it, or search for a new one, until their leases have ended: all groups of a fleet then
+     * stopped at once.
+     */
+    @ParameterizedTest
+    @EnumSource(Notice.class)
+    void findsTheNewLeaderBeforeItsLeasesEnd(Notice notice) {
+        HostId frozen = HostId.of("c1");
+        HostId next = HostId.of("c4");
+        List<HostId> sent = new ArrayList<>();
+        AtomicLong sequence = new AtomicLong();
+        ControlLinkDuty duty =
+                ControlLinkDuty.create(
+                        new EntryHost(
+                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
+                        ControlView.empty((state, command) -> state),
+                        (host, report) -> {
+                            sequence.set(report.sequence());
+                            return sent.add(host);
+                        },
+                        view -> {},
+                        members -> {});
+        duty.onEvent(new ControlLinkEvent.LinkOpened(frozen));
+        duty.onEvent(
+                new ControlLinkEvent.ReportChanged(
+                        List.of(new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
+                        List.of(),
+                        0,
+                        false));
+        run(duty, sent, Duration.ofMillis(250), host -> Optional.of(update(1, sequence.get())));
+        duty.onEvent(new ControlLinkEvent.LinkOpened(next));
+        NotLeader stale = new NotLeader(Optional.of(frozen), 1, MEMBERS);
+        boolean early = notice == Notice.ANNOUNCED_EARLY;
+        run(
+                duty,
+                sent,
+                Duration.ofMillis(early ? 100 : 600),
+                host -> host.equals(frozen) ? Optional.empty() : Optional.of(stale));
+        int before = sent.size();
+        if (notice != Notice.STALE_HINTS) {
+            duty.onEvent(
+                    new ControlLinkEvent.MessageReceived(
+                            next, new NotLeader(Optional.of(next), 2, MEMBERS)));
+        }
+        run(
+                duty,
+                sent,
+                Duration.ofMillis(70),
+                host ->
+                        host.equals(next)
+                                ? Optional.of(update(2, sequence.get()))
+                                : Optional.empty());
+        assertTrue(sent.size() > before, "no report after " + before);
+        assertEquals(next, sent.get(before));
+    }
+
+    /** Guards against requests that pile up at a leader that is slow to answer. */
+    @ParameterizedTest
+    @CsvSource({"true, 8, 25", "false, 3, 6"})
+    void requestsTokensOnlyOfALeaderThatAnswers(boolean answers, int least, int most) {
+        List<HostId> sent = new ArrayList<>();
+        AtomicLong sequence = new AtomicLong();
+        ControlLinkDuty duty =
+                ControlLinkDuty.create(
+                        new EntryHost(
+                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
+                        ControlView.empty((state, command) -> state),
+                        (host, report) -> {
+                            sequence.set(report.sequence());
+                            return sent.add(host);
+                        },
+                        view -> {},
+                        members -> {});
+        duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c1")));
+        duty.onEvent(
+                new ControlLinkEvent.ReportChanged(
+                        List.of(new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
+                        List.of(),
+                        0,
+                        false));
+        run(duty, sent, Duration.ofMillis(100), host -> Optional.of(update(1, sequence.get())));
+        int before = sent.size();
+        TokenDemand demand = new TokenDemand(WorkspaceId.of("w"), 1, 0);
+        run(
+                duty,
+                sent,
+                Duration.ofMillis(400),
+                host -> {
+                    duty.onEvent(new ControlLinkEvent.TokensNeeded(List.of(demand)));
+                    return answers ? Optional.of(update(1, sequence.get())) : Optional.empty();
+                });
+        int reports = sent.size() - before;
+        assertTrue(reports >= least && reports <= most, "reports: " + reports);
+    }
+
     /** A host may report once in a search interval, and once more to a host that was named. */
     static Stream<Arguments> hints() {
         return Stream.of(
@@ -120,7 +264,8 @@
                             default -> Optional.empty();
                         };
                 duty.onEvent(
-                        new ControlLinkEvent.MessageReceived(host, new NotLeader(leader, MEMBERS)));
+                        new ControlLinkEvent.MessageReceived(
+                                host, new NotLeader(leader, 0, MEMBERS)));
             }
         }
         assertTrue(sent.size() <= maximum, "reports: " + sent.size());
--- a/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyFailureTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyFailureTest.java
@@ -119,6 +119,14 @@
             return true;
         }
 
+        @Override
+        public long term() {
+            return 0;
+        }
+
+        @Override
+        public void sendToAll(PeerMessage message) {}
+
         @Override
         public Optional<HostId> leaderHint() {
             return Optional.empty();
--- a/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
@@ -17,6 +17,7 @@
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
+import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.daemon.platform.Metrics;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -31,7 +32,10 @@
     private final List<ControlUpdate> mUpdates = new ArrayList<>();
     private final LeaderDuty mDuty = LeaderDuty.create(new RecordingContext(), Metrics.create());
     private ControlState mControl = ControlState.EMPTY;
+    private final List<String> mSent = new ArrayList<>();
+    private boolean mLeaseValid = true;
     private long mTerm;
+    private long mSequence;
 
     @ParameterizedTest
     @CsvSource({
@@ -53,8 +57,37 @@
         assertEquals(mControl.version(), mUpdates.get(0).version());
     }
 
+    /**
+     * Guards against a leader that answers "not the leader" while it can't prove for a moment that
+     * it leads. A hundred hosts then search for another one, and their reports kept it from leading
+     * for seconds; and against entry hosts that have to search for a new leader.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // events, what is sent to the entry host or to all
+        "gain, all",
+        "gain report, all update",
+        "report gain, not-leader all",
+        "gain invalid report, all",
+        "gain invalid report valid tick, all update",
+        "gain invalid report report valid report, all update update",
+        "gain invalid report lose, all not-leader",
+        "gain invalid report report lose report, all not-leader not-leader"
+    })
+    void answersReportsOnceItCanProveThatItLeads(String events, String expected) {
+        for (String event : events.split(" ")) {
+            play(event);
+        }
+        assertEquals(expected, String.join(" ", mSent));
+    }
+
     private void play(String event) {
         switch (event) {
+            case "report" ->
+                    mDuty.onEvent(new LeaderEvent.ReportReceived(HOST, report(++mSequence, 0)));
+            case "invalid" -> mLeaseValid = false;
+            case "valid" -> mLeaseValid = true;
+            case "tick" -> mDuty.onTimer(SteadyClock.nanoTime());
             case "apply" -> {
                 mControl = mControl.withVersion(mControl.version() + 1);
                 ControlCommand command = new ControlCommand.RemoveEndpoint(EndpointId.of("e"));
@@ -71,12 +104,16 @@
     }
 
     private static EntryReport report(long knownVersion) {
+        return report(1, knownVersion);
+    }
+
+    private static EntryReport report(long sequence, long knownVersion) {
         return new EntryReport(
                 HOST,
                 1,
                 DataCentreId.of("delft"),
                 "127.0.0.1:1",
-                1,
+                sequence,
                 knownVersion,
                 List.of(),
                 List.of(),
@@ -89,7 +126,17 @@
     private final class RecordingContext implements LeaderContext {
         @Override
         public boolean isLeaderLeaseValid() {
-            return true;
+            return mLeaseValid;
+        }
+
+        @Override
+        public long term() {
+            return 0;
+        }
+
+        @Override
+        public void sendToAll(PeerMessage message) {
+            mSent.add("all");
         }
 
         @Override
@@ -102,7 +149,10 @@
 
         @Override
         public void send(HostId host, PeerMessage message) {
-            mUpdates.add((ControlUpdate) message);
+            mSent.add(message instanceof ControlUpdate ? "update" : "not-leader");
+            if (message instanceof ControlUpdate update) {
+                mUpdates.add(update);
+            }
         }
 
         @Override
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -107,8 +107,10 @@
 
     static Stream<PeerMessage> messages() {
         return Stream.of(
-                        Stream.of(report(), new NotLeader(Optional.of(HOST), MEMBERSHIP.members())),
-                        Stream.of(new NotLeader(Optional.empty())),
+                        Stream.of(
+                                report(),
+                                new NotLeader(Optional.of(HOST), 4, MEMBERSHIP.members())),
+                        Stream.of(new NotLeader()),
                         updates(),
                         consensus(),
                         Stream.of(new FirstStartQuestion(-3L, MEMBERSHIP)),
