Look at each lease's placement twice a second, not at each tick

At each tick, 50 times a second, it chose a host again for each of 14 groups among 100, 70,000 candidates a second, although placements change rarely. Groups are looked at in turn now, all of them in 25 ticks. Leases of hosts that stop or of drained data centres do not wait for this: they are moved by the check of the group.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -25,6 +25,13 @@
     /** Maximum number of placement candidates that rebalancing evaluates at a tick. */
     static final int MAX_SCORES_PER_TICK = 5_000;
 
+    /**
+     * Ticks in which rebalancing looks at all groups in turn, half a second. A choice costs
+     * O(hosts), and a lease that could be better placed is not urgent; those of hosts that stop are
+     * moved by {@link #checkGroup}.
+     */
+    static final int TICKS_PER_REBALANCING = 25;
+
     private final LeaderStep mStep;
 
     LeaseDecisions(LeaderStep step) {
@@ -140,7 +147,10 @@
         }
     }
 
-    /** Moves leases to the hosts that the placement policy prefers; costs O(hosts). */
+    /**
+     * Moves leases to the hosts that the placement policy prefers. Looks at a part of the groups,
+     * which costs O(hosts) for each.
+     */
     void rebalance() {
         List<RegisteredHost> hosts = mStep.eligible();
         List<GroupId> groups = mStep.mState.failovers().sortedGroups();
@@ -149,7 +159,8 @@
                 || mStep.mNowNanos - mStep.mState.leadingSinceNanos() < MIN_UPTIME_NANOS) {
             return;
         }
-        int count = Math.min(groups.size(), Math.max(1, MAX_SCORES_PER_TICK / hosts.size()));
+        int part = (groups.size() + TICKS_PER_REBALANCING - 1) / TICKS_PER_REBALANCING;
+        int count = Math.min(part, Math.max(1, MAX_SCORES_PER_TICK / hosts.size()));
         int start = mStep.mState.placementCursor() % groups.size();
         for (int i = 0; i < count; i++) {
             rebalanceGroup(groups.get((start + i) % groups.size()));
