Let hosts return to a leader from which they were only cut off

A host ignores hints to a leader that has stopped answering until that leader sends something. A host that was cut off itself never asks it again, and the leader sends nothing by itself.

Change: the silence counts for 1 s, after which an election is over, and ends with a new link to the host.

Evidence: both cases of ControlLinkDutyTest.returnsToALeaderThatWasOnlyCutOff fail without the change.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -62,6 +62,12 @@
      */
     private static final long IDLE_SEARCH_INTERVAL_NANOS = 200_000_000;
 
+    /**
+     * Time for which a leader that stopped answering is not asked again, in nanoseconds. An
+     * election is over by then; a host that was only cut off from its leader has to return to it.
+     */
+    private static final long SILENCE_NANOS = 1_000_000_000;
+
     private final EntryHost mSelf;
     private final BiPredicate<HostId, EntryReport> mSender;
     private final Consumer<ControlView> mOnView;
@@ -71,9 +77,11 @@
     private ControlView mView;
     private Optional<HostId> mLeader = Optional.empty();
 
-    /** Leader that stopped answering and has sent nothing since. */
+    /** Leader that stopped answering, on the present link, and has sent nothing since. */
     private Optional<HostId> mSilentLeader = Optional.empty();
 
+    private long mSilentUntilNanos;
+
     private long mLastHintNanos;
     private boolean mLeaderConfirmed;
     private List<HeldLease> mLeases = List.of();
@@ -134,6 +142,7 @@
     public void onEvent(ControlLinkEvent event) {
         if (event instanceof ControlLinkEvent.LinkOpened opened) {
             mConnectedHosts.add(opened.host());
+            endSilence(opened.host());
             mUrgent |= mLeader.isEmpty();
         } else if (event instanceof ControlLinkEvent.LinkClosed closed) {
             mConnectedHosts.remove(closed.host());
@@ -161,6 +170,7 @@
         if (mLeader.isPresent()
                 && nowNanos - mLastUpdateNanos >= reportIntervalNanos() + ANSWER_TIMEOUT_NANOS) {
             mSilentLeader = mLeader;
+            mSilentUntilNanos = nowNanos + SILENCE_NANOS;
             clearLeader(mLeader.get(), "it has not answered in time");
         }
         boolean fullDue = fullReportDueNanos() - nowNanos <= 0;
@@ -266,13 +276,16 @@
     }
 
     private boolean isSilent(HostId host) {
-        return mSilentLeader.equals(Optional.of(host));
+        return mSilentLeader.equals(Optional.of(host))
+                && mSilentUntilNanos - SteadyClock.nanoTime() > 0;
+    }
+
+    private void endSilence(HostId host) {
+        mSilentLeader = mSilentLeader.filter(silent -> !silent.equals(host));
     }
 
     private void onMessage(ControlLinkEvent.MessageReceived received) {
-        if (isSilent(received.host())) {
-            mSilentLeader = Optional.empty();
-        }
+        endSilence(received.host());
         if (received.message() instanceof ControlUpdate update) {
             applyUpdate(received.host(), update);
         } else if (received.message() instanceof NotLeader notLeader) {
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
@@ -31,6 +31,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against an entry host that never finds a leader that is missing from its settings. After a
@@ -174,6 +175,45 @@
         assertEquals(next, sent.get(before));
     }
 
+    /**
+     * Guards against an entry host that never returns to the leader from which it was cut off,
+     * because it takes what the others say of it for out of date.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void returnsToALeaderThatWasOnlyCutOff(boolean linkIsNew) {
+        HostId leader = HostId.of("c1");
+        List<HostId> sent = new ArrayList<>();
+        AtomicLong sequence = new AtomicLong();
+        ControlLinkDuty duty =
+                ControlLinkDuty.create(
+                        new EntryHost(
+                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
+                        ControlView.empty((state, command) -> state),
+                        (host, report) -> {
+                            sequence.set(report.sequence());
+                            return sent.add(host);
+                        },
+                        view -> {},
+                        members -> {});
+        duty.onEvent(new ControlLinkEvent.LinkOpened(leader));
+        run(duty, sent, Duration.ofMillis(250), host -> Optional.of(update(1, sequence.get())));
+        duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c4")));
+        NotLeader hint = new NotLeader(Optional.of(leader), 1, MEMBERS);
+        Function<HostId, Optional<PeerMessage>> others =
+                host -> host.equals(leader) ? Optional.empty() : Optional.of(hint);
+        run(duty, sent, Duration.ofMillis(700), others);
+        if (linkIsNew) {
+            duty.onEvent(new ControlLinkEvent.LinkClosed(leader));
+            duty.onEvent(new ControlLinkEvent.LinkOpened(leader));
+        } else {
+            run(duty, sent, Duration.ofMillis(1_000), others);
+        }
+        int before = sent.size();
+        run(duty, sent, Duration.ofMillis(500), others);
+        assertTrue(sent.subList(before, sent.size()).contains(leader), sent.toString());
+    }
+
     /** Guards against requests that pile up at a leader that is slow to answer. */
     @ParameterizedTest
     @CsvSource({"true, 8, 25", "false, 3, 6"})
