Name a term only together with its leader

NotLeader says that its term is that of the leader it names, but a host without a leader sent the term of an election under way. An entry host takes a newer term for a newer leader, so a late answer of such a host could take its confirmed leader from it. Found by reading; not seen in a run. LeaderDutyTest.namesTheTermOfALeaderOnly guards it.

--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -256,7 +256,10 @@
     }
 
     private NotLeader notLeader() {
-        return new NotLeader(mContext.leaderHint(), mContext.term(), mContext.members());
+        Optional<HostId> leader = mContext.leaderHint();
+        // Without a leader, the term may be that of an election that nobody has won.
+        long term = leader.isPresent() ? mContext.term() : 0;
+        return new NotLeader(leader, term, mContext.members());
     }
 
     private void stepIfLeading(LeaderInput input) {
--- a/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
@@ -14,6 +14,7 @@
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
 import org.crocusturn.core.controlhosts.Member;
+import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.ControlState;
@@ -33,6 +34,8 @@
     private final LeaderDuty mDuty = LeaderDuty.create(new RecordingContext(), Metrics.create());
     private ControlState mControl = ControlState.EMPTY;
     private final List<String> mSent = new ArrayList<>();
+    private final List<Long> mTerms = new ArrayList<>();
+    private Optional<HostId> mLeader = Optional.empty();
     private boolean mLeaseValid = true;
     private long mTerm;
     private long mSequence;
@@ -81,6 +84,18 @@
         assertEquals(expected, String.join(" ", mSent));
     }
 
+    /**
+     * Guards against a host that leaves its leader for a host which only tries to become the
+     * leader, because the term of its election is newer.
+     */
+    @ParameterizedTest
+    @CsvSource({"control-2, 7", ", 0"})
+    void namesTheTermOfALeaderOnly(String leader, long term) {
+        mLeader = Optional.ofNullable(leader).map(HostId::of);
+        play("report");
+        assertEquals(List.of(term), mTerms);
+    }
+
     private void play(String event) {
         switch (event) {
             case "report" ->
@@ -131,7 +146,7 @@
 
         @Override
         public long term() {
-            return 0;
+            return 7;
         }
 
         @Override
@@ -141,7 +156,7 @@
 
         @Override
         public Optional<HostId> leaderHint() {
-            return Optional.empty();
+            return mLeader;
         }
 
         @Override
@@ -150,6 +165,9 @@
         @Override
         public void send(HostId host, PeerMessage message) {
             mSent.add(message instanceof ControlUpdate ? "update" : "not-leader");
+            if (message instanceof NotLeader notLeader) {
+                mTerms.add(notLeader.term());
+            }
             if (message instanceof ControlUpdate update) {
                 mUpdates.add(update);
             }
