Share the fixtures that new tests had copied

ControlLinkDutyTest built its duty and its leases four times alike, UnknownCopiesTest repeated the acknowledged write of ReplicaLossTest, and RebalancingCostTest the report of LeaseMoveTest. Each has one piece now (FakeGroupContext.acknowledgeCommit, InheritedLeaseFixture.report). Assertions, bounds and cases are the same.

--- a/core/src/test/java/org/crocusturn/core/entryhosts/InheritedLeaseFixture.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/InheritedLeaseFixture.java
@@ -5,7 +5,10 @@
 import java.util.Set;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.GroupId;
+import org.crocusturn.core.HostId;
 import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.HeldLease;
 import org.crocusturn.core.operators.AcknowledgeMode;
 import org.crocusturn.core.operators.Configuration;
 import org.crocusturn.core.operators.ControlCommand;
@@ -49,4 +52,20 @@
         }
         return state;
     }
+
+    /** Returns a report of a host, numbered by the incarnation of its only process. */
+    static EntryReport report(HostId host, int number, long sequence, List<HeldLease> held) {
+        return new EntryReport(
+                host,
+                number,
+                DATA_CENTRE,
+                "127.0.0.1:" + number,
+                sequence,
+                0,
+                held,
+                List.of(),
+                Set.of(),
+                false,
+                sequence - 1);
+    }
 }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/LeaseMoveTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/LeaseMoveTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.IntStream;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.GroupId;
@@ -82,18 +81,7 @@
                         .filter(l -> l.holder().filter(h -> h.host().equals(id(host))).isPresent())
                         .map(l -> new HeldLease(l.group(), l.epoch(), 0, l.moving(), 0))
                         .toList();
-        return new EntryReport(
-                id(host),
-                host,
-                InheritedLeaseFixture.DATA_CENTRE,
-                "127.0.0.1:" + host,
-                sequence,
-                0,
-                held,
-                List.of(),
-                Set.of(),
-                false,
-                sequence - 1);
+        return InheritedLeaseFixture.report(id(host), host, sequence, held);
     }
 
     private static HostId id(int number) {
--- a/core/src/test/java/org/crocusturn/core/entryhosts/RebalancingCostTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/RebalancingCostTest.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.IntStream;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
@@ -83,17 +82,6 @@
                         .map(d -> GroupId.of(InheritedLeaseFixture.SERVICE, d))
                         .map(g -> new HeldLease(g, 1, 0, false, 0))
                         .toList();
-        return new EntryReport(
-                HostId.of("h" + host),
-                host,
-                InheritedLeaseFixture.DATA_CENTRE,
-                "127.0.0.1:" + host,
-                sequence,
-                0,
-                held,
-                List.of(),
-                Set.of(),
-                false,
-                sequence - 1);
+        return InheritedLeaseFixture.report(HostId.of("h" + host), host, sequence, held);
     }
 }
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/ControlLinkDutyTest.java
@@ -44,6 +44,34 @@
                     new Member(HostId.of("c1"), "127.0.0.1:7001", true),
                     new Member(HostId.of("c4"), "127.0.0.1:7004", true));
 
+    /**
+     * Creates a duty without links.
+     *
+     * @param sent gets the host of each report
+     * @param sequence gets the sequence of each report
+     * @param learned gets the control hosts that a message lists
+     */
+    private static ControlLinkDuty duty(
+            List<HostId> sent, AtomicLong sequence, List<Member> learned) {
+        return ControlLinkDuty.create(
+                new EntryHost(HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
+                ControlView.empty((state, command) -> state),
+                (host, report) -> {
+                    sequence.set(report.sequence());
+                    return sent.add(host);
+                },
+                view -> {},
+                learned::addAll);
+    }
+
+    private static ControlLinkEvent leases(int count) {
+        return new ControlLinkEvent.ReportChanged(
+                Collections.nCopies(count, new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
+                List.of(),
+                0,
+                false);
+    }
+
     static Stream<PeerMessage> messages() {
         return Stream.of(
                 new NotLeader(Optional.of(HostId.of("c4")), 1, MEMBERS),
@@ -62,14 +90,7 @@
     @MethodSource("messages")
     void learnsTheControlHosts(PeerMessage message) {
         List<Member> learned = new ArrayList<>();
-        ControlLinkDuty duty =
-                ControlLinkDuty.create(
-                        new EntryHost(
-                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
-                        ControlView.empty((state, command) -> state),
-                        (host, report) -> true,
-                        view -> {},
-                        learned::addAll);
+        ControlLinkDuty duty = duty(new ArrayList<>(), new AtomicLong(), learned);
         duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c1")));
         duty.onTimer(SteadyClock.nanoTime());
         duty.onEvent(new ControlLinkEvent.MessageReceived(HostId.of("c1"), message));
@@ -130,24 +151,9 @@
         HostId next = HostId.of("c4");
         List<HostId> sent = new ArrayList<>();
         AtomicLong sequence = new AtomicLong();
-        ControlLinkDuty duty =
-                ControlLinkDuty.create(
-                        new EntryHost(
-                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
-                        ControlView.empty((state, command) -> state),
-                        (host, report) -> {
-                            sequence.set(report.sequence());
-                            return sent.add(host);
-                        },
-                        view -> {},
-                        members -> {});
+        ControlLinkDuty duty = duty(sent, sequence, new ArrayList<>());
         duty.onEvent(new ControlLinkEvent.LinkOpened(frozen));
-        duty.onEvent(
-                new ControlLinkEvent.ReportChanged(
-                        List.of(new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
-                        List.of(),
-                        0,
-                        false));
+        duty.onEvent(leases(1));
         run(duty, sent, Duration.ofMillis(250), host -> Optional.of(update(1, sequence.get())));
         duty.onEvent(new ControlLinkEvent.LinkOpened(next));
         NotLeader stale = new NotLeader(Optional.of(frozen), 1, MEMBERS);
@@ -185,17 +191,7 @@
         HostId leader = HostId.of("c1");
         List<HostId> sent = new ArrayList<>();
         AtomicLong sequence = new AtomicLong();
-        ControlLinkDuty duty =
-                ControlLinkDuty.create(
-                        new EntryHost(
-                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
-                        ControlView.empty((state, command) -> state),
-                        (host, report) -> {
-                            sequence.set(report.sequence());
-                            return sent.add(host);
-                        },
-                        view -> {},
-                        members -> {});
+        ControlLinkDuty duty = duty(sent, sequence, new ArrayList<>());
         duty.onEvent(new ControlLinkEvent.LinkOpened(leader));
         run(duty, sent, Duration.ofMillis(250), host -> Optional.of(update(1, sequence.get())));
         duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c4")));
@@ -220,24 +216,9 @@
     void requestsTokensOnlyOfALeaderThatAnswers(boolean answers, int least, int most) {
         List<HostId> sent = new ArrayList<>();
         AtomicLong sequence = new AtomicLong();
-        ControlLinkDuty duty =
-                ControlLinkDuty.create(
-                        new EntryHost(
-                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
-                        ControlView.empty((state, command) -> state),
-                        (host, report) -> {
-                            sequence.set(report.sequence());
-                            return sent.add(host);
-                        },
-                        view -> {},
-                        members -> {});
+        ControlLinkDuty duty = duty(sent, sequence, new ArrayList<>());
         duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c1")));
-        duty.onEvent(
-                new ControlLinkEvent.ReportChanged(
-                        List.of(new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
-                        List.of(),
-                        0,
-                        false));
+        duty.onEvent(leases(1));
         run(duty, sent, Duration.ofMillis(100), host -> Optional.of(update(1, sequence.get())));
         int before = sent.size();
         TokenDemand demand = new TokenDemand(WorkspaceId.of("w"), 1, 0);
@@ -272,23 +253,10 @@
     @MethodSource("hints")
     void reportsAtSearchIntervalUntilSomeoneLeads(String hint, int leases, int maximum) {
         List<HostId> sent = new ArrayList<>();
-        ControlLinkDuty duty =
-                ControlLinkDuty.create(
-                        new EntryHost(
-                                HostId.of("e"), 1, DataCentreId.of("marka"), "127.0.0.1:1", 0),
-                        ControlView.empty((state, command) -> state),
-                        (host, report) -> sent.add(host),
-                        view -> {},
-                        members -> {});
+        ControlLinkDuty duty = duty(sent, new AtomicLong(), new ArrayList<>());
         duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c1")));
         duty.onEvent(new ControlLinkEvent.LinkOpened(HostId.of("c4")));
-        duty.onEvent(
-                new ControlLinkEvent.ReportChanged(
-                        Collections.nCopies(
-                                leases, new HeldLease(GroupId.of("s", "all"), 1, 0, false, 0)),
-                        List.of(),
-                        0,
-                        false));
+        duty.onEvent(leases(leases));
         long start = SteadyClock.nanoTime();
         int answered = 0;
         while (SteadyClock.nanoTime() - start < OBSERVED.toNanos()) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
@@ -1,5 +1,7 @@
 package org.crocusturn.daemon.endpoints;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,12 +14,17 @@
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.SessionOutcome;
+import org.crocusturn.core.callers.SessionStatement;
+import org.crocusturn.core.callers.StatementKind;
+import org.crocusturn.core.callers.TransactionStep;
 import org.crocusturn.core.endpoints.CheckedFencing;
 import org.crocusturn.core.endpoints.EndpointError;
 import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
 import org.crocusturn.core.endpoints.SessionResult;
+import org.crocusturn.core.entryhosts.SessionCall;
+import org.crocusturn.core.operators.Consistency;
 
 /** Simulates the duty of a group and its endpoints; commands are held until a test answers them. */
 final class FakeGroupContext implements GroupContext {
@@ -181,6 +188,27 @@
         sent.session().task().orElseThrow().onResult(sent.session(), result);
     }
 
+    /** Lets a group run a write, whose commit the primary reports at a log index. */
+    void acknowledgeCommit(LeasedGroup group, long index) {
+        group.submit(
+                HostId.of("entry-2.1"),
+                new SessionCall(
+                        1,
+                        7,
+                        group.id(),
+                        1,
+                        WorkspaceId.of("schools"),
+                        new SessionCall.Options(Consistency.PRIMARY, 1_500, 1, 30_000),
+                        TransactionStep.NONE,
+                        new SessionStatement("id1", StatementKind.WRITE, "x", "", "WRITE x"),
+                        Optional.empty(),
+                        Map.of(),
+                        LogPosition.ZERO));
+        openAll();
+        answer(SessionCommand.Run.class, done(SessionResult.State.IDLE, index));
+        assertEquals(Optional.empty(), mReplies.get(1L).failure());
+    }
+
     static SessionResult done(SessionResult.State state, long index) {
         return new SessionResult(
                 List.of("row"),
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicaLossTest.java
@@ -14,17 +14,8 @@
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
-import org.crocusturn.core.HostId;
 import org.crocusturn.core.LogPosition;
-import org.crocusturn.core.WorkspaceId;
-import org.crocusturn.core.callers.SessionStatement;
-import org.crocusturn.core.callers.StatementKind;
-import org.crocusturn.core.callers.TransactionStep;
 import org.crocusturn.core.endpoints.ReplicationStatus;
-import org.crocusturn.core.endpoints.SessionCommand;
-import org.crocusturn.core.endpoints.SessionResult;
-import org.crocusturn.core.entryhosts.SessionCall;
-import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.Service;
@@ -131,34 +122,12 @@
         return mGroup.failover().writablePrimary().map(p -> p.record().id().value());
     }
 
-    private void acknowledgeCommit() {
-        mGroup.submit(
-                HostId.of("entry-2.1"),
-                new SessionCall(
-                        1,
-                        7,
-                        GROUP,
-                        1,
-                        WorkspaceId.of("schools"),
-                        new SessionCall.Options(Consistency.PRIMARY, 1_500, 1, 30_000),
-                        TransactionStep.NONE,
-                        new SessionStatement("id1", StatementKind.WRITE, "x", "", "WRITE x"),
-                        Optional.empty(),
-                        Map.of(),
-                        LogPosition.ZERO));
-        mContext.openAll();
-        mContext.answer(
-                SessionCommand.Run.class,
-                FakeGroupContext.done(SessionResult.State.IDLE, ACKNOWLEDGED));
-        assertTrue(mContext.mReplies.get(1L).failure().isEmpty());
-    }
-
     private void prepare(Leaseholder leaseholder) {
         if (leaseholder == Leaseholder.ACKNOWLEDGED_COMMITS) {
             createGroup(START, START);
             report("s", false, 1, START);
             tick(30);
-            acknowledgeCommit();
+            mContext.acknowledgeCommit(mGroup, ACKNOWLEDGED);
             report("p", true, 1, ACKNOWLEDGED);
             report("r", false, 1, ACKNOWLEDGED);
         } else {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/UnknownCopiesTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/UnknownCopiesTest.java
@@ -6,24 +6,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.GroupId;
-import org.crocusturn.core.HostId;
 import org.crocusturn.core.LogPosition;
-import org.crocusturn.core.WorkspaceId;
-import org.crocusturn.core.callers.SessionStatement;
-import org.crocusturn.core.callers.StatementKind;
-import org.crocusturn.core.callers.TransactionStep;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
-import org.crocusturn.core.endpoints.SessionResult;
-import org.crocusturn.core.entryhosts.SessionCall;
-import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.core.operators.Service;
@@ -176,7 +167,7 @@
         announce("p", "s");
         hold(1);
         tick(30);
-        acknowledgeCommit();
+        mContext.acknowledgeCommit(mGroup, ACKNOWLEDGED);
         mContext.mStatuses.remove("p");
         mGroup.pool(EndpointId.of("p")).ifPresent(mGroup::checkHealth);
         tick(TICKS_PER_MINUTE);
@@ -187,28 +178,6 @@
         assertEquals(List.of("r 1"), promoted());
     }
 
-    private void acknowledgeCommit() {
-        mGroup.submit(
-                HostId.of("entry-2.1"),
-                new SessionCall(
-                        1,
-                        7,
-                        GROUP,
-                        1,
-                        WorkspaceId.of("schools"),
-                        new SessionCall.Options(Consistency.PRIMARY, 1_500, 1, 30_000),
-                        TransactionStep.NONE,
-                        new SessionStatement("id1", StatementKind.WRITE, "x", "", "WRITE x"),
-                        Optional.empty(),
-                        Map.of(),
-                        LogPosition.ZERO));
-        mContext.openAll();
-        mContext.answer(
-                SessionCommand.Run.class,
-                FakeGroupContext.done(SessionResult.State.IDLE, ACKNOWLEDGED));
-        assertEquals(Optional.empty(), mContext.mReplies.get(1L).failure());
-    }
-
     static Stream<Arguments> coverages() {
         return Stream.of(
                 Arguments.of("a replica has all commits", "p r s", ACKNOWLEDGED, 7L),
