Replace a departed voter before its successor counts as present

Cause: a voter that is gone stays in the group until it has been silent for 6 s, and each of the two changes that replace it waits for the next check, 500 ms later. The platform no longer counts a replaced machine as lost once its successor has run for catch-up-s, 4 s on the standard sites. In between, the group tolerates one loss fewer than it has to.

Change: a voter is replaced after 2 s of silence if a learner is ready, and the second change follows the first one within 100 ms. A voter that was only silent joins again as a learner. The leader logs how many lost disks the group tolerates whenever that changes, as a warning if the settings ask for more, and a host without a leader logs every 5 s which members it knows.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
@@ -75,6 +75,13 @@
                 p -> p.counted() && p.matchIndex() > 0 && p.matchIndex() >= state.commitIndex());
     }
 
+    /**
+     * Returns whether a membership change is not committed yet, so that no other one may follow.
+     */
+    public static boolean isMembershipChanging(ConsensusState state) {
+        return state.log().membershipIndex() > state.commitIndex();
+    }
+
     private static Set<HostId> membersWith(ConsensusState state, Predicate<Progress> test) {
         return state.leaderRole().stream()
                 .flatMap(leader -> leader.progress().entrySet().stream())
--- a/core/src/main/java/org/crocusturn/core/controlhosts/MembershipChanges.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/MembershipChanges.java
@@ -26,7 +26,7 @@
     private static Optional<String> changeRejectionReason(
             ConsensusState state, MembershipChange change) {
         // Majorities of two memberships overlap only if they differ in one voter.
-        if (state.log().membershipIndex() > state.commitIndex()) {
+        if (Consensus.isMembershipChanging(state)) {
             return Optional.of("another membership change is not committed yet");
         }
         if (change instanceof MembershipChange.AddLearner add) {
--- a/core/src/main/java/org/crocusturn/core/controlhosts/MembershipPolicy.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/MembershipPolicy.java
@@ -17,10 +17,21 @@
  */
 public final class MembershipPolicy {
     /**
-     * Silence after which a voter is replaced if a learner is ready, in nanoseconds. It exceeds the
-     * duration of a restart, about 3 s.
+     * Silence after which a voter is replaced if a learner is ready, in nanoseconds. A host that
+     * takes the place of a lost one has to be a voter, and the lost one has to be removed, before
+     * further hosts may be lost. The users' platform allows 4 s after the start of the new host, of
+     * which joining takes up to 2 s. A voter that was only silent joins again as a learner.
      */
-    public static final long REPLACEMENT_SILENCE_NANOS = Duration.ofSeconds(6).toNanos();
+    public static final long REPLACEMENT_SILENCE_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Interval of the checks whether a change is due, in nanoseconds. */
+    public static final long CHECK_INTERVAL_NANOS = Duration.ofMillis(500).toNanos();
+
+    /**
+     * Interval of the checks after a change was due, in nanoseconds. A replacement takes two
+     * changes, and between them the group tolerates the loss of fewer voters.
+     */
+    public static final long FOLLOW_UP_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
 
     /** Maximum number of members; further learners would only add heartbeat traffic. */
     static final int MAX_MEMBERS = 9;
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
@@ -0,0 +1,200 @@
+package org.crocusturn.core.controlhosts;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.crocusturn.core.operators.ControlCommand;
+
+/**
+ * A group whose members {@link MembershipPolicy} maintains, in virtual time and without lost
+ * messages. Hosts depart for good, are replaced, lose their disks and lose power.
+ */
+final class ReplacementRun implements ScheduleNetwork {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
+    private static final long JOIN_INTERVAL_NANOS = 500 * NANOS_PER_MILLI;
+    private static final String LINK_ADDRESS = "127.0.0.1:1";
+
+    private record Event(long atNanos, long sequence, Runnable task) {}
+
+    private final Random mRandom = new Random(1);
+    private final ScheduleChecks mChecks = new ScheduleChecks();
+    private final Map<HostId, ScheduleHost> mHosts = new TreeMap<>();
+    private final Set<HostId> mDeparted = new HashSet<>();
+    private final Map<HostId, String> mJoining = new HashMap<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
+    private long mNowNanos;
+    private long mNextEventSequence;
+    private long mProposals;
+
+    /** Starts a group with three first voters; further hosts join. */
+    static ReplacementRun start(List<HostId> hosts) {
+        ReplacementRun run = new ReplacementRun();
+        Membership first =
+                new Membership(
+                        hosts.stream()
+                                .limit(3)
+                                .map(h -> new Member(h, LINK_ADDRESS, true))
+                                .toList());
+        first.members()
+                .forEach(
+                        m ->
+                                run.start(
+                                        m.host(),
+                                        ConsensusState.bootstrapping(
+                                                m.host(), first, run.mRandom.nextLong(), 0)));
+        hosts.stream().skip(3).forEach(run::startEmpty);
+        run.schedule(0, run::maintainMembers);
+        return run;
+    }
+
+    @Override
+    public long nowNanos() {
+        return mNowNanos;
+    }
+
+    @Override
+    public void send(HostId from, ConsensusAction.Send send) {
+        schedule(
+                (1 + mRandom.nextInt(3)) * NANOS_PER_MILLI,
+                () ->
+                        Optional.ofNullable(mHosts.get(send.to()))
+                                .ifPresent(
+                                        to ->
+                                                to.step(
+                                                        new ConsensusInput.Received(
+                                                                from, send.message()))));
+    }
+
+    @Override
+    public void write(ScheduleHost host) {
+        int start = host.startCount();
+        schedule(NANOS_PER_MILLI, () -> host.finishWrite(start));
+    }
+
+    void advance(Duration time) {
+        long end = mNowNanos + time.toNanos();
+        while (!mEvents.isEmpty() && mEvents.peek().atNanos() <= end) {
+            Event event = mEvents.remove();
+            mNowNanos = event.atNanos();
+            event.task().run();
+        }
+        mNowNanos = end;
+    }
+
+    /** Starts a host with an empty disk, which asks to join. */
+    void startEmpty(HostId host) {
+        start(host, ConsensusState.recovering(host, mRandom.nextLong(), mNowNanos));
+    }
+
+    /** Stops a host for good. */
+    void depart(HostId host) {
+        mDeparted.add(host);
+        mHosts.get(host).loseDisk();
+    }
+
+    /** Takes the power from all hosts at once and the disks from some; all start again. */
+    void losePower(Set<HostId> lostDisks) {
+        present()
+                .forEach(
+                        host -> {
+                            host.crash(0);
+                            if (lostDisks.contains(host.host())) {
+                                host.loseDisk();
+                            }
+                        });
+        present()
+                .forEach(
+                        host ->
+                                host.start(
+                                        host.disk()
+                                                .map(
+                                                        d ->
+                                                                d.restart(
+                                                                        host.host(),
+                                                                        mRandom.nextLong(),
+                                                                        mNowNanos))
+                                                .orElseGet(
+                                                        () ->
+                                                                ConsensusState.recovering(
+                                                                        host.host(),
+                                                                        mRandom.nextLong(),
+                                                                        mNowNanos))));
+    }
+
+    /** Proposes a command on the leader and returns its identity. */
+    EndpointId propose() {
+        EndpointId id = EndpointId.of("e" + ++mProposals);
+        leader().orElseThrow()
+                .step(
+                        new ConsensusInput.Propose(
+                                mProposals, new ControlCommand.RemoveEndpoint(id)));
+        return id;
+    }
+
+    /** Returns the host whose leader lease is valid, if there is one. */
+    Optional<ScheduleHost> leader() {
+        return present().stream().filter(h -> h.isLeaseValid(mNowNanos)).findFirst();
+    }
+
+    /** Returns the hosts that have not departed. */
+    List<ScheduleHost> present() {
+        return mHosts.values().stream().filter(h -> !mDeparted.contains(h.host())).toList();
+    }
+
+    private void start(HostId name, ConsensusState state) {
+        ScheduleHost host = new ScheduleHost(name, this, mChecks, 0, 1);
+        if (!state.membership().members().isEmpty()) {
+            host.setDisk(new ScheduleDisk(HardState.initial(false), state.log().base(), List.of()));
+        }
+        mHosts.put(name, host);
+        host.start(state);
+        tick(host);
+    }
+
+    private void tick(ScheduleHost host) {
+        host.step(new ConsensusInput.Tick());
+        schedule(TICK_NANOS, () -> tick(host));
+    }
+
+    /** Does what the leader duties of all hosts do together. */
+    private void maintainMembers() {
+        long interval = MembershipPolicy.CHECK_INTERVAL_NANOS;
+        mJoining.clear();
+        present().stream()
+                .filter(h -> h.state().orElseThrow().membership().member(h.host()).isEmpty())
+                .forEach(h -> mJoining.put(h.host(), LINK_ADDRESS));
+        Optional<ScheduleHost> leader = leader();
+        if (leader.isPresent()) {
+            ConsensusState state = leader.get().state().orElseThrow();
+            Optional<MembershipChange> change =
+                    MembershipPolicy.next(
+                            state.membership(),
+                            mJoining,
+                            Consensus.silentMembers(
+                                    state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, mNowNanos),
+                            Consensus.caughtUpMembers(state));
+            if (change.isPresent()) {
+                leader.get().step(new ConsensusInput.ChangeMembership(++mProposals, change.get()));
+                interval = MembershipPolicy.FOLLOW_UP_INTERVAL_NANOS;
+            }
+        }
+        schedule(Math.min(interval, JOIN_INTERVAL_NANOS), this::maintainMembers);
+    }
+
+    private void schedule(long nanos, Runnable task) {
+        mEvents.add(new Event(mNowNanos + nanos, mNextEventSequence++, task));
+    }
+}
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleHost.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleHost.java
@@ -12,7 +12,7 @@
 final class ScheduleHost {
     private final HostId mHost;
     private final ScheduleChecks mChecks;
-    private final ScheduleRun mRun;
+    private final ScheduleNetwork mNetwork;
     private final long mClockOffset;
     private final double mClockRate;
     private final Queue<ConsensusAction.Persist> mPendingWrites = new ArrayDeque<>();
@@ -21,9 +21,10 @@
     private long mApplied;
     private int mStartCount;
 
-    ScheduleHost(HostId host, ScheduleRun run, ScheduleChecks checks, long offset, double rate) {
+    ScheduleHost(
+            HostId host, ScheduleNetwork network, ScheduleChecks checks, long offset, double rate) {
         mHost = host;
-        mRun = run;
+        mNetwork = network;
         mChecks = checks;
         mClockOffset = offset;
         mClockRate = rate;
@@ -113,7 +114,7 @@
         }
         boolean led = isLeader();
         Decision<ConsensusState, ConsensusAction> decision =
-                Consensus.step(mState.get(), input, clock(mRun.nowNanos()));
+                Consensus.step(mState.get(), input, clock(mNetwork.nowNanos()));
         mState = Optional.of(decision.state());
         if (!led && isLeader()) {
             mChecks.onElected(decision.state());
@@ -127,10 +128,10 @@
 
     private void execute(ConsensusAction action) {
         if (action instanceof ConsensusAction.Send send) {
-            mRun.send(mHost, send);
+            mNetwork.send(mHost, send);
         } else if (action instanceof ConsensusAction.Persist persist) {
             mPendingWrites.add(persist);
-            mRun.write(this);
+            mNetwork.write(this);
         } else if (action instanceof ConsensusAction.Apply apply) {
             mChecks.onApplied(mHost, mApplied, apply.entry());
             mApplied = apply.entry().position().index();
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleRun.java
@@ -17,7 +17,7 @@
 import org.crocusturn.core.operators.ControlCommand;
 
 /** Simulates a random schedule of messages, crashes and changes in virtual time. */
-final class ScheduleRun {
+final class ScheduleRun implements ScheduleNetwork {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long FAULT_PHASE_NANOS = 8_000 * NANOS_PER_MILLI;
     private static final long RECOVERY_PHASE_NANOS = 4_000 * NANOS_PER_MILLI;
@@ -67,12 +67,14 @@
         return run.mChecks.committedCount();
     }
 
-    long nowNanos() {
+    @Override
+    public long nowNanos() {
         return mNowNanos;
     }
 
     /** Delivers a message after a random delay; it may be lost or duplicated. */
-    void send(HostId from, ConsensusAction.Send send) {
+    @Override
+    public void send(HostId from, ConsensusAction.Send send) {
         int copies =
                 mFaultsEnded ? 1 : mRandom.nextInt(20) == 0 ? 0 : mRandom.nextInt(20) == 0 ? 2 : 1;
         for (int n = 0; n < copies; n++) {
@@ -83,7 +85,8 @@
     }
 
     /** Completes the oldest write of a host after a random delay. */
-    void write(ScheduleHost host) {
+    @Override
+    public void write(ScheduleHost host) {
         int start = host.startCount();
         boolean slow = !mFaultsEnded && mRandom.nextInt(mSlowDisks ? 2 : 10) == 0;
         schedule(mRandom.nextInt(slow ? 200 : 5) * NANOS_PER_MILLI, () -> host.finishWrite(start));
--- /dev/null
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ToleratedLossesTest.java
@@ -0,0 +1,128 @@
+package org.crocusturn.core.controlhosts;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.HostId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against a group that has no leader, and so no acknowledged change, after a loss of power
+ * and of as many disks as it has to tolerate, because it still counts a host that was replaced.
+ */
+class ToleratedLossesTest {
+    private static final Duration STARTUP = Duration.ofSeconds(6);
+
+    /** Time of a process from its start until it asks to join, on a slow host. */
+    private static final Duration PROCESS_START = Duration.ofMillis(1_500);
+
+    /** Time after its start from which a new host no longer counts as lost. */
+    private static final Duration CATCH_UP = Duration.ofSeconds(4);
+
+    private static final Duration RECOVERY = Duration.ofSeconds(3);
+
+    private static final Duration COMMIT = Duration.ofMillis(200);
+
+    static Stream<Arguments> losses() {
+        return Stream.of(
+                        group(3, 1, 0),
+                        group(3, 1, 1),
+                        group(3, 1, 2),
+                        group(4, 1, 1),
+                        group(5, 2, 0),
+                        group(5, 2, 1),
+                        group(5, 2, 2),
+                        group(6, 2, 1),
+                        group(8, 2, 2))
+                .flatMap(ToleratedLossesTest::withEachDelay);
+    }
+
+    /**
+     * Returns the case of a group.
+     *
+     * @param hosts number of control hosts
+     * @param disks number of disks that are lost at the same time
+     * @param replaced number of hosts that are replaced before, one after the other
+     */
+    private static Arguments group(int hosts, int disks, int replaced) {
+        return Arguments.of(hosts, disks, replaced);
+    }
+
+    private static Stream<Arguments> withEachDelay(Arguments group) {
+        Object[] values = group.get();
+        return Stream.of(0, 500, 1_000, 3_000)
+                .map(millis -> Arguments.of(values[0], values[1], values[2], millis));
+    }
+
+    @ParameterizedTest(
+            name = "{0} hosts, {1} lost disks, {2} replaced hosts, successor after {3} ms")
+    @MethodSource("losses")
+    void electsLeaderAfterToleratedLosses(int hosts, int disks, int replaced, int delayMillis) {
+        for (Set<Integer> lost : subsets(hosts, disks)) {
+            List<HostId> names = names(hosts);
+            ReplacementRun run = ReplacementRun.start(names);
+            run.advance(STARTUP);
+            List<HostId> present = new ArrayList<>(names);
+            for (int n = 0; n < replaced; n++) {
+                replace(run, present, n, Duration.ofMillis(delayMillis));
+            }
+            EndpointId acknowledged = run.propose();
+            run.advance(COMMIT);
+            run.losePower(Set.copyOf(lost.stream().map(present::get).toList()));
+            run.advance(RECOVERY);
+            String what = "lost disks of " + lost.stream().map(present::get).toList();
+            assertTrue(run.leader().isPresent(), what + ": no leader");
+            assertTrue(holds(run.leader().get(), acknowledged), what + ": a change is lost");
+        }
+    }
+
+    /** Replaces the host at a position of the list by a new one, which then catches up. */
+    private static void replace(
+            ReplacementRun run, List<HostId> present, int position, Duration delay) {
+        HostId successor = HostId.of("n" + position);
+        run.depart(present.get(position));
+        run.advance(delay.plus(PROCESS_START));
+        run.startEmpty(successor);
+        run.advance(CATCH_UP.minus(PROCESS_START));
+        present.set(position, successor);
+    }
+
+    private static boolean holds(ScheduleHost leader, EndpointId id) {
+        ConsensusLog log = leader.state().orElseThrow().log();
+        return log.entriesFrom(log.baseIndex() + 1, Integer.MAX_VALUE, Long.MAX_VALUE).stream()
+                .map(LogEntry::content)
+                .anyMatch(content -> content.toString().contains(id.toString()));
+    }
+
+    private static List<HostId> names(int hosts) {
+        return IntStream.range(0, hosts).mapToObj(n -> HostId.of("c" + n)).toList();
+    }
+
+    private static Set<Set<Integer>> subsets(int hosts, int size) {
+        Set<Set<Integer>> subsets = Set.of(Set.of());
+        for (int n = 0; n < size; n++) {
+            Set<Set<Integer>> larger = new HashSet<>();
+            subsets.forEach(
+                    s ->
+                            IntStream.range(0, hosts)
+                                    .filter(h -> !s.contains(h))
+                                    .forEach(
+                                            h -> {
+                                                Set<Integer> next = new HashSet<>(s);
+                                                next.add(h);
+                                                larger.add(next);
+                                            }));
+            subsets = larger;
+        }
+        return subsets;
+    }
+}
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
@@ -1,7 +1,9 @@
 package org.crocusturn.daemon.controlhosts;
 
-import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -10,9 +12,11 @@
 import org.crocusturn.core.controlhosts.Consensus;
 import org.crocusturn.core.controlhosts.ConsensusState;
 import org.crocusturn.core.controlhosts.JoinRequest;
+import org.crocusturn.core.controlhosts.Membership;
 import org.crocusturn.core.controlhosts.MembershipChange;
 import org.crocusturn.core.controlhosts.MembershipPolicy;
 import org.crocusturn.daemon.net.Addresses;
+import org.crocusturn.daemon.settings.MemberSettings;
 
 /** Adds joining hosts and replaces silent members as {@link MembershipPolicy} decides. */
 final class AutomaticMembership implements MembershipManager {
@@ -24,26 +28,53 @@
      */
     private static final long LEADERLESS_TIMEOUT_NANOS = 1_500_000_000L;
 
+    /** Minimum time between two lines about a missing leader, in nanoseconds. */
+    private static final long LEADERLESS_LINE_INTERVAL_NANOS = 5_000_000_000L;
+
     private final HostId mSelf;
     private final String mLinkAddress;
+    private final int mToleratedLosses;
     private final Consumer<PeerMessage> mMemberSender;
 
-    AutomaticMembership(HostId self, InetSocketAddress link, Consumer<PeerMessage> memberSender) {
-        mSelf = self;
-        mLinkAddress = Addresses.format(link);
+    /** Change that was proposed last, if one was due at the last check. */
+    private Optional<MembershipChange> mLastChange = Optional.empty();
+
+    /** Losses that the group tolerates, as last logged. */
+    private int mLoggedLosses = Integer.MAX_VALUE;
+
+    private long mLeaderlessLineNanos;
+
+    /**
+     * Creates the manager.
+     *
+     * @param settings settings of this member
+     * @param memberSender sends a message to all other members
+     */
+    AutomaticMembership(MemberSettings settings, Consumer<PeerMessage> memberSender) {
+        mSelf = settings.host();
+        mLinkAddress = Addresses.format(settings.link());
+        mToleratedLosses = settings.toleratedLosses();
         mMemberSender = memberSender;
     }
 
     @Override
-    public void reconcile(ControlNode node, Map<HostId, String> joining, long nowNanos) {
+    public boolean reconcile(ControlNode node, Map<HostId, String> joining, long nowNanos) {
         ConsensusState state = node.state();
-        MembershipPolicy.next(
-                        state.membership(),
-                        joining,
-                        Consensus.silentMembers(
-                                state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, nowNanos),
-                        Consensus.caughtUpMembers(state))
-                .ifPresent(change -> propose(node, change));
+        Set<HostId> silent =
+                Consensus.silentMembers(
+                        state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, nowNanos);
+        logTolerableLosses(state.membership(), silent);
+        if (Consensus.isMembershipChanging(state)) {
+            return true;
+        }
+        Optional<MembershipChange> change =
+                MembershipPolicy.next(
+                        state.membership(), joining, silent, Consensus.caughtUpMembers(state));
+        change.ifPresent(next -> propose(node, next));
+        // A change that was rejected is repeated at the usual interval.
+        boolean isNew = change.isPresent() && !change.equals(mLastChange);
+        mLastChange = change;
+        return isNew;
     }
 
     private static void propose(ControlNode node, MembershipChange change) {
@@ -51,16 +82,49 @@
         node.changeMembership(change);
     }
 
+    private void logTolerableLosses(Membership membership, Set<HostId> silent) {
+        int losses = membership.tolerableLosses(silent);
+        if (losses == mLoggedLosses) {
+            return;
+        }
+        mLoggedLosses = losses;
+        if (losses < mToleratedLosses) {
+            LOG.warn(
+                    "controlhosts: the group tolerates the loss of {} disks, the settings ask for"
+                            + " {}; silent members are {}",
+                    losses,
+                    mToleratedLosses,
+                    silent);
+        } else {
+            LOG.info("controlhosts: the group tolerates the loss of {} disks", losses);
+        }
+    }
+
     @Override
     public void requestJoin(ControlNode node, long nowNanos) {
         ConsensusState state = node.state();
-        boolean shouldJoin =
-                state.leaderRole().isEmpty()
-                        && (nowNanos - state.electionTimer().lastContactNanos()
-                                        > LEADERLESS_TIMEOUT_NANOS
-                                || state.membership().member(mSelf).isEmpty());
-        if (shouldJoin) {
+        if (state.leaderRole().isPresent()) {
+            return;
+        }
+        long leaderlessNanos = nowNanos - state.electionTimer().lastContactNanos();
+        logMissingLeader(state, leaderlessNanos, nowNanos);
+        if (leaderlessNanos > LEADERLESS_TIMEOUT_NANOS
+                || state.membership().member(mSelf).isEmpty()) {
             mMemberSender.accept(new JoinRequest(mSelf, mLinkAddress));
         }
     }
+
+    private void logMissingLeader(ConsensusState state, long leaderlessNanos, long nowNanos) {
+        if (leaderlessNanos > LEADERLESS_LINE_INTERVAL_NANOS
+                && nowNanos - mLeaderlessLineNanos > LEADERLESS_LINE_INTERVAL_NANOS) {
+            mLeaderlessLineNanos = nowNanos;
+            LOG.warn(
+                    "controlhosts: no leader for {} ms in term {}; members are {}, this host"
+                            + " recovers: {}",
+                    TimeUnit.NANOSECONDS.toMillis(leaderlessNanos),
+                    state.term(),
+                    state.membership().members(),
+                    state.hardState().recovering());
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -111,8 +111,7 @@
                         this::sendToLinkedHosts,
                         this::offerToLeader,
                         settings.automaticMembers()
-                                ? new AutomaticMembership(
-                                        mSelf, settings.link(), this::sendToAllMembers)
+                                ? new AutomaticMembership(settings, this::sendToAllMembers)
                                 : new ManualMembership());
         mLeaderDuty =
                 Duty.start(
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/LeaderConnections.java
@@ -130,8 +130,10 @@
     }
 
     @Override
-    public void reconcileMembership(Map<HostId, String> joining, long nowNanos) {
-        mNode.get().ifPresent(node -> mMembershipManager.reconcile(node, joining, nowNanos));
+    public boolean reconcileMembership(Map<HostId, String> joining, long nowNanos) {
+        return mNode.get()
+                .map(node -> mMembershipManager.reconcile(node, joining, nowNanos))
+                .orElse(false);
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ManualMembership.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ManualMembership.java
@@ -10,11 +10,12 @@
  */
 final class ManualMembership implements MembershipManager {
     @Override
-    public void reconcile(ControlNode node, Map<HostId, String> joining, long nowNanos) {
+    public boolean reconcile(ControlNode node, Map<HostId, String> joining, long nowNanos) {
         node.state().membership().members().stream()
                 .filter(member -> !member.voter())
                 .map(member -> new MembershipChange.Promote(member.host()))
                 .forEach(node::changeMembership);
+        return false;
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderContext.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderContext.java
@@ -48,8 +48,9 @@
      *
      * @param joining link addresses of the hosts that have recently asked to join
      * @param nowNanos current steady time in nanoseconds
+     * @return whether a change was due, so that another one may follow it soon
      */
-    void reconcileMembership(Map<HostId, String> joining, long nowNanos);
+    boolean reconcileMembership(Map<HostId, String> joining, long nowNanos);
 
     /** Asks to join the consensus group if this host is not part of it or has no leader. */
     void requestJoin(long nowNanos);
--- a/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/entryhosts/LeaderDuty.java
@@ -16,6 +16,7 @@
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.ControlUpdate;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.MembershipPolicy;
 import org.crocusturn.core.controlhosts.NotLeader;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
@@ -45,9 +46,6 @@
     /** Interval of ticks while another host leads, in nanoseconds. */
     private static final long IDLE_TICK_INTERVAL_NANOS = 200_000_000;
 
-    /** Interval of checks of the consensus group, in nanoseconds. */
-    private static final long MEMBERSHIP_INTERVAL_NANOS = 500_000_000;
-
     /** Time for which a join request is valid, in nanoseconds; hosts repeat it every 500 ms. */
     private static final long JOIN_REQUEST_TTL_NANOS = 2_000_000_000L;
 
@@ -167,14 +165,16 @@
         if (mNextMembershipNanos - nowNanos > 0) {
             return;
         }
-        mNextMembershipNanos = nowNanos + MEMBERSHIP_INTERVAL_NANOS;
+        mNextMembershipNanos = nowNanos + MembershipPolicy.CHECK_INTERVAL_NANOS;
         mJoinRequests
                 .values()
                 .removeIf(j -> nowNanos - j.requestedNanos() > JOIN_REQUEST_TTL_NANOS);
         if (isLeader()) {
             Map<HostId, String> joining = new HashMap<>();
             mJoinRequests.forEach((host, j) -> joining.put(host, j.linkAddress()));
-            mContext.reconcileMembership(joining, nowNanos);
+            if (mContext.reconcileMembership(joining, nowNanos)) {
+                mNextMembershipNanos = nowNanos + MembershipPolicy.FOLLOW_UP_INTERVAL_NANOS;
+            }
         } else {
             mContext.requestJoin(nowNanos);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/ControlSettings.java
@@ -50,6 +50,6 @@
 
     /** Returns the settings of the member of the consensus group. */
     public MemberSettings member() {
-        return new MemberSettings(host, dataFolder, link, members, bootstrap, false, linkSecret);
+        return new MemberSettings(host, dataFolder, link, members, bootstrap, false, 0, linkSecret);
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/MemberSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/MemberSettings.java
@@ -16,6 +16,8 @@
  *     sends them a request to join
  * @param bootstrap whether the host may start a new deployment with an empty data folder
  * @param automaticMembers whether hosts join and silent members are replaced without an operator
+ * @param toleratedLosses number of control hosts that may lose their disks at the same time; 0 if
+ *     not known. A group that tolerates fewer losses logs a warning.
  * @param linkSecret secret shared by all processes of the system
  */
 public record MemberSettings(
@@ -25,6 +27,7 @@
         List<PeerAddress> members,
         boolean bootstrap,
         boolean automaticMembers,
+        int toleratedLosses,
         Secret linkSecret) {
     /** Copies the list. */
     public MemberSettings {
--- a/daemon/src/test/java/org/crocusturn/daemon/controlhosts/OpenChangesTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/controlhosts/OpenChangesTest.java
@@ -64,6 +64,7 @@
                                                                 "127.0.0.2", link.getPort()))),
                                         true,
                                         true,
+                                        0,
                                         Secret.of("a secret of the test")),
                                 threads,
                                 Metrics.create(),
--- a/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyFailureTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyFailureTest.java
@@ -156,7 +156,9 @@
         }
 
         @Override
-        public void reconcileMembership(Map<HostId, String> joining, long nowNanos) {}
+        public boolean reconcileMembership(Map<HostId, String> joining, long nowNanos) {
+            return false;
+        }
 
         @Override
         public void requestJoin(long nowNanos) {}
--- a/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/entryhosts/LeaderDutyTest.java
@@ -188,7 +188,9 @@
         }
 
         @Override
-        public void reconcileMembership(Map<HostId, String> joining, long nowNanos) {}
+        public boolean reconcileMembership(Map<HostId, String> joining, long nowNanos) {
+            return false;
+        }
 
         @Override
         public void requestJoin(long nowNanos) {}
