--- a/core/src/test/java/org/crocusturn/core/controlhosts/MembershipPolicyTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/MembershipPolicyTest.java
@@ -11,6 +11,7 @@
 import org.crocusturn.core.HostId;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against a group that keeps a failed voter or has an even number of voters for long. */
@@ -52,21 +53,11 @@
         return Arguments.of(what, members, joining, silent, ready, next);
     }
 
-    /** Members are letters; capital letters are voters. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("groups")
     void decides(
             String what, String members, String joining, String silent, String ready, String next) {
-        Membership membership =
-                new Membership(
-                        words(members)
-                                .map(
-                                        m ->
-                                                new Member(
-                                                        HostId.of(m.toLowerCase()),
-                                                        m.toLowerCase() + ":1",
-                                                        Character.isUpperCase(m.charAt(0))))
-                                .toList());
+        Membership membership = membership(members);
         Map<HostId, String> joins =
                 words(joining).collect(Collectors.toMap(HostId::of, w -> w + ":1"));
         assertEquals(
@@ -77,6 +68,32 @@
                 what);
     }
 
+    /** Guards against a warning that is missing although a group tolerates too few losses. */
+    @ParameterizedTest(name = "{0}, lost: {1}")
+    @CsvSource({
+        "A B C, '', 1",
+        "A B C d, '', 1",
+        "A B C D E, '', 2",
+        "A B C D E, c, 1",
+        "A B C, b c, 0"
+    })
+    void countsTolerableLosses(String members, String lost, int expected) {
+        assertEquals(expected, membership(members).tolerableLosses(hosts(lost)));
+    }
+
+    /** Members are letters; capital letters are voters. */
+    private static Membership membership(String members) {
+        return new Membership(
+                words(members)
+                        .map(
+                                m ->
+                                        new Member(
+                                                HostId.of(m.toLowerCase()),
+                                                m.toLowerCase() + ":1",
+                                                Character.isUpperCase(m.charAt(0))))
+                        .toList());
+    }
+
     private static String text(MembershipChange change) {
         if (change instanceof MembershipChange.AddLearner add) {
             return "add " + add.host();
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.operators.ControlCommand;
@@ -22,7 +22,6 @@
 final class ReplacementRun implements ScheduleNetwork {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
-    private static final long JOIN_INTERVAL_NANOS = 500 * NANOS_PER_MILLI;
     private static final String LINK_ADDRESS = "127.0.0.1:1";
 
     private record Event(long atNanos, long sequence, Runnable task) {}
@@ -31,7 +30,6 @@
     private final ScheduleChecks mChecks = new ScheduleChecks();
     private final Map<HostId, ScheduleHost> mHosts = new TreeMap<>();
     private final Set<HostId> mDeparted = new HashSet<>();
-    private final Map<HostId, String> mJoining = new HashMap<>();
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
@@ -134,14 +132,12 @@
                                                                         mNowNanos))));
     }
 
-    /** Proposes a command on the leader and returns its identity. */
-    EndpointId propose() {
-        EndpointId id = EndpointId.of("e" + ++mProposals);
-        leader().orElseThrow()
-                .step(
-                        new ConsensusInput.Propose(
-                                mProposals, new ControlCommand.RemoveEndpoint(id)));
-        return id;
+    /** Proposes a command on the leader and returns it. */
+    ControlCommand propose() {
+        ControlCommand command =
+                new ControlCommand.RemoveEndpoint(EndpointId.of("e" + ++mProposals));
+        leader().orElseThrow().step(new ConsensusInput.Propose(mProposals, command));
+        return command;
     }
 
     /** Returns the host whose leader lease is valid, if there is one. */
@@ -169,20 +165,22 @@
         schedule(TICK_NANOS, () -> tick(host));
     }
 
-    /** Does what the leader duties of all hosts do together. */
+    /** Lets hosts that are no members join, and makes the change that is due, as leaders do. */
     private void maintainMembers() {
         long interval = MembershipPolicy.CHECK_INTERVAL_NANOS;
-        mJoining.clear();
-        present().stream()
-                .filter(h -> h.state().orElseThrow().membership().member(h.host()).isEmpty())
-                .forEach(h -> mJoining.put(h.host(), LINK_ADDRESS));
+        Map<HostId, String> joining =
+                present().stream()
+                        .map(ScheduleHost::state)
+                        .flatMap(Optional::stream)
+                        .filter(state -> state.membership().member(state.self()).isEmpty())
+                        .collect(Collectors.toMap(ConsensusState::self, state -> LINK_ADDRESS));
         Optional<ScheduleHost> leader = leader();
         if (leader.isPresent()) {
             ConsensusState state = leader.get().state().orElseThrow();
             Optional<MembershipChange> change =
                     MembershipPolicy.next(
                             state.membership(),
-                            mJoining,
+                            joining,
                             Consensus.silentMembers(
                                     state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, mNowNanos),
                             Consensus.caughtUpMembers(state));
@@ -191,7 +189,7 @@
                 interval = MembershipPolicy.FOLLOW_UP_INTERVAL_NANOS;
             }
         }
-        schedule(Math.min(interval, JOIN_INTERVAL_NANOS), this::maintainMembers);
+        schedule(interval, this::maintainMembers);
     }
 
     private void schedule(long nanos, Runnable task) {
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ToleratedLossesTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ToleratedLossesTest.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
+import org.crocusturn.core.operators.ControlCommand;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -75,7 +75,7 @@
             for (int n = 0; n < replaced; n++) {
                 replace(run, present, n, Duration.ofMillis(delayMillis));
             }
-            EndpointId acknowledged = run.propose();
+            ControlCommand acknowledged = run.propose();
             run.advance(COMMIT);
             run.losePower(Set.copyOf(lost.stream().map(present::get).toList()));
             run.advance(RECOVERY);
@@ -96,11 +96,14 @@
         present.set(position, successor);
     }
 
-    private static boolean holds(ScheduleHost leader, EndpointId id) {
+    private static boolean holds(ScheduleHost leader, ControlCommand command) {
         ConsensusLog log = leader.state().orElseThrow().log();
         return log.entriesFrom(log.baseIndex() + 1, Integer.MAX_VALUE, Long.MAX_VALUE).stream()
-                .map(LogEntry::content)
-                .anyMatch(content -> content.toString().contains(id.toString()));
+                .map(entry -> entry.content().loaded())
+                .anyMatch(
+                        content ->
+                                content instanceof LogContent.CommandContent stored
+                                        && stored.command().equals(command));
     }
 
     private static List<HostId> names(int hosts) {
