--- a/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Commits.java
@@ -124,7 +124,7 @@
 
     private static Decision<ConsensusState, ConsensusAction> stepDownIfRemoved(
             ConsensusState state, long nowNanos) {
-        boolean removed = !state.isVoter() && state.log().membershipIndex() <= state.commitIndex();
+        boolean removed = !state.isVoter() && !Consensus.isMembershipChanging(state);
         return removed && state.leaderRole().isPresent()
                 ? Elections.stepDown(state, nowNanos)
                 : Decision.of(state);
