Count answers of endpoints that come a second time

No log line or metric named an answer that a connection had delivered before, so an answer that a database gives twice could not be told from replies that cross between hosts. The metric crocusturn_suspect_answers and a line for each such answer show it. What is done with the answers does not change.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointSessionListener.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointSessionListener.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.endpoints;
 
+import org.crocusturn.core.endpoints.AnswerMatch;
 import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.SessionResult;
 
@@ -11,6 +12,9 @@
     /** Called with the result of the oldest outstanding command. */
     void onResult(SessionResult result);
 
+    /** Called when an answer arrives that is not known to be that of the outstanding command. */
+    void onSuspectAnswer(AnswerMatch match, String text);
+
     /** Called when the connection is lost; no other call follows. */
     void onLost(ConnectionLoss loss, String text);
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 import org.crocusturn.core.controlhosts.HeldLease;
 import org.crocusturn.core.controlhosts.TokenAllowance;
 import org.crocusturn.core.controlhosts.TokenDemand;
+import org.crocusturn.core.endpoints.AnswerMatch;
 import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.PromotionFencing;
 import org.crocusturn.core.endpoints.SessionResult;
@@ -159,6 +161,9 @@
                 session.markOpen();
                 session.task().ifPresent(t -> t.onOpened(session));
             }
+        } else if (event instanceof SessionGroupsEvent.SuspectAnswer suspect) {
+            mMetrics.recordSuspectAnswer(suspect.match().name().toLowerCase(Locale.ROOT));
+            mDecisionLog.write(suspect.toString(), SteadyClock.nanoTime());
         } else if (event instanceof SessionGroupsEvent.ConnectionLost lost) {
             handleLoss(lost);
         } else if (event instanceof SessionGroupsEvent.SessionEnded ended) {
@@ -458,6 +463,11 @@
             offer(new SessionGroupsEvent.ResultReceived(mSessionId, result));
         }
 
+        @Override
+        public void onSuspectAnswer(AnswerMatch match, String text) {
+            offer(new SessionGroupsEvent.SuspectAnswer(mSessionId, match, text));
+        }
+
         @Override
         public void onLost(ConnectionLoss loss, String text) {
             offer(new SessionGroupsEvent.ConnectionLost(mSessionId, loss, text));
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
@@ -6,6 +6,7 @@
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.ControlView;
+import org.crocusturn.core.endpoints.AnswerMatch;
 import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.SessionResult;
 import org.crocusturn.core.entryhosts.SessionCall;
@@ -70,6 +71,22 @@
         }
     }
 
+    /** A connection received an answer that is not known to be that of its outstanding command. */
+    record SuspectAnswer(long session, AnswerMatch match, String text)
+            implements SessionGroupsEvent {
+        /** Checks that no part is null. */
+        public SuspectAnswer {
+            Objects.requireNonNull(match, "match");
+            Objects.requireNonNull(text, "text");
+        }
+
+        /** Returns a description for log lines. */
+        @Override
+        public String toString() {
+            return "connection " + session + " received an answer that is " + match + ": " + text;
+        }
+    }
+
     /** A connection was lost. */
     record ConnectionLost(long session, ConnectionLoss loss, String text)
             implements SessionGroupsEvent {
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
@@ -84,6 +84,13 @@
                     .help("Rate tokens granted or received")
                     .labelNames("workspace")
                     .register(mRegistry);
+    private final Counter mSuspectAnswers =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("crocusturn_suspect_answers")
+                    .help("Answers of endpoints that are not known to be those of their commands")
+                    .labelNames("match")
+                    .register(mRegistry);
     private final Histogram mFailoverTime =
             Histogram.builder()
                     .withoutExemplars()
@@ -149,6 +156,11 @@
         mGrantedTokens.labelValues(workspace).inc(tokens);
     }
 
+    /** Counts an answer that may belong to another command than the outstanding one. */
+    public void recordSuspectAnswer(String match) {
+        mSuspectAnswers.labelValues(match).inc();
+    }
+
     /** Records the duration of a failover, in seconds. */
     public void recordFailover(double seconds) {
         mFailoverTime.observe(seconds);
