Match answers of endpoints with their commands

Callers got the answer of an earlier statement (MIXED): answers name no command, a database may give one twice, the second time late, and a connection gave whatever it read to the command that was outstanding. An ERR of an earlier statement became a promise for another one.

AnswerMatcher decides in core which answers are known to be a command's own. A repeated answer equals the first one and commands are answered in order, so a new signature, or a new combination of outcome, state and log position, is the command's own; a known signature or an older position never is. Everything else is uncertain: no statement is sent after an uncertain BEGIN or session value, a connection with an uncertain ROLLBACK is closed, status commands are asked again on a new connection, and a statement whose error is uncertain is in doubt unless its own answer follows. ConnectionUse prefers connections whose next answers can be told apart, and an empty read-only transaction confirms session values.

--- a/core/src/main/java/org/crocusturn/core/endpoints/SessionResult.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/SessionResult.java
@@ -15,6 +15,8 @@
  * @param state transaction state of the connection after the command
  * @param position log position of the endpoint; empty if not reported
  * @param status replication status, if it was requested
+ * @param certain whether the response is known to be that of the command; otherwise it may repeat
+ *     the response to an earlier one
  */
 public record SessionResult(
         List<String> rows,
@@ -23,7 +25,8 @@
         String text,
         State state,
         Optional<LogPosition> position,
-        Optional<ReplicationStatus> status) {
+        Optional<ReplicationStatus> status,
+        boolean certain) {
     /** Takes defensive copies of the rows. */
     public SessionResult {
         rows = List.copyOf(rows);
@@ -35,6 +38,23 @@
         Objects.requireNonNull(status, "status");
     }
 
+    /** Creates a response that is known to be that of the command. */
+    public SessionResult(
+            List<String> rows,
+            String signature,
+            Optional<EndpointError> error,
+            String text,
+            State state,
+            Optional<LogPosition> position,
+            Optional<ReplicationStatus> status) {
+        this(rows, signature, error, text, state, position, status, true);
+    }
+
+    /** Returns this response as one that may repeat the response to an earlier command. */
+    public SessionResult asUncertain() {
+        return new SessionResult(rows, signature, error, text, state, position, status, false);
+    }
+
     /** Transaction state of a connection. */
     public enum State {
         /** No transaction is open. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -3,13 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.crocusturn.core.LogPosition;
-import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.endpoints.CopyProgress;
 import org.crocusturn.core.endpoints.PositionHistory;
 import org.crocusturn.core.endpoints.ReplicationStatus;
+import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.operators.ConfigurationValidator;
 import org.crocusturn.core.operators.EndpointRecord;
 
@@ -124,12 +123,13 @@
         mSessions.remove(session);
     }
 
-    /** Returns the idle connection of a workspace that needs the fewest setup commands. */
-    Optional<PooledSession> findIdle(WorkspaceId workspace, Map<String, String> values) {
+    /** Returns the idle connection for a call that needs the fewest setup commands. */
+    Optional<PooledSession> findIdle(SessionCall call) {
         return mSessions.stream()
-                .filter(s -> s.isIdle() && s.workspace().equals(workspace))
+                .filter(s -> s.isIdle() && s.workspace().equals(call.workspace()))
+                .filter(s -> s.suits(call, mProgress.position()))
                 .min(
-                        Comparator.<PooledSession>comparingInt(s -> s.setupCost(values))
+                        Comparator.<PooledSession>comparingInt(s -> s.setupCost(call.values()))
                                 .thenComparing(Comparator.comparingLong(s -> -s.lastUsedNanos())));
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyRouting.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyRouting.java
@@ -53,7 +53,7 @@
                 primary,
                 pool.runningCount(),
                 pool.slots(),
-                hasFreeSlot(pool) && pool.findIdle(call.workspace(), call.values()).isPresent(),
+                hasFreeSlot(pool) && pool.findIdle(call).isPresent(),
                 primary || pool.progress().isExpectedToHave(requiredPosition, history, now),
                 pool.record().dataCentre().equals(mGroup.settings().dataCentre()));
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -34,7 +34,7 @@
     private static final int QUEUED_CALLS_PER_SLOT = 25;
 
     /** Delay before a statement is retried after an overload error. */
-    private static final long OVERLOAD_BACKOFF_NANOS = Duration.ofMillis(8).toNanos();
+    static final long OVERLOAD_BACKOFF_NANOS = Duration.ofMillis(8).toNanos();
 
     /** Timeout for opening a connection; a handshake takes 12 to 30 ms. */
     private static final Duration OPEN_TIMEOUT = Duration.ofMillis(600);
@@ -50,6 +50,7 @@
     private final Set<StatementRun> mRunning = new HashSet<>();
     private final StatementQueues mQueues = new StatementQueues();
     private final FailoverController mFailover;
+    private final ConnectionFailures mFailures;
     private final CopyRouting mRouting;
     private final LeaseExpiryMonitor mLeaseMonitor;
     private GroupSettings mSettings;
@@ -64,6 +65,7 @@
         mSettings = settings;
         mLeaseMonitor = LeaseExpiryMonitor.startingAt(context.nowNanos());
         mFailover = new FailoverController(this, context);
+        mFailures = new ConnectionFailures(this, context);
         mRouting = new CopyRouting(this, context);
         mTransactions = new OpenTransactions(this, context);
         update(settings);
@@ -93,6 +95,10 @@
         return mFailover;
     }
 
+    ConnectionFailures failures() {
+        return mFailures;
+    }
+
     GroupSettings settings() {
         return mSettings;
     }
@@ -241,9 +247,7 @@
             run.setTokenTaken();
         }
         mRunning.add(run);
-        PooledSession session =
-                pool.findIdle(run.call().workspace(), run.call().values())
-                        .orElseGet(() -> connect(pool, run));
+        PooledSession session = pool.findIdle(run.call()).orElseGet(() -> connect(pool, run));
         session.assign(run, mContext.nowNanos());
         run.start(session);
     }
@@ -265,7 +269,6 @@
 
     /** Handles the result of a statement. */
     void onStatementResult(StatementRun run, SessionResult result) {
-        recordPosition(run.copy(), result);
         if (result.error().isEmpty()) {
             complete(run, result);
             return;
@@ -280,7 +283,8 @@
                 result);
     }
 
-    private void recordPosition(CopyPool pool, SessionResult result) {
+    /** Records the log position of a copy. */
+    void recordPosition(CopyPool pool, SessionResult result) {
         long now = mContext.nowNanos();
         result.position().ifPresent(p -> mHistory.ifPresent(h -> pool.recordPosition(p, h, now)));
     }
@@ -312,12 +316,13 @@
                     history -> run.copy().recordMissing(run.requiredPosition(), history, now));
         }
         boolean overloaded = result.error().filter(e -> e == EndpointError.OVERLOADED).isPresent();
-        requeue(run, overloaded ? OVERLOAD_BACKOFF_NANOS : 0);
+        requeue(run, overloaded ? OVERLOAD_BACKOFF_NANOS : 0, true);
     }
 
-    private void requeue(StatementRun run, long pauseNanos) {
+    /** Queues a run for another attempt. */
+    void requeue(StatementRun run, long pauseNanos, boolean excludeCopy) {
         long now = mContext.nowNanos();
-        run.resetForQueue(now + pauseNanos, true);
+        run.resetForQueue(now + pauseNanos, excludeCopy);
         if (mMoveStartNanos.isPresent()) {
             refuse(run, ErrorCode.MOVED, "the lease moves to another host");
         } else if (now - run.waitUntilNanos() >= 0 && run.attempts() > 2) {
@@ -342,6 +347,13 @@
         }
     }
 
+    /** Closes the connection of a run, which rolls back its transaction. */
+    void dropConnection(StatementRun run) {
+        stopRunning(run);
+        mContext.close(run.session());
+        run.transaction().ifPresent(mTransactions::remove);
+    }
+
     /** Releases the slot that a run occupies on its copy. */
     private void stopRunning(StatementRun run) {
         if (mRunning.remove(run)) {
@@ -356,7 +368,7 @@
         SessionResult.State expected =
                 staysOpen ? SessionResult.State.TRANSACTION : SessionResult.State.IDLE;
         if (result.state() != expected) {
-            onConnectionLost(run, ConnectionLoss.CLOSED);
+            mFailures.onUnexpectedState(run, result);
             return;
         }
         SessionOutcome outcome =
@@ -403,37 +415,6 @@
         return SessionOutcome.committed(result.rows(), result.signature(), position);
     }
 
-    /** Handles the loss of a run's connection: retries the statement or fails the call. */
-    void onConnectionLost(StatementRun run, ConnectionLoss loss) {
-        CopyPool pool = run.copy();
-        mContext.logDecision(run + " lost its connection to " + pool.record().id() + ": " + loss);
-        stopRunning(run);
-        mContext.close(run.session());
-        run.transaction().ifPresent(mTransactions::remove);
-        if (loss != ConnectionLoss.LIMIT) {
-            checkHealth(pool);
-        }
-        if (run.stage() == StatementRun.Stage.ENDED) {
-            return;
-        }
-        boolean sent = run.stage() == StatementRun.Stage.RUNNING;
-        Optional<EndpointError> error = StatementFailures.errorUnlessSent(sent);
-        RetryDecision decision =
-                sent || run.call().step() == TransactionStep.CONTINUE
-                        ? RetryDecision.decide(run.retryClass(), error, SessionResult.State.IDLE)
-                        : new RetryDecision.RetryOnAnyCopy();
-        if (decision instanceof RetryDecision.Fail fail) {
-            fail(run, fail.failure(), fail.transactionFailed());
-        } else if (run.mayRetry(mContext.nowNanos())) {
-            requeue(run, loss == ConnectionLoss.LIMIT ? OVERLOAD_BACKOFF_NANOS : 0);
-        } else {
-            fail(
-                    run,
-                    StatementFailures.attemptsExhausted(run.retryClass(), error),
-                    run.call().step() != TransactionStep.NONE);
-        }
-    }
-
     /** Ends a run whose statement must not be sent. */
     void abortUnsent(StatementRun run, String reason) {
         mContext.logDecision(run + " is not sent: " + reason);
@@ -450,15 +431,8 @@
         }
     }
 
-    /** Ends a run whose session values or prepared statement could not be set up. */
-    void onSetupFailed(StatementRun run, String text) {
-        mContext.logDecision("a connection of " + mId + " could not be set up: " + text);
-        onConnectionLost(run, ConnectionLoss.CLOSED);
-    }
-
     /** Handles a failure to begin a transaction. */
     void onBeginFailed(StatementRun run, SessionResult result) {
-        recordPosition(run.copy(), result);
         if (result.error().filter(e -> e == EndpointError.READ_ONLY).isPresent()) {
             mFailover.rediscover("BEGIN was refused by " + run.copy().record().id());
         }
@@ -473,6 +447,9 @@
     /** Returns a connection to the pool. */
     void returnToPool(PooledSession session) {
         session.release();
+        if (session.use().isExhausted()) {
+            mContext.close(session);
+        }
         dispatch();
     }
 
@@ -497,7 +474,8 @@
         fail(run, failure, run.call().step() != TransactionStep.NONE);
     }
 
-    private void fail(StatementRun run, Failure failure, boolean transactionFailed) {
+    /** Ends a run with a failure. */
+    void fail(StatementRun run, Failure failure, boolean transactionFailed) {
         run.end();
         mContext.logDecision(run + " fails: " + failure.code() + " " + failure.message());
         mContext.reply(
@@ -510,7 +488,10 @@
         mQueues.expire(now).forEach(this::refuseExpired);
         List.copyOf(mRunning).stream()
                 .filter(run -> now - run.deadlineNanos() >= 0)
-                .forEach(this::timeOut);
+                .forEach(mFailures::timeOut);
+        List.copyOf(mRunning).stream()
+                .filter(run -> run.isAnswerOverdue(now))
+                .forEach(mFailures::onAnswerOverdue);
         List.copyOf(mRunning).stream()
                 .filter(run -> run.isBackingOff() && run.isDue(now))
                 .forEach(StatementRun::retryOnSameConnection);
@@ -554,15 +535,6 @@
                 limited ? "the workspace is over its rate" : "no slot became free in time");
     }
 
-    private void timeOut(StatementRun run) {
-        boolean sent = run.stage() == StatementRun.Stage.RUNNING;
-        stopRunning(run);
-        run.transaction().ifPresent(mTransactions::remove);
-        mContext.close(run.session());
-        checkHealth(run.copy());
-        fail(run, StatementFailures.timedOut(sent), run.call().step() != TransactionStep.NONE);
-    }
-
     /** Stops accepting new calls so that the lease can move to another host. */
     void beginMove() {
         if (mMoveStartNanos.isEmpty()) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/PooledSession.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/PooledSession.java
@@ -5,9 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.PreparedShape;
+import org.crocusturn.core.endpoints.ConnectionUse;
+import org.crocusturn.core.endpoints.ConnectionUse.Purpose;
 import org.crocusturn.core.endpoints.SessionCommand;
+import org.crocusturn.core.endpoints.SessionResult;
+import org.crocusturn.core.entryhosts.SessionCall;
 
 /**
  * Connection of a {@link CopyPool} with its session values and prepared statements.
@@ -25,6 +30,7 @@
     private boolean mOpen;
     private long mLastUsedNanos;
     private int mPreparedCount;
+    private ConnectionUse mUse = ConnectionUse.UNUSED;
 
     PooledSession(long id, CopyPool copy, WorkspaceId workspace) {
         mId = id;
@@ -77,6 +83,15 @@
         mTask = Optional.empty();
     }
 
+    /** Records a result, which limits what the connection may be used for. */
+    void recordResult(SessionResult result) {
+        mUse = mUse.withResult(result);
+    }
+
+    ConnectionUse use() {
+        return mUse;
+    }
+
     void send(SessionCommand command) {
         mConnection.send(command);
     }
@@ -87,6 +102,27 @@
         mConnection.close();
     }
 
+    /**
+     * Returns whether the answers that a call needs can be told from repeated ones.
+     *
+     * @param applied position that the endpoint is known to have applied
+     */
+    boolean suits(SessionCall call, LogPosition applied) {
+        boolean begins = call.step().begins();
+        boolean confirms = !begins && needsConfirmation(call.values(), applied);
+        return (!begins && !confirms || mUse.suits(Purpose.TRANSACTION, applied))
+                && (begins || !call.writes() || mUse.suits(Purpose.WRITE, applied));
+    }
+
+    /**
+     * Returns whether the session values have to be confirmed by the answer to another command,
+     * because their own answers cannot be told from repeated ones.
+     */
+    boolean needsConfirmation(Map<String, String> values, LogPosition applied) {
+        int commands = setupCost(values);
+        return commands > 1 || commands == 1 && !mUse.suits(Purpose.VALUE, applied);
+    }
+
     /** Returns the number of commands needed before a statement with these session values. */
     int setupCost(Map<String, String> values) {
         return (int)
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
@@ -50,13 +50,17 @@
     void send(SessionCommand command, Consumer<SessionResult> onResult) {
         mPending.add(new PendingCommand(command, onResult, mContext.nowNanos()));
         if (mSession.isEmpty()) {
-            mOpened = false;
-            mSession = Optional.of(mContext.open(mCopy, SYSTEM_WORKSPACE, OPEN_TIMEOUT, this));
+            connect();
         } else if (mSession.get().isOpen()) {
             mSession.get().send(command);
         }
     }
 
+    private void connect() {
+        mOpened = false;
+        mSession = Optional.of(mContext.open(mCopy, SYSTEM_WORKSPACE, OPEN_TIMEOUT, this));
+    }
+
     void tick(long nowNanos) {
         boolean silent =
                 !mPending.isEmpty()
@@ -75,6 +79,12 @@
 
     @Override
     public void onResult(PooledSession session, SessionResult result) {
+        if (!result.certain() && result.error().isEmpty()) {
+            // Promotions rest on these answers. The first one on a connection is never repeated.
+            mContext.close(session);
+            connect();
+            return;
+        }
         PendingCommand pending = mPending.poll();
         if (pending != null) {
             pending.onResult().accept(result);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/RollbackTask.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/RollbackTask.java
@@ -23,7 +23,11 @@
 
     @Override
     public void onResult(PooledSession session, SessionResult result) {
-        boolean clean = result.error().isEmpty() && result.state() == SessionResult.State.IDLE;
+        // An earlier rollback may have been answered again, and this one may still fail.
+        boolean clean =
+                result.certain()
+                        && result.error().isEmpty()
+                        && result.state() == SessionResult.State.IDLE;
         if (clean) {
             mGroup.returnToPool(session);
         } else {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -150,6 +150,7 @@
         } else if (event instanceof SessionGroupsEvent.ResultReceived received) {
             PooledSession session = mSessions.get(received.session());
             if (session != null) {
+                session.recordResult(received.result());
                 session.task()
                         .ifPresentOrElse(
                                 t -> t.onResult(session, received.result()),
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -48,13 +48,18 @@
     private boolean mBackingOff;
     private boolean mAbandoned;
     private int mAttempts;
-    private int mPendingSetupResults;
+    private List<SessionCommand> mPendingSetup = List.of();
+    private Stage mStageAfterSetup = Stage.RUNNING;
+    private boolean mValuesUncertain;
+    private Optional<Long> mGiveUpNanos = Optional.empty();
 
     /** Progress of a run. */
     enum Stage {
         WAITING,
         OPENING,
         ALIGNING,
+        CONFIRMING_VALUES,
+        ENDING_CONFIRMATION,
         BEGINNING,
         RUNNING,
         ENDED
@@ -222,36 +227,51 @@
         setUpConnection();
     }
 
+    /**
+     * Sends all commands that have to succeed before the statement is sent. Their answers arrive in
+     * order, and one that is certain shows that all before it have arrived.
+     */
     private void setUpConnection() {
-        List<SessionCommand> commands = mSession.setupCommands(mCall.values(), shape());
-        mStage = Stage.ALIGNING;
-        mPendingSetupResults = commands.size();
-        commands.forEach(mSession::send);
-        if (mPendingSetupResults == 0) {
-            begin();
-        }
-    }
-
-    private Optional<PreparedShape> shape() {
-        return mCall.statement().kind() == StatementKind.EXECUTE
-                ? mCall.prepared()
-                : Optional.empty();
-    }
-
-    private void begin() {
         // Checked as late as possible: the process may have been suspended after an earlier check.
         if (!mayContinue()) {
             return;
         }
-        if (mTransaction.isEmpty() && mCall.step().begins()) {
-            mStage = Stage.BEGINNING;
+        boolean begins = mTransaction.isEmpty() && mCall.step().begins();
+        boolean confirms =
+                mCall.step() == TransactionStep.NONE
+                        && mSession.needsConfirmation(mCall.values(), mCopy.progress().position());
+        mStage = Stage.ALIGNING;
+        mValuesUncertain = false;
+        mPendingSetup = mSession.setupCommands(mCall.values(), shape());
+        mPendingSetup.forEach(mSession::send);
+        if (begins) {
             boolean readOnly = mCall.step() == TransactionStep.BEGIN_READ_ONLY;
             mSession.send(
                     new SessionCommand.Begin(
                             readOnly, readOnly ? resolveRequiredPosition() : Optional.empty()));
-        } else {
-            run();
+        } else if (confirms) {
+            mSession.send(new SessionCommand.Begin(true, Optional.empty()));
+            mSession.send(new SessionCommand.Rollback());
         }
+        mStageAfterSetup =
+                begins ? Stage.BEGINNING : confirms ? Stage.CONFIRMING_VALUES : Stage.RUNNING;
+        continueAfterSetup();
+    }
+
+    private void continueAfterSetup() {
+        if (!mPendingSetup.isEmpty()) {
+            return;
+        }
+        mStage = mStageAfterSetup;
+        if (mStage == Stage.RUNNING) {
+            sendStatement();
+        }
+    }
+
+    private Optional<PreparedShape> shape() {
+        return mCall.statement().kind() == StatementKind.EXECUTE
+                ? mCall.prepared()
+                : Optional.empty();
     }
 
     /** Returns whether the statement may still be sent; otherwise ends the run. */
@@ -274,7 +294,10 @@
                 : Optional.of(mRequiredPosition);
     }
 
-    private void run() {
+    private void sendStatement() {
+        if (!mayContinue()) {
+            return;
+        }
         mStage = Stage.RUNNING;
         boolean readOutsideTransaction = mCall.step() == TransactionStep.NONE && !mCall.writes();
         mSession.send(
@@ -286,36 +309,95 @@
 
     @Override
     public void onResult(PooledSession session, SessionResult result) {
+        if (result.certain()) {
+            mGroup.recordPosition(mCopy, result);
+        }
         switch (mStage) {
             case ALIGNING -> onSetupResult(result);
+            case CONFIRMING_VALUES -> onValuesConfirmed(result);
+            case ENDING_CONFIRMATION -> onConfirmationEnded(result);
             case BEGINNING -> onTransactionStarted(result);
-            case RUNNING -> mGroup.onStatementResult(this, result);
+            case RUNNING -> onStatementResult(result);
             default -> mGroup.onUnexpectedResult(session);
         }
     }
 
     private void onSetupResult(SessionResult result) {
         if (result.error().isPresent()) {
-            mGroup.onSetupFailed(this, result.text());
-        } else if (--mPendingSetupResults == 0) {
-            begin();
+            mGroup.failures().onSetupFailed(this, result.text());
+            return;
+        }
+        // A prepared statement needs no certain answer: its name is used once, so that a statement
+        // that was not prepared is refused.
+        mValuesUncertain |=
+                !result.certain() && !(mPendingSetup.get(0) instanceof SessionCommand.Prepare);
+        mPendingSetup = mPendingSetup.subList(1, mPendingSetup.size());
+        if (mValuesUncertain
+                && mStageAfterSetup == Stage.RUNNING
+                && mCall.step() == TransactionStep.NONE) {
+            mGroup.failures().onUncertainSetup(this, "its session values may not be set");
+        } else {
+            continueAfterSetup();
+        }
+    }
+
+    private void onValuesConfirmed(SessionResult result) {
+        if (result.error().isPresent() || !result.certain()) {
+            mGroup.failures().onUncertainSetup(this, "its session values may not be set");
+            return;
+        }
+        mValuesUncertain = false;
+        mStage = Stage.ENDING_CONFIRMATION;
+    }
+
+    private void onConfirmationEnded(SessionResult result) {
+        if (result.error().isPresent()) {
+            mGroup.failures().onSetupFailed(this, result.text());
+        } else {
+            sendStatement();
         }
     }
 
     private void onTransactionStarted(SessionResult result) {
+        if (!result.certain()) {
+            mGroup.failures().onUncertainSetup(this, "its transaction may not have begun");
+            return;
+        }
         if (result.error().isPresent()) {
             mGroup.onBeginFailed(this, result);
             return;
         }
+        mValuesUncertain = false;
         mTransaction = Optional.of(mGroup.registerTransaction(this));
-        if (mayContinue()) {
-            run();
+        sendStatement();
+    }
+
+    private void onStatementResult(SessionResult result) {
+        if (result.certain()) {
+            mGiveUpNanos = Optional.empty();
+            mGroup.onStatementResult(this, result);
+        } else if (mGiveUpNanos.isEmpty()) {
+            mGroup.failures().onUncertainError(this, result);
         }
     }
 
+    /** Waits for a certain answer after an error that may be that of an earlier statement. */
+    void awaitCertainAnswer(long untilNanos) {
+        mGiveUpNanos = Optional.of(untilNanos);
+    }
+
+    /** Returns whether no certain answer has followed an uncertain error in time. */
+    boolean isAnswerOverdue(long nowNanos) {
+        return mGiveUpNanos.filter(until -> nowNanos - until >= 0).isPresent();
+    }
+
+    boolean areValuesUncertain() {
+        return mValuesUncertain;
+    }
+
     @Override
     public void onLost(PooledSession session, ConnectionLoss loss, String text) {
-        mGroup.onConnectionLost(this, loss);
+        mGroup.failures().onConnectionLost(this, loss);
     }
 
     /** Returns a description for log lines. */
