Begin the transaction again when its first statement is repeated

The first statement of a transaction ran outside of it (PINNED): after BUSY it is repeated on its connection, and if that connection is lost before the statement is sent again, the call is queued for another one. The run still held the transaction of the lost connection, so it sent no BEGIN. A run that is queued again has no transaction now.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -174,6 +174,9 @@
             mExcludedEndpoints.clear();
         }
         mAttempts++;
+        // The transaction of the failed attempt was rolled back with its connection.
+        mTransaction = Optional.empty();
+        mGiveUpNanos = Optional.empty();
         mStage = Stage.WAITING;
         mNotBeforeNanos = notBeforeNanos;
     }
