Report repeated answers only, not uncertain ones

A line for each would use up the rate limit of the decision log. What is done about uncertain answers is logged by its user.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointSessionListener.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointSessionListener.java
@@ -12,7 +12,7 @@
     /** Called with the result of the oldest outstanding command. */
     void onResult(SessionResult result);
 
-    /** Called when an answer arrives that is not known to be that of the outstanding command. */
+    /** Called when an answer arrives that is not that of the outstanding command. */
     void onSuspectAnswer(AnswerMatch match, String text);
 
     /** Called when the connection is lost; no other call follows. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsEvent.java
@@ -71,7 +71,7 @@
         }
     }
 
-    /** A connection received an answer that is not known to be that of its outstanding command. */
+    /** A connection received an answer that is not that of its outstanding command. */
     record SuspectAnswer(long session, AnswerMatch match, String text)
             implements SessionGroupsEvent {
         /** Checks that no part is null. */
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
@@ -88,7 +88,7 @@
             Counter.builder()
                     .withoutExemplars()
                     .name("crocusturn_suspect_answers")
-                    .help("Answers of endpoints that are not known to be those of their commands")
+                    .help("Answers of endpoints that were not those of the outstanding commands")
                     .labelNames("match")
                     .register(mRegistry);
     private final Histogram mFailoverTime =
@@ -156,7 +156,7 @@
         mGrantedTokens.labelValues(workspace).inc(tokens);
     }
 
-    /** Counts an answer that may belong to another command than the outstanding one. */
+    /** Counts an answer that was not that of the outstanding command. */
     public void recordSuspectAnswer(String match) {
         mSuspectAnswers.labelValues(match).inc();
     }
