--- a/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
@@ -55,7 +55,7 @@
             return applyLocally(state, statement);
         }
         if (statement.kind() == StatementKind.UNKNOWN) {
-            return refuse(state, malformed("the statement cannot be parsed"));
+            return refuse(state, malformed("the statement or its id is not valid"));
         }
         if (statement.kind().endsTransaction()) {
             return refuse(state, malformed("no transaction is open"));
@@ -84,7 +84,7 @@
             return failTransaction(state, malformed("a transaction is already open"));
         }
         if (statement.kind() == StatementKind.UNKNOWN) {
-            return failTransaction(state, malformed("the statement cannot be parsed"));
+            return failTransaction(state, malformed("the statement or its id is not valid"));
         }
         if (statement.kind() == StatementKind.ROLLBACK) {
             return new SessionStep.Answer(
--- a/core/src/main/java/org/crocusturn/core/callers/StatementKind.java
+++ b/core/src/main/java/org/crocusturn/core/callers/StatementKind.java
@@ -13,7 +13,7 @@
     PREPARE_WRITE,
     EXECUTE,
     DEALLOCATE,
-    /** The statement cannot be parsed. */
+    /** The text or the id of the statement is not valid. */
     UNKNOWN;
 
     /** Returns whether the statement changes only the session's context and needs no database. */
