Shorten names of callers in error messages

A START with a database name of 1 MiB was answered with an error line longer than the 1 MiB that a message may have, and EXEC with an unknown name of that length likewise; the log line was as long. RouteCheck and SessionDecisions quote the name in full; they now use Names.quote, as other messages do.

--- a/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
+++ b/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
+import org.crocusturn.core.Names;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.operators.ControlState;
 import org.crocusturn.core.operators.KeyRecord;
@@ -41,7 +42,10 @@
     public static RouteCheck of(ControlState state, String database, String keyHash) {
         Optional<Route> route = state.configuration().route(database);
         if (route.isEmpty()) {
-            return refused(ErrorCode.NOT_FOUND, "database " + database + " does not exist", false);
+            return refused(
+                    ErrorCode.NOT_FOUND,
+                    "database " + Names.quote(database) + " does not exist",
+                    false);
         }
         Optional<WorkspaceId> workspace = workspace(state, keyHash);
         if (workspace.isEmpty() && !route.get().open()) {
--- a/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
+import org.crocusturn.core.Names;
 
 /**
  * Decides how an entry host processes the statements of a session. All methods are pure functions.
@@ -150,7 +151,7 @@
                 : Optional.of(
                         Failure.notRun(
                                 ErrorCode.SESSION_INVALID,
-                                "statement " + statement.name() + " is not prepared"));
+                                "statement " + Names.quote(statement.name()) + " is not prepared"));
     }
 
     private static SessionStep answer(SessionState state) {
--- a/core/src/test/java/org/crocusturn/core/callers/RouteCheckTest.java
+++ b/core/src/test/java/org/crocusturn/core/callers/RouteCheckTest.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.callers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
@@ -27,12 +28,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class RouteCheckTest {
     private static final WorkspaceId FIRST = WorkspaceId.of("first");
     private static final WorkspaceId SECOND = WorkspaceId.of("second");
     private static final WorkspaceId ANONYMOUS = RouteCheck.ANONYMOUS;
     private static final String KEY = "a".repeat(64);
+    private static final int MAX_MESSAGE_CHARACTERS = 200;
 
     static Stream<Arguments> sessions() {
         ErrorCode refused = ErrorCode.KEY_REFUSED;
@@ -54,6 +57,17 @@
                 Arguments.of("missing", "no key", ANONYMOUS, null, missing, false));
     }
 
+    /** Guards against an answer, or a log line, that is as long as the name that it quotes. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 100, 101, 1 << 20})
+    void shortensTheNameOfAMissingDatabase(int length) {
+        String name = "x".repeat(length);
+        Failure failure = RouteCheck.of(state("open", Optional.empty()), name, "").failure().get();
+        assertEquals(ErrorCode.NOT_FOUND, failure.code());
+        assertTrue(failure.message().length() <= MAX_MESSAGE_CHARACTERS);
+        assertEquals(length <= 100, failure.message().contains("\"" + name + "\""));
+    }
+
     /**
      * Guards against a session that continues anonymously, or for another workspace, after its key
      * has been withdrawn or moved.
--- a/core/src/test/java/org/crocusturn/core/callers/SessionDecisionsTest.java
+++ b/core/src/test/java/org/crocusturn/core/callers/SessionDecisionsTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against statements that run in the wrong transaction or with a withdrawn key. */
 class SessionDecisionsTest {
@@ -33,6 +34,7 @@
                     Duration.ofMillis(120),
                     1,
                     false);
+    private static final int MAX_MESSAGE_CHARACTERS = 200;
     private static final RouteAccess ACCESS = new RouteAccess(ROUTE, WorkspaceId.of("schools"));
     private static final RouteCheck ALLOWED =
             new RouteCheck(Optional.of(ACCESS), Optional.empty(), false);
@@ -135,6 +137,18 @@
         assertEquals(kind == StatementKind.ROLLBACK, answer.outcome().failure().isEmpty());
     }
 
+    /** Guards against an answer, or a log line, that is as long as the name that it quotes. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 100, 101, 1 << 20})
+    void shortensTheNameOfAnUnknownStatement(int length) {
+        SessionStatement statement =
+                new SessionStatement("5c", StatementKind.EXECUTE, "x".repeat(length), "k", "EXEC");
+        SessionStep.Answer answer = answer(SessionState.NEW, statement, ALLOWED);
+        Failure failure = answer.outcome().failure().orElseThrow();
+        assertEquals(ErrorCode.SESSION_INVALID, failure.code());
+        assertTrue(failure.message().length() <= MAX_MESSAGE_CHARACTERS);
+    }
+
     @Test
     void remembersValuesAndPreparedStatements() {
         SessionState state = SessionState.NEW;
