Refuse HTTP requests with another transfer encoding beside chunked

A body sent with "Transfer-Encoding: x, chunked" was handed on without undoing x, and "chunked, chunked" was read as chunked once, so a recipient in front of the server could see another end of the request. HttpUtil only asks whether chunked is one of the encodings; the header must now be chunked and nothing else.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/RequestAggregator.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/RequestAggregator.java
@@ -34,6 +34,9 @@
     /** Approximate size in memory of a request without its texts and body, in bytes. */
     private static final long REQUEST_OBJECT_BYTES = 1_024;
 
+    /** The only transfer encoding; HttpUtil accepts lists that contain it, such as "x, chunked". */
+    private static final String CHUNKED = "chunked";
+
     private final int mMaxBodyBytes;
     private final HttpRequest mHead;
     private final Map<String, String> mHeaders;
@@ -67,7 +70,8 @@
             throw malformed("the protocol is not HTTP/1.1");
         }
         Map<String, String> headers = headers(head);
-        if (headers.containsKey("transfer-encoding") && !HttpUtil.isTransferEncodingChunked(head)) {
+        String encoding = headers.getOrDefault("transfer-encoding", CHUNKED);
+        if (!encoding.equalsIgnoreCase(CHUNKED)) {
             throw malformed("the transfer encoding is not supported");
         }
         if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes) {
