Test that a call that fits no frame is refused without closing its link

The longest text of a caller grows on a link, where each byte above 0x7f takes two and the argument is sent beside the text. The test holds on the code before.

--- a/daemon/src/test/java/org/crocusturn/daemon/net/NettyPeerLinkTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/NettyPeerLinkTest.java
@@ -9,16 +9,26 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
+import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.SessionStatement;
+import org.crocusturn.core.callers.StatementKind;
+import org.crocusturn.core.callers.TransactionStep;
 import org.crocusturn.core.controlhosts.ForwardedProposal;
+import org.crocusturn.core.entryhosts.SessionCall;
 import org.crocusturn.core.operators.Configuration;
+import org.crocusturn.core.operators.Consistency;
 import org.crocusturn.core.operators.ControlCommand;
 import org.crocusturn.core.operators.SessionLimits;
 import org.crocusturn.core.ring.ByteBudget;
@@ -70,6 +80,38 @@
                                 document)));
     }
 
+    /** Returns the call of a session with the longest text of a caller and as long values. */
+    private static SessionCall call(int values) {
+        byte[] bytes = new byte[1 << 20];
+        new Random(values).nextBytes(bytes);
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        return new SessionCall(
+                1,
+                1,
+                GroupId.of("db", "all"),
+                1,
+                WorkspaceId.of("t1"),
+                new SessionCall.Options(Consistency.PRIMARY, 0, 0, 1_000),
+                TransactionStep.NONE,
+                new SessionStatement("5c", StatementKind.WRITE, "k", text, "WRITE k " + text),
+                Optional.empty(),
+                IntStream.range(0, values)
+                        .boxed()
+                        .collect(Collectors.toMap(n -> "n" + n, n -> text)),
+                LogPosition.ZERO);
+    }
+
+    /** Guards against a statement that closes a link because its encoded form is too long. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "1, true", "20, false"})
+    void refusesOnlyCallsThatFitNoFrame(int values, boolean accepted) {
+        EmbeddedChannel channel = new EmbeddedChannel(new UnsentMessages());
+        NettyPeerLink link = NettyPeerLink.of(channel, PEER, ByteBudget.of(1 << 27));
+        assertEquals(accepted, link.send(call(values)));
+        assertTrue(channel.isActive());
+        assertTrue(link.send(message(100)), "the link is still used");
+    }
+
     @ParameterizedTest
     @CsvSource({"100000, true", "100000, false", "30000, true", "900000, true"})
     void refusesLargeMessagesOverAllLinks(int characters, boolean sent) {
