Set session values inside of transactions in RepeatedAnswersInGroupTest

The sessions of the test changed their values only between transactions, so the path of StatementRun that sends a statement after an uncertain SET was not played.

--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
@@ -71,6 +71,9 @@
     private final Set<String> mAcknowledged = new HashSet<>();
     private final Map<String, Integer> mOutcomes = new TreeMap<>();
 
+    /** Whether sessions set values while their transactions are open. */
+    private boolean mSetsValuesInTransactions;
+
     /** An answer on its way, and when it arrives. */
     private record Arrival(long millis, EndpointAnswer answer) {}
 
@@ -300,6 +303,10 @@
                 submit(anyKind());
             } else if (mLeft > 0) {
                 mLeft--;
+                if (mSetsValuesInTransactions) {
+                    mValues = new HashMap<>(mValues);
+                    mValues.put("v0", Integer.toString(mRandom.nextInt(2)));
+                }
                 submit(anyKind());
             } else if (mRandom.nextInt(6) == 0) {
                 mGroup.endTransaction(ORIGIN, mSession);
@@ -401,6 +408,18 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void keepsPromises(long seed) {
+        play(seed);
+    }
+
+    /** Guards against a statement that runs with the old value when SET fails (PINNED). */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void runsStatementsWithValuesSetInTransactions(long seed) {
+        mSetsValuesInTransactions = true;
+        play(seed);
+    }
+
+    private void play(long seed) {
         mRandom = new Random(seed);
         mSimulation = new Simulation();
         mGroup = new LeasedGroup(GROUP, 1, settings(), mSimulation);
