Reproduce session values that are confirmed although SET failed

If the log position of an open connection falls, as it may when a replica is rolled back after a promotion, the own error of a SET can equal an error that the connection has delivered, at an older position. It is then dropped as EARLIER, and the answer to BEGIN counts as a proof that SET succeeded (PINNED).

--- a/core/src/test/java/org/crocusturn/core/endpoints/AnswerMatcherTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/AnswerMatcherTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against an answer that is taken for that of another command when an endpoint repeats
@@ -254,4 +255,29 @@
                         List.of("rest"), signature, Optional.empty(), "", IDLE, first.position());
         assertEquals(expected, matcher.match(next, true));
     }
+
+    /**
+     * Guards against session values that were not set (PINNED): the log of an endpoint that is
+     * rolled back falls, and the own error of a command then equals an earlier one.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void confirmsNoValuesAfterTheLogFell(boolean readOnly) {
+        EndpointAnswer busy =
+                Exchange.failed(READ, IDLE, IDLE, EndpointError.OVERLOADED).answer(1, 95);
+        EndpointAnswer set = Exchange.done(SET, IDLE, IDLE).answer(2, 100);
+        AnswerMatcher matcher =
+                AnswerMatcher.start()
+                        .withSent(READ)
+                        .withAnswer(busy, false)
+                        .withSent(SET)
+                        .withAnswer(set, false)
+                        .withSent(SET)
+                        .withSent(new SessionCommand.Begin(readOnly, Optional.empty()))
+                        // A repetition ends the second SET, whose own answer is the error.
+                        .withAnswer(set, false)
+                        .withAnswer(busy, false);
+        EndpointAnswer begun = Exchange.done(BEGIN, IDLE, OPEN).answer(3, 95);
+        assertNotEquals(AnswerMatch.OWN, matcher.match(begun, false));
+    }
 }
