Reproduce an older answer that is taken for that of a later command

The answer to STATUS is lost and arrives late for the first time, after that to PAUSE. PAUSE then gets the older position, on which a promotion rests (LOST). It breaks the assumption that answers arrive in order, but the position shows it: an answer that the connection has not delivered and that is older than one it has delivered cannot be certain.

--- a/core/src/test/java/org/crocusturn/core/endpoints/AnswerMatcherTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/AnswerMatcherTest.java
@@ -280,4 +280,24 @@
         EndpointAnswer begun = Exchange.done(BEGIN, IDLE, OPEN).answer(3, 95);
         assertNotEquals(AnswerMatch.OWN, matcher.match(begun, false));
     }
+
+    /**
+     * Guards against a fence at an outdated position (LOST): the answer to an earlier command that
+     * arrives late for the first time is older than one that was delivered.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {10, 11})
+    void takesNoOlderAnswerForThatOfLaterCommand(long index) {
+        Exchange pause = Exchange.done(new SessionCommand.PauseReplication(4), IDLE, IDLE);
+        AnswerMatcher matcher =
+                AnswerMatcher.start()
+                        .withSent(STATUS)
+                        .withSent(pause.command())
+                        .withAnswer(statusAt(12), false);
+        assertNotEquals(AnswerMatch.OWN, matcher.match(statusAt(index), false));
+    }
+
+    private static EndpointAnswer statusAt(long index) {
+        return Exchange.done(STATUS, IDLE, IDLE).answer(0, index);
+    }
 }
