Reproduce connections that wait for ever for the answer to a rollback

RollbackTask has no time limit. If the answer to ROLLBACK is lost, or is an error that the connection has delivered before and is therefore dropped, the connection is occupied until the lease ends.

--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
@@ -74,6 +74,9 @@
     /** Whether sessions set values while their transactions are open. */
     private boolean mSetsValuesInTransactions;
 
+    /** Whether endpoints give no answer to some rollbacks. */
+    private boolean mLosesRollbackAnswers;
+
     /** An answer on its way, and when it arrives. */
     private record Arrival(long millis, EndpointAnswer answer) {}
 
@@ -111,8 +114,12 @@
             mRepetitions.removeAll(due);
             due.forEach(arrival -> receive(arrival.answer()));
             if (!isClosed() && !mCommands.isEmpty() && mBusyUntilMillis <= millis) {
+                boolean rollback = mCommands.element() instanceof SessionCommand.Rollback;
                 EndpointAnswer answer = mEndpoint.run(mCommands.remove(), mExpectations);
                 mBusyUntilMillis = millis + 1 + mRandom.nextInt(MAX_RUN_MILLIS);
+                if (rollback && mLosesRollbackAnswers && mRandom.nextInt(4) == 0) {
+                    return;
+                }
                 if (mRandom.nextInt(100) < REPEATED_PERCENT) {
                     mRepetitions.add(
                             new Arrival(millis + 1 + mRandom.nextInt(MAX_REPEAT_MILLIS), answer));
@@ -419,6 +426,26 @@
         play(seed);
     }
 
+    /** Guards against connections that wait for ever for the answer to a rollback. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void freesConnectionsWhoseRollbackIsNotAnswered(long seed) {
+        mLosesRollbackAnswers = true;
+        play(seed);
+        // Longer than the time limit of any call and than transactions may stay idle.
+        for (int i = 0; i < 10_000; i++) {
+            mSimulation.step();
+        }
+        List<String> occupied =
+                mGroup.pools().stream()
+                        .flatMap(pool -> pool.sessions().stream())
+                        .flatMap(session -> session.task().stream())
+                        .filter(task -> !(task instanceof ReplicationProbe))
+                        .map(task -> task.getClass().getSimpleName())
+                        .toList();
+        assertEquals(List.of(), occupied);
+    }
+
     private void play(long seed) {
         mRandom = new Random(seed);
         mSimulation = new Simulation();
