--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/RepeatedAnswersInGroupTest.java
@@ -71,6 +71,12 @@
     private final Set<String> mAcknowledged = new HashSet<>();
     private final Map<String, Integer> mOutcomes = new TreeMap<>();
 
+    /** Whether sessions set values while their transactions are open. */
+    private boolean mSetsValuesInTransactions;
+
+    /** Whether endpoints give no answer to some rollbacks. */
+    private boolean mLosesRollbackAnswers;
+
     /** An answer on its way, and when it arrives. */
     private record Arrival(long millis, EndpointAnswer answer) {}
 
@@ -108,8 +114,12 @@
             mRepetitions.removeAll(due);
             due.forEach(arrival -> receive(arrival.answer()));
             if (!isClosed() && !mCommands.isEmpty() && mBusyUntilMillis <= millis) {
+                boolean rollback = mCommands.element() instanceof SessionCommand.Rollback;
                 EndpointAnswer answer = mEndpoint.run(mCommands.remove(), mExpectations);
                 mBusyUntilMillis = millis + 1 + mRandom.nextInt(MAX_RUN_MILLIS);
+                if (rollback && mLosesRollbackAnswers && mRandom.nextInt(4) == 0) {
+                    return;
+                }
                 if (mRandom.nextInt(100) < REPEATED_PERCENT) {
                     mRepetitions.add(
                             new Arrival(millis + 1 + mRandom.nextInt(MAX_REPEAT_MILLIS), answer));
@@ -300,6 +310,10 @@
                 submit(anyKind());
             } else if (mLeft > 0) {
                 mLeft--;
+                if (mSetsValuesInTransactions) {
+                    mValues = new HashMap<>(mValues);
+                    mValues.put("v0", Integer.toString(mRandom.nextInt(2)));
+                }
                 submit(anyKind());
             } else if (mRandom.nextInt(6) == 0) {
                 mGroup.endTransaction(ORIGIN, mSession);
@@ -401,6 +415,38 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void keepsPromises(long seed) {
+        play(seed);
+    }
+
+    /** Guards against a statement that runs with the old value when SET fails (PINNED). */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void runsStatementsWithValuesSetInTransactions(long seed) {
+        mSetsValuesInTransactions = true;
+        play(seed);
+    }
+
+    /** Guards against connections that wait for ever for the answer to a rollback. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void freesConnectionsWhoseRollbackIsNotAnswered(long seed) {
+        mLosesRollbackAnswers = true;
+        play(seed);
+        // Longer than the time limit of any call and than transactions may stay idle.
+        for (int i = 0; i < 10_000; i++) {
+            mSimulation.step();
+        }
+        List<String> occupied =
+                mGroup.pools().stream()
+                        .flatMap(pool -> pool.sessions().stream())
+                        .flatMap(session -> session.task().stream())
+                        .filter(task -> !(task instanceof ReplicationProbe))
+                        .map(task -> task.getClass().getSimpleName())
+                        .toList();
+        assertEquals(List.of(), occupied);
+    }
+
+    private void play(long seed) {
         mRandom = new Random(seed);
         mSimulation = new Simulation();
         mGroup = new LeasedGroup(GROUP, 1, settings(), mSimulation);
