Treat answers at an older log position as uncertain

An answer that was delivered before, at a position below the newest one, was dropped. If the log of a replica falls after a promotion, the own error of a SET can be such an answer, and the BEGIN after it then confirmed values that were not set (PINNED). An answer to STATUS that arrives late for the first time was taken for that to PAUSE (LOST). Both are uncertain now.

--- a/core/src/main/java/org/crocusturn/core/endpoints/AnswerMatcher.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/AnswerMatcher.java
@@ -140,12 +140,12 @@
         if (!fits) {
             return seen || fitsDoubtful(answer) ? AnswerMatch.EARLIER : AnswerMatch.FOREIGN;
         }
-        if (seen) {
-            // A log position does not decrease while a connection is open.
-            boolean older = answer.position().filter(p -> p.compareTo(mNewest) < 0).isPresent();
-            return answer.isSigned() || older ? AnswerMatch.EARLIER : AnswerMatch.UNCERTAIN;
+        if (answer.isSigned()) {
+            return seen ? AnswerMatch.EARLIER : AnswerMatch.OWN;
         }
-        return fitsDoubtful(answer) ? AnswerMatch.UNCERTAIN : AnswerMatch.OWN;
+        // An answer that is lost at first and arrives late is new, but older than later ones.
+        boolean older = answer.position().filter(p -> p.compareTo(mNewest) < 0).isPresent();
+        return seen || older || fitsDoubtful(answer) ? AnswerMatch.UNCERTAIN : AnswerMatch.OWN;
     }
 
     private boolean fitsDoubtful(EndpointAnswer answer) {
