Recognize a repeated error after rows of a cut answer

A row that was left of a cut answer made a repeated error a new one, so a write got the promise of an earlier one (REFUSED).

--- a/core/src/main/java/org/crocusturn/core/endpoints/AnswerHistory.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/AnswerHistory.java
@@ -7,8 +7,9 @@
 /**
  * The answers that a connection to an endpoint has delivered. Immutable.
  *
- * <p>A signed answer is identified by its signature, any other one by everything that it says. Only
- * 64 bits of a hash are kept of each, so that the history of a busy connection stays small.
+ * <p>A signed answer is identified by its signature, any other one by everything that it says, but
+ * for rows before an error, which may be left of an answer that was cut off. Only 64 bits of a hash
+ * are kept of each, so that the history of a busy connection stays small.
  */
 public final class AnswerHistory {
     private static final AnswerHistory EMPTY = new AnswerHistory(new long[0]);
@@ -57,7 +58,7 @@
                                 answer.text(),
                                 answer.state().toString(),
                                 answer.position().toString(),
-                                answer.rows().toString());
+                                answer.error().isPresent() ? "" : answer.rows().toString());
         String hash = Sha256.hex(identity.getBytes(StandardCharsets.UTF_8));
         return Long.parseUnsignedLong(hash.substring(0, FINGERPRINT_DIGITS), HEXADECIMAL);
     }
