Replace the connection of a probe after 1,024 answers

The connection of a ReplicationProbe never returns to a pool, where exhausted ones are closed, so its history of answers grew for as long as the host held the lease.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
@@ -89,6 +89,10 @@
         if (pending != null) {
             pending.onResult().accept(result);
         }
+        if (mPending.isEmpty() && session.use().isExhausted()) {
+            mContext.close(session);
+            mSession = Optional.empty();
+        }
     }
 
     @Override
