--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ConnectionFailures.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ConnectionFailures.java
@@ -22,6 +22,9 @@
      */
     private static final long CERTAIN_ANSWER_TIMEOUT_NANOS = Duration.ofMillis(100).toNanos();
 
+    /** Time limit of a rollback; it needs no slot, so its answer takes a round trip. */
+    private static final long ROLLBACK_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
+
     private final LeasedGroup mGroup;
     private final GroupContext mContext;
 
@@ -98,6 +101,16 @@
         retryOrFail(run, 0, false);
     }
 
+    /** Closes the connections whose rollback got no answer in time, which rolls back. */
+    void closeUnansweredRollbacks(long nowNanos) {
+        mGroup.pools().stream()
+                .flatMap(pool -> pool.sessions().stream())
+                .filter(s -> s.task().filter(RollbackTask.class::isInstance).isPresent())
+                .filter(s -> nowNanos - s.lastUsedNanos() >= ROLLBACK_TIMEOUT_NANOS)
+                .toList()
+                .forEach(s -> mGroup.closeAsLost(s, ConnectionLoss.SILENT));
+    }
+
     /** Handles a certain answer after which the connection is in another state than expected. */
     void onUnexpectedState(StatementRun run, SessionResult result) {
         boolean mayBeKept =
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -141,7 +141,7 @@
     }
 
     /** Closes a connection and reports it to its task as lost. */
-    private void closeAsLost(PooledSession session, ConnectionLoss loss) {
+    void closeAsLost(PooledSession session, ConnectionLoss loss) {
         Optional<SessionTask> task = session.task();
         mContext.close(session);
         task.ifPresent(t -> t.onLost(session, loss, "the pool closed the connection"));
@@ -497,6 +497,7 @@
                 .forEach(StatementRun::retryOnSameConnection);
         long idleNanos = mSettings.idleTransaction().toNanos();
         mTransactions.abandonAll(t -> t.run().isEmpty() && now - t.lastUsedNanos() >= idleNanos);
+        mFailures.closeUnansweredRollbacks(now);
         mFailover.tick(now);
         mMoveStartNanos.ifPresent(since -> continueMove(since, now));
         dispatch();
