Let the stand-in database repeat and cut off answers

The stand-in could delay, split, cross and lose answers, but sent each at most once and whole. The new kinds of POST /v1/faults are "repeated" (sent again after a delay) and "cut" (half of the answer, then the end of the connection). Faults can also concern the opening of a session, if they name its route.

--- a/standin/src/main/java/org/crocusturn/standin/database/CurrentBehaviour.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/CurrentBehaviour.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.crocusturn.daemon.endpoints.JsonFields;
 
@@ -26,10 +27,23 @@
 
     /** Returns the first fault that applies to a request and decrements its count. */
     Optional<Fault> consumeFault(String database, String route) {
+        return consumeFault(fault -> fault.matches(database, route));
+    }
+
+    /**
+     * Returns the first fault that names the route of a request outside of a session, and
+     * decrements its count.
+     *
+     * @param database database of the request; empty if it concerns none
+     */
+    Optional<Fault> consumeFaultOfRoute(String database, String route) {
+        return consumeFault(f -> f.route().isPresent() && f.matches(database, route));
+    }
+
+    private Optional<Fault> consumeFault(Predicate<Fault> applies) {
         while (true) {
             Behaviour current = mBehaviour.get();
-            Optional<Fault> matching =
-                    current.faults().stream().filter(f -> f.matches(database, route)).findFirst();
+            Optional<Fault> matching = current.faults().stream().filter(applies).findFirst();
             if (matching.isEmpty()
                     || mBehaviour.compareAndSet(
                             current, current.withFaultConsumed(matching.get()))) {
--- a/standin/src/main/java/org/crocusturn/standin/database/DatabaseRequestHandler.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/DatabaseRequestHandler.java
@@ -64,6 +64,11 @@
                                                 "not_found", "there is no such database"));
         long epoch = JsonFields.integer(body, "epoch", 0);
         HttpConnection peer = exchange.connection();
+        FaultInjectingSender sender =
+                new FaultInjectingSender(
+                        exchange,
+                        mBehaviour.consumeFaultOfRoute(database.copy().name(), "/v1/session"),
+                        mThreads);
         if (mSessions.containsKey(peer.id())) {
             throw RefusedException.conflict("has_session", "the connection already has a session");
         }
@@ -75,9 +80,7 @@
                                     request,
                                     database.copy(),
                                     () -> openSession(database, peer, epoch));
-                    runAfter(
-                            mBehaviour.get().connectMillis(),
-                            () -> exchange.respond(response.toHttpResponse()));
+                    runAfter(mBehaviour.get().connectMillis(), () -> sender.send(response));
                 });
     }
 
@@ -110,7 +113,7 @@
         if (!session.acquire()) {
             throw RefusedException.conflict("busy", "the session is running another command");
         }
-        FaultInjectingSender sender = new FaultInjectingSender(exchange, fault, this::runAfter);
+        FaultInjectingSender sender = new FaultInjectingSender(exchange, fault, mThreads);
         ServedDatabase database = mDatabases.get(name);
         if (route.startsWith("/v1/run")) {
             runInSlot(database, session, request, command, sender);
--- a/standin/src/main/java/org/crocusturn/standin/database/Fault.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/Fault.java
@@ -8,8 +8,9 @@
  *
  * @param kind kind of the fault
  * @param database database that the fault applies to; empty for all
- * @param route route that the fault applies to, such as {@code /v1/commit}; empty for all
- * @param millis delay of a late answer, in milliseconds
+ * @param route route that the fault applies to, such as {@code /v1/commit}; empty for all that run
+ *     in a session
+ * @param millis delay of a late answer or of a repetition, in milliseconds
  * @param times remaining number of requests that the fault applies to, at least 1
  */
 public record Fault(
@@ -22,6 +23,10 @@
         SPLIT,
         /** The answer has the id of another request. */
         CROSSED,
+        /** The answer is sent, and sent again after the delay. */
+        REPEATED,
+        /** Only the first half of the answer is sent, and the connection is closed. */
+        CUT,
         /** The statement runs, but no answer is sent. */
         LOST,
         /** The connection is closed before the statement runs. */
@@ -56,6 +61,11 @@
         return new Fault(kind, database, route, millis, newTimes);
     }
 
+    /** Returns a copy that applies to a route only. */
+    public Fault withRoute(String path) {
+        return new Fault(kind, database, Optional.of(path), millis, times);
+    }
+
     boolean matches(String databaseName, String routePath) {
         return database.map(databaseName::equals).orElse(true)
                 && route.map(routePath::equals).orElse(true);
--- a/standin/src/main/java/org/crocusturn/standin/database/FaultInjectingSender.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/FaultInjectingSender.java
@@ -2,20 +2,20 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
-import java.util.function.BiConsumer;
+import java.util.concurrent.TimeUnit;
 import org.crocusturn.daemon.net.HttpExchange;
+import org.crocusturn.daemon.net.NetThreads;
 
 /** Sends the answer of a command and applies the fault of the request to it. */
 final class FaultInjectingSender {
     private final HttpExchange mExchange;
     private final Optional<Fault> mFault;
-    private final BiConsumer<Long, Runnable> mScheduler;
+    private final NetThreads mThreads;
 
-    FaultInjectingSender(
-            HttpExchange exchange, Optional<Fault> fault, BiConsumer<Long, Runnable> scheduler) {
+    FaultInjectingSender(HttpExchange exchange, Optional<Fault> fault, NetThreads threads) {
         mExchange = exchange;
         mFault = fault;
-        mScheduler = scheduler;
+        mThreads = threads;
     }
 
     void send(JsonResponse response) {
@@ -25,12 +25,13 @@
         }
         switch (mFault.get().kind()) {
             case LATE ->
-                    mScheduler.accept(
-                            mFault.get().millis(),
-                            () -> mExchange.respond(response.toHttpResponse()));
-            case SPLIT ->
-                    mExchange.respond(
-                            response.toHttpResponse().withHeader(SplitWriter.HEADER, "1"));
+                    mThreads.group()
+                            .schedule(
+                                    () -> mExchange.respond(response.toHttpResponse()),
+                                    mFault.get().millis(),
+                                    TimeUnit.MILLISECONDS);
+            case SPLIT, REPEATED, CUT ->
+                    mExchange.respond(FaultyWriter.mark(response.toHttpResponse(), mFault.get()));
             case CROSSED -> mExchange.respond(withOtherRequestId(response).toHttpResponse());
             case DROP_AFTER -> mExchange.connection().close();
             default -> {
--- a/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
@@ -59,7 +59,8 @@
                         threads,
                         Addresses.parse(settings.statusAddress()),
                         HTTP_LIMITS,
-                        mRequestGate.wrap(this::handleStatusRequest));
+                        mRequestGate.wrap(this::handleStatusRequest),
+                        FaultyWriter::addTo);
         mDatabaseServer =
                 HttpServer.start(
                         threads,
@@ -68,7 +69,7 @@
                         mRequestGate.wrap(
                                 new DatabaseRequestHandler(
                                         threads, mDatabases, mBehaviour, mCounters)),
-                        SplitWriter::addTo);
+                        FaultyWriter::addTo);
         mAnnouncementDuty =
                 startDuty(
                         "standin-announcements",
