Use an answer of a status port only for the request that it names

On the status port the second answer was given to the next poll, and every later answer on that connection was one behind. Reads by stated age, the newest copy of a promotion and the detection of silent endpoints rest on these answers. An answer to fence, promote or follow was used whatever it answered.

Cause: answers of the status port named no request; HTTP/1.1 gives a response to the request that is outstanding on the connection. On the database port answers repeat the id of their request, and the client checks it, so it had no such fault.

Fix: every request of the database protocol carries a request id, in the query of a GET, and every answer repeats it, errors included. RequestId decides whether an answer belongs to a request. An answer that names another request or none counts as none, and its connection is closed.

StatusDutyTest and StatusMonitorTest send and expect the id now; they check what they did before, and that each refusal names its request.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
@@ -2,17 +2,17 @@
 
 import java.time.Duration;
 import java.util.Objects;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.Verdict;
 import org.crocusturn.core.endpoints.DatabaseCommand;
 import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.core.endpoints.RequestId;
+import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
@@ -29,10 +29,7 @@
     private final long mConnectionId;
     private final HttpClientConnection mConnection;
 
-    /** Makes request ids unique among all connections of all processes. */
-    private final String mRequestPrefix = UUID.randomUUID() + "-";
-
-    private final AtomicLong mRequestCount = new AtomicLong();
+    private final RequestIds mRequestIds = new RequestIds();
     private final AtomicBoolean mBusy = new AtomicBoolean();
 
     private DatabaseClient(long connectionId, HttpClientConnection connection) {
@@ -92,7 +89,7 @@
      */
     public CompletableFuture<DatabaseResult> run(DatabaseCommand command, Duration timeout) {
         Objects.requireNonNull(command, "command");
-        String request = mRequestPrefix + mRequestCount.incrementAndGet();
+        RequestId request = mRequestIds.next();
         return exchange(request, DatabaseCodec.command(request, command), timeout);
     }
 
@@ -103,7 +100,7 @@
 
     private CompletableFuture<DatabaseClient> openSession(
             String database, long epoch, Duration timeout) {
-        String request = mRequestPrefix + mRequestCount.incrementAndGet();
+        RequestId request = mRequestIds.next();
         return exchange(request, DatabaseCodec.session(request, database, epoch), timeout)
                 .thenApply(this::opened);
     }
@@ -124,7 +121,7 @@
     }
 
     private CompletableFuture<DatabaseResult> exchange(
-            String request, HttpRequest encoded, Duration timeout) {
+            RequestId request, HttpRequest encoded, Duration timeout) {
         if (!mBusy.compareAndSet(false, true)) {
             return CompletableFuture.completedFuture(
                     new DatabaseResult.Refused(
@@ -144,7 +141,7 @@
                         });
     }
 
-    private DatabaseResult read(String request, HttpResponse response) {
+    private DatabaseResult read(RequestId request, HttpResponse response) {
         try {
             return DatabaseCodec.result(request, response.status(), Json.read(response.body()));
         } catch (RuntimeException | StackOverflowError e) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseCodec.java
@@ -14,6 +14,7 @@
 import org.crocusturn.core.callers.Statement;
 import org.crocusturn.core.endpoints.DatabaseCommand;
 import org.crocusturn.core.endpoints.DatabaseResult;
+import org.crocusturn.core.endpoints.RequestId;
 import org.crocusturn.daemon.net.HttpRequest;
 import org.crocusturn.daemon.net.Json;
 
@@ -23,17 +24,17 @@
 
     private DatabaseCodec() {}
 
-    static HttpRequest session(String request, String database, long epoch) {
+    static HttpRequest session(RequestId request, String database, long epoch) {
         return post(
                 "/v1/session",
                 Json.object()
-                        .put("request", request)
+                        .put("request", request.value())
                         .put("database", database)
                         .put("epoch", epoch));
     }
 
-    static HttpRequest command(String request, DatabaseCommand command) {
-        ObjectNode body = Json.object().put("request", request);
+    static HttpRequest command(RequestId request, DatabaseCommand command) {
+        ObjectNode body = Json.object().put("request", request.value());
         if (command instanceof DatabaseCommand.Run run) {
             body.put("term", run.term());
             body.put("access", run.statement().access().name().toLowerCase(Locale.ROOT));
@@ -60,10 +61,8 @@
      * @throws org.crocusturn.core.CrocusturnException if the answer is malformed or belongs to
      *     another request
      */
-    static DatabaseResult result(String request, int status, JsonNode body) {
-        if (!JsonFields.text(body, "request").equals(request)) {
-            throw JsonFields.malformed("the answer belongs to another request");
-        }
+    static DatabaseResult result(RequestId request, int status, JsonNode body) {
+        EndpointJson.requireAnswer(request, body);
         if (status != 200) {
             return new DatabaseResult.Refused(failure(body));
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointCommandClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointCommandClient.java
@@ -1,5 +1,6 @@
 package org.crocusturn.daemon.endpoints;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.Objects;
@@ -10,6 +11,8 @@
 import org.crocusturn.core.endpoints.CopyStatus;
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
+import org.crocusturn.core.endpoints.RequestId;
+import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
@@ -25,6 +28,7 @@
 
     private final NetThreads mThreads;
     private final Duration mTimeout;
+    private final RequestIds mRequestIds = new RequestIds();
 
     private EndpointCommandClient(NetThreads threads, Duration timeout) {
         mThreads = threads;
@@ -53,11 +57,12 @@
      */
     public CompletableFuture<EndpointCommandResult> send(
             String statusAddress, EndpointCommand command) {
+        RequestId request = mRequestIds.next();
         return CompletableFuture.completedFuture(statusAddress)
                 .thenApply(Addresses::parse)
                 .thenCompose(a -> HttpClientConnection.connect(mThreads, a, mTimeout))
-                .thenCompose(connection -> send(connection, command))
-                .thenApply(response -> status(command, response))
+                .thenCompose(connection -> send(connection, request, command))
+                .thenApply(response -> status(request, command, response))
                 .exceptionally(
                         error -> {
                             LOG.warn("endpoints: command {} failed: {}", command, error.toString());
@@ -67,36 +72,40 @@
     }
 
     private CompletableFuture<HttpResponse> send(
-            HttpClientConnection connection, EndpointCommand command) {
+            HttpClientConnection connection, RequestId request, EndpointCommand command) {
         return connection
-                .send(encode(command), mTimeout)
+                .send(encode(request, command), mTimeout)
                 .whenComplete((response, error) -> connection.close());
     }
 
-    private static Optional<CopyStatus> status(EndpointCommand command, HttpResponse response) {
+    private static Optional<CopyStatus> status(
+            RequestId request, EndpointCommand command, HttpResponse response) {
+        JsonNode body = Json.read(response.body());
+        EndpointJson.requireAnswer(request, body);
         if (response.status() != OK) {
             LOG.warn(
                     "endpoints: command {} was refused with status {}", command, response.status());
             return Optional.empty();
         }
-        return Optional.of(EndpointJson.status(Json.read(response.body())));
+        return Optional.of(EndpointJson.status(body));
     }
 
-    private static HttpRequest encode(EndpointCommand command) {
+    private static HttpRequest encode(RequestId request, EndpointCommand command) {
         if (command instanceof EndpointCommand.Fence fence) {
-            return DatabaseCodec.post("/v1/fence", body(fence, fence.term()));
+            return DatabaseCodec.post("/v1/fence", body(request, fence, fence.term()));
         }
         if (command instanceof EndpointCommand.Promote promote) {
-            return DatabaseCodec.post("/v1/promote", body(promote, promote.term()));
+            return DatabaseCodec.post("/v1/promote", body(request, promote, promote.term()));
         }
         EndpointCommand.Follow follow = (EndpointCommand.Follow) command;
         return DatabaseCodec.post(
                 "/v1/follow",
-                body(follow, follow.term()).put("primary", follow.primaryStatusAddress()));
+                body(request, follow, follow.term()).put("primary", follow.primaryStatusAddress()));
     }
 
-    private static ObjectNode body(EndpointCommand command, long term) {
+    private static ObjectNode body(RequestId request, EndpointCommand command, long term) {
         return Json.object()
+                .put("request", request.value())
                 .put("endpoint", command.endpoint().value())
                 .put("database", command.database())
                 .put("term", term);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointJson.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointJson.java
@@ -17,6 +17,7 @@
 import org.crocusturn.core.callers.Role;
 import org.crocusturn.core.callers.SqlValue;
 import org.crocusturn.core.endpoints.CopyStatus;
+import org.crocusturn.core.endpoints.RequestId;
 import org.crocusturn.core.operators.DatabaseRecord;
 import org.crocusturn.core.operators.EndpointRecord;
 import org.crocusturn.daemon.net.Addresses;
@@ -101,6 +102,15 @@
         return JsonFields.elements(array, name, EndpointJson::value);
     }
 
+    /**
+     * Checks that a body is an answer to a request.
+     *
+     * @throws CrocusturnException if it names another request, or none
+     */
+    public static void requireAnswer(RequestId request, JsonNode body) {
+        request.requireNamedBy(JsonFields.text(body, "request"));
+    }
+
     /** Encodes the status of a copy. */
     public static ObjectNode status(CopyStatus status) {
         return Json.object()
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusEvent.java
@@ -1,6 +1,7 @@
 package org.crocusturn.daemon.endpoints;
 
 import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.endpoints.RequestId;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpResponse;
 
@@ -17,7 +18,8 @@
             implements StatusEvent {}
 
     /** A poll was answered. */
-    record PollAnswered(EndpointId endpoint, long generation, HttpResponse response)
+    record PollAnswered(
+            EndpointId endpoint, long generation, RequestId request, HttpResponse response)
             implements StatusEvent {}
 
     /** A connection could not be opened, was closed, or a poll got no answer. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
@@ -14,6 +14,8 @@
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.endpoints.CopyStatus;
 import org.crocusturn.core.endpoints.EndpointObservation;
+import org.crocusturn.core.endpoints.RequestId;
+import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.core.ring.ThreadFailures;
@@ -46,6 +48,7 @@
     private final long mSilenceLimitNanos;
     private final long mMinIntervalNanos;
     private final Consumer<EndpointObservation> mListener;
+    private final RequestIds mRequestIds = new RequestIds();
     private final Map<EndpointId, MonitoredEndpoint> mEndpoints = new HashMap<>();
     private volatile Predicate<StatusEvent> mEventConsumer = event -> false;
     private long mLastGeneration;
@@ -89,7 +92,7 @@
                             connected.connection()::close);
         } else if (event instanceof StatusEvent.PollAnswered answered) {
             findCurrent(answered.endpoint(), answered.generation())
-                    .ifPresent(monitored -> onResponse(monitored, answered.response(), nowNanos));
+                    .ifPresent(monitored -> onResponse(monitored, answered, nowNanos));
         } else if (event instanceof StatusEvent.Failed failed) {
             findCurrent(failed.endpoint(), failed.generation())
                     .ifPresent(monitored -> onFailure(monitored, nowNanos));
@@ -186,7 +189,14 @@
 
     private void poll(MonitoredEndpoint state) {
         long waitMillis = mSilenceLimit.toMillis() / POLLS_PER_SILENCE_LIMIT;
-        String path = "/v1/status?since=" + state.version() + "&wait=" + waitMillis;
+        RequestId request = mRequestIds.next();
+        String path =
+                "/v1/status?since="
+                        + state.version()
+                        + "&wait="
+                        + waitMillis
+                        + "&request="
+                        + request.value();
         EndpointId endpoint = state.endpoint();
         long generation = state.generation();
         state.connection()
@@ -198,7 +208,10 @@
                                         offer(
                                                 error == null
                                                         ? new StatusEvent.PollAnswered(
-                                                                endpoint, generation, response)
+                                                                endpoint,
+                                                                generation,
+                                                                request,
+                                                                response)
                                                         : new StatusEvent.Failed(
                                                                 endpoint, generation))));
     }
@@ -211,12 +224,13 @@
         return accepted;
     }
 
-    private void onResponse(MonitoredEndpoint state, HttpResponse response, long nowNanos) {
+    private void onResponse(
+            MonitoredEndpoint state, StatusEvent.PollAnswered answered, long nowNanos) {
         StatusResponse status;
         try {
-            status = decode(response);
+            status = decode(answered.request(), answered.response());
         } catch (RuntimeException | StackOverflowError e) {
-            LOG.warn("endpoints: status of {} is malformed: {}", state.endpoint(), e.getMessage());
+            LOG.warn("endpoints: status of {} is not used: {}", state.endpoint(), e.getMessage());
             disconnect(state);
             store(state.withFailure(0, nowNanos + RETRY_INTERVAL_NANOS));
             return;
@@ -226,11 +240,12 @@
         mListener.accept(new EndpointObservation.StatusReceived(state.endpoint(), status.copies()));
     }
 
-    private static StatusResponse decode(HttpResponse response) {
+    private static StatusResponse decode(RequestId request, HttpResponse response) {
         if (response.status() != OK) {
             throw JsonFields.malformed("status " + response.status());
         }
         JsonNode body = Json.read(response.body());
+        EndpointJson.requireAnswer(request, body);
         List<CopyStatus> copies =
                 JsonFields.list(body, "copies", (node, name) -> EndpointJson.status(node));
         return new StatusResponse(JsonFields.integer(body, "version", 0), copies);
--- a/standin/src/main/java/org/crocusturn/standin/database/JsonResponse.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/JsonResponse.java
@@ -66,6 +66,11 @@
                 Verdict.MAY_HAVE_RUN);
     }
 
+    /** Returns an answer that names a request. */
+    JsonResponse withRequest(String request) {
+        return new JsonResponse(status, body.deepCopy().put("request", request));
+    }
+
     HttpResponse toHttpResponse() {
         return HttpResponse.json(status, Json.write(body));
     }
--- a/standin/src/main/java/org/crocusturn/standin/database/ReplicationDuty.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/ReplicationDuty.java
@@ -9,13 +9,16 @@
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.endpoints.RequestId;
+import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.core.ring.DutyHandler;
+import org.crocusturn.daemon.endpoints.EndpointJson;
 import org.crocusturn.daemon.endpoints.JsonFields;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
-import org.crocusturn.daemon.net.HttpResponse;
 import org.crocusturn.daemon.net.Json;
 import org.crocusturn.daemon.net.NetThreads;
 
@@ -49,6 +52,7 @@
     private final NetThreads mThreads;
     private final DatabaseCopy mCopy;
     private final CurrentBehaviour mBehaviour;
+    private final RequestIds mRequestIds = new RequestIds();
     private final ArrayDeque<CommittedEntry> mPendingEntries = new ArrayDeque<>();
     private final ArrayDeque<CatchUpPoint> mCatchUpPoints = new ArrayDeque<>();
     private volatile Predicate<ReplicationEvent> mEventSink = event -> false;
@@ -84,7 +88,7 @@
         } else if (event instanceof ReplicationEvent.ResponseReceived received) {
             if (received.generation() == mGeneration) {
                 mRequestInFlight = false;
-                handleResponse(received.response(), System.nanoTime());
+                receive(received, System.nanoTime());
             }
         } else if (event instanceof ReplicationEvent.PullFailed failed
                 && failed.generation() == mGeneration) {
@@ -174,6 +178,7 @@
                 mPendingEntries.isEmpty()
                         ? mCopy.position()
                         : mPendingEntries.peekLast().position();
+        RequestId request = mRequestIds.next();
         String path =
                 "/v1/replication?database="
                         + mCopy.name()
@@ -184,7 +189,9 @@
                         + "&afterIndex="
                         + last.index()
                         + "&wait="
-                        + LONG_POLL_MILLIS;
+                        + LONG_POLL_MILLIS
+                        + "&request="
+                        + request.value();
         long generation = mGeneration;
         connection
                 .send(HttpRequest.of("GET", path), REQUEST_TIMEOUT)
@@ -193,16 +200,27 @@
                                 mEventSink.test(
                                         error == null
                                                 ? new ReplicationEvent.ResponseReceived(
-                                                        generation, response)
+                                                        generation, request, response)
                                                 : new ReplicationEvent.PullFailed(generation)));
     }
 
-    private void handleResponse(HttpResponse response, long nowNanos) {
-        if (response.status() != OK || mSource.isEmpty()) {
+    /** Handles an answer; one that cannot be read or belongs to another request is not used. */
+    private void receive(ReplicationEvent.ResponseReceived received, long nowNanos) {
+        try {
+            JsonNode body = Json.read(received.response().body());
+            EndpointJson.requireAnswer(received.request(), body);
+            handleResponse(received.response().status(), body, nowNanos);
+        } catch (CrocusturnException e) {
+            LOG.warn("standin: {} does not use an answer: {}", mCopy.name(), e.getMessage());
+            scheduleRetry(nowNanos);
+        }
+    }
+
+    private void handleResponse(int status, JsonNode body, long nowNanos) {
+        if (status != OK || mSource.isEmpty()) {
             mNextPullNanos = nowNanos + RETRY_DELAY_NANOS;
             return;
         }
-        JsonNode body = Json.read(response.body());
         mNextPullNanos = nowNanos;
         if (!JsonFields.bool(body, "matches")) {
             mPendingEntries.clear();
--- a/standin/src/main/java/org/crocusturn/standin/database/ReplicationEvent.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/ReplicationEvent.java
@@ -1,5 +1,6 @@
 package org.crocusturn.standin.database;
 
+import org.crocusturn.core.endpoints.RequestId;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpResponse;
 
@@ -18,7 +19,8 @@
             implements ReplicationEvent {}
 
     /** The primary answered a replication request. */
-    record ResponseReceived(long generation, HttpResponse response) implements ReplicationEvent {}
+    record ResponseReceived(long generation, RequestId request, HttpResponse response)
+            implements ReplicationEvent {}
 
     /** Connecting to the primary or sending a request failed. */
     record PullFailed(long generation) implements ReplicationEvent {}
--- a/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/StandInDatabase.java
@@ -51,7 +51,7 @@
         mBehaviour = new CurrentBehaviour(settings.behaviour());
         ChangeNotifier notifier = new ChangeNotifier();
         settings.databases().forEach(d -> mDatabases.put(d.name(), createDatabase(d, notifier)));
-        StatusDuty status = new StatusDuty(mDatabases, mBehaviour, mCounters);
+        StatusDuty status = new StatusDuty(threads, mDatabases, mBehaviour, mCounters);
         mStatusDuty = startDuty("standin-status", status);
         notifier.connect(status, mStatusDuty);
         mStatusServer =
--- a/standin/src/main/java/org/crocusturn/standin/database/StatusDuty.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/StatusDuty.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
@@ -21,6 +22,7 @@
 import org.crocusturn.daemon.net.HttpExchange;
 import org.crocusturn.daemon.net.HttpRequest;
 import org.crocusturn.daemon.net.Json;
+import org.crocusturn.daemon.net.NetThreads;
 
 /**
  * Handles the requests of the status port.
@@ -33,22 +35,44 @@
     /** Upper bound of the requested wait, so that no exchange stays open indefinitely. */
     private static final long MAX_WAIT_MILLIS = 10_000;
 
+    private static final Optional<Fault> NO_FAULT = Optional.empty();
+
+    /** Routes for tests, which are answered even while the status port is silent. */
+    private static final Set<String> TEST_ROUTES = Set.of("POST /v1/faults", "GET /v1/counters");
+
     /** Limits the size of an answer while a replica catches up. */
     private static final int MAX_ENTRIES_PER_RESPONSE = 500;
 
     /**
      * A pending long poll.
      *
-     * @param exchange exchange to answer
+     * @param answer how to answer
      * @param createResponse returns the answer, or empty to keep waiting; its argument is true once
      *     the deadline has passed
      * @param deadlineNanos monotonic time at which the wait ends
      */
     private record LongPoll(
-            HttpExchange exchange,
+            Answer answer,
             Function<Boolean, Optional<JsonResponse>> createResponse,
             long deadlineNanos) {}
 
+    /**
+     * How to answer a request.
+     *
+     * @param request id of the request; empty if it has none
+     * @param sender sends the answer
+     */
+    private record Answer(String request, FaultInjectingSender sender) {
+        void send(JsonResponse response) {
+            sender.send(response.withRequest(request));
+        }
+
+        void refuse(RuntimeException error) {
+            sender.send(JsonResponse.of(request, LogPosition.ZERO, error));
+        }
+    }
+
+    private final NetThreads mThreads;
     private final Map<String, ServedDatabase> mDatabases;
     private final CurrentBehaviour mBehaviour;
     private final Counters mCounters;
@@ -57,7 +81,11 @@
     private long mVersion = 1;
 
     StatusDuty(
-            Map<String, ServedDatabase> databases, CurrentBehaviour behaviour, Counters counters) {
+            NetThreads threads,
+            Map<String, ServedDatabase> databases,
+            CurrentBehaviour behaviour,
+            Counters counters) {
+        mThreads = threads;
         mDatabases = Map.copyOf(databases);
         mBehaviour = behaviour;
         mCounters = counters;
@@ -79,12 +107,7 @@
     @Override
     public void onEvent(StatusEvent event) {
         if (event instanceof StatusEvent.RequestReceived received) {
-            try {
-                handleRequest(received.exchange(), received.exchange().request());
-            } catch (RuntimeException e) {
-                received.exchange()
-                        .respond(JsonResponse.of("", LogPosition.ZERO, e).toHttpResponse());
-            }
+            handleRequest(received.exchange());
         } else {
             mChangePending.set(false);
             mVersion++;
@@ -102,17 +125,44 @@
                         .orElse(TimeUnit.HOURS.toNanos(1));
     }
 
-    private void handleRequest(HttpExchange exchange, HttpRequest request) {
+    private void handleRequest(HttpExchange exchange) {
+        HttpRequest request = exchange.request();
         String route = request.method() + " " + request.pathWithoutQuery();
-        boolean testRoute = route.equals("POST /v1/faults") || route.equals("GET /v1/counters");
+        boolean testRoute = TEST_ROUTES.contains(route);
         if (!testRoute && mBehaviour.get().statusSilent()) {
             return;
         }
-        Query query = new Query(new QueryStringDecoder(request.path()).parameters());
+        Answer answer = new Answer("", new FaultInjectingSender(exchange, NO_FAULT, mThreads));
+        try {
+            Query query = new Query(new QueryStringDecoder(request.path()).parameters());
+            JsonNode body =
+                    request.method().equals("POST") ? Json.read(request.body()) : Json.object();
+            String id = query.find("request").orElse(body.path("request").asText());
+            String database = query.find("database").orElse(body.path("database").asText());
+            Optional<Fault> fault =
+                    testRoute
+                            ? NO_FAULT
+                            : mBehaviour.consumeFaultOfRoute(database, request.pathWithoutQuery());
+            if (fault.filter(f -> f.kind() == Fault.Kind.DROP_BEFORE).isPresent()) {
+                exchange.connection().close();
+                return;
+            }
+            answer = new Answer(id, new FaultInjectingSender(exchange, fault, mThreads));
+            if (id.isEmpty() && !testRoute) {
+                throw JsonFields.malformed("\"request\" is missing");
+            }
+            dispatch(answer, route, request, query, body);
+        } catch (RuntimeException e) {
+            answer.refuse(e);
+        }
+    }
+
+    private void dispatch(
+            Answer answer, String route, HttpRequest request, Query query, JsonNode body) {
         switch (route) {
             case "GET /v1/status" -> {
                 long since = query.number("since");
-                addLongPoll(exchange, query, timedOut -> statusResponse(timedOut, since));
+                addLongPoll(answer, query, timedOut -> statusResponse(timedOut, since));
             }
             case "GET /v1/replication" -> {
                 DatabaseCopy copy = requireDatabase(query.text("database")).copy();
@@ -120,21 +170,24 @@
                 LogPosition afterPosition =
                         LogPosition.of(query.number("afterTerm"), query.number("afterIndex"));
                 addLongPoll(
-                        exchange,
+                        answer,
                         query,
                         timedOut -> replicationResponse(timedOut, copy, term, afterPosition));
             }
-            case "GET /v1/counters" -> respond(exchange, JsonResponse.ok(mCounters.toJson()));
+            case "GET /v1/counters" -> answer.send(JsonResponse.ok(mCounters.toJson()));
             case "POST /v1/faults" -> {
-                mBehaviour.update(Json.read(request.body()));
+                mBehaviour.update(body);
                 mDatabases.values().forEach(StatusDuty::notifyReplication);
-                respond(exchange, JsonResponse.ok(Json.object()));
+                answer.send(JsonResponse.ok(Json.object()));
+            }
+            default -> {
+                mCounters.recordRequest(request, body);
+                handleCommand(answer, route, body);
             }
-            default -> handleCommand(exchange, route, readBody(request));
         }
     }
 
-    private void handleCommand(HttpExchange exchange, String route, JsonNode body) {
+    private void handleCommand(Answer answer, String route, JsonNode body) {
         ServedDatabase database = requireDatabase(JsonFields.text(body, "database"));
         DatabaseCopy copy = database.copy();
         long term = JsonFields.integer(body, "term", 1);
@@ -150,13 +203,7 @@
         }
         notifyReplication(database);
         LOG.info("standin: handled {} of {}, new state {}", route, copy.name(), copy.state());
-        respond(exchange, JsonResponse.ok(EndpointJson.status(copy.status(System.nanoTime()))));
-    }
-
-    private JsonNode readBody(HttpRequest request) {
-        JsonNode body = Json.read(request.body());
-        mCounters.recordRequest(request, body);
-        return body;
+        answer.send(JsonResponse.ok(EndpointJson.status(copy.status(System.nanoTime()))));
     }
 
     private Optional<JsonResponse> statusResponse(boolean timedOut, long since) {
@@ -201,14 +248,12 @@
     }
 
     private void addLongPoll(
-            HttpExchange exchange,
-            Query query,
-            Function<Boolean, Optional<JsonResponse>> createResponse) {
+            Answer answer, Query query, Function<Boolean, Optional<JsonResponse>> createResponse) {
         long waitMillis = Math.min(query.number("wait"), MAX_WAIT_MILLIS);
         List<LongPoll> polls = new ArrayList<>(mLongPolls);
         polls.add(
                 new LongPoll(
-                        exchange,
+                        answer,
                         createResponse,
                         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis)));
         mLongPolls = List.copyOf(polls);
@@ -223,10 +268,10 @@
         try {
             Optional<JsonResponse> response =
                     poll.createResponse().apply(nowNanos - poll.deadlineNanos() >= 0);
-            response.ifPresent(r -> respond(poll.exchange(), r));
+            response.ifPresent(poll.answer()::send);
             return response.isPresent();
         } catch (RuntimeException e) {
-            poll.exchange().respond(JsonResponse.of("", LogPosition.ZERO, e).toHttpResponse());
+            poll.answer().refuse(e);
             return true;
         }
     }
@@ -239,10 +284,6 @@
                                         "not_found", "there is no such database"));
     }
 
-    private static void respond(HttpExchange exchange, JsonResponse response) {
-        exchange.respond(response.toHttpResponse());
-    }
-
     private static void notifyReplication(ServedDatabase database) {
         if (!database.replication().offer(new ReplicationEvent.StateChanged())) {
             throw RefusedException.tooManyRequests("busy", "the replication queue is full");
@@ -260,12 +301,15 @@
     /** The query parameters of a request. */
     private record Query(Map<String, List<String>> parameters) {
         private String text(String name) {
-            return parameters.getOrDefault(name, List.of()).stream()
-                    .findFirst()
+            return find(name)
                     .orElseThrow(
                             () -> JsonFields.malformed("parameter \"" + name + "\" is missing"));
         }
 
+        private Optional<String> find(String name) {
+            return parameters.getOrDefault(name, List.of()).stream().findFirst();
+        }
+
         private long number(String name) {
             try {
                 return Long.parseLong(text(name));
--- a/standin/src/test/java/org/crocusturn/standin/database/StatusDutyTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/database/StatusDutyTest.java
@@ -29,28 +29,35 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "POST | /v1/fence | {\"term\":1} | 400 | database",
-                "POST | /v1/fence | {\"database\":\"visits\"} | 400 | term",
-                "POST | /v1/promote | {\"database\":\"visits\",\"term\":\"1\"} | 400 | term",
-                "POST | /v1/promote | {\"database\":\"none\",\"term\":1} | 400 | no such database",
-                "POST | /v1/follow | {\"database\":\"visits\",\"term\":1} | 400 | primary",
-                "POST | /v1/follow | {\"database\":\"visits\",\"term\":1,\"primary\":\"x\"}"
+                "POST | /v1/fence | {ID,\"term\":1} | 400 | database",
+                "POST | /v1/fence | {\"database\":\"visits\",\"term\":1} | 400 | request",
+                "POST | /v1/fence | {ID,\"database\":\"visits\"} | 400 | term",
+                "POST | /v1/promote | {ID,\"database\":\"visits\",\"term\":\"1\"} | 400 | term",
+                "POST | /v1/promote | {ID,\"database\":\"none\",\"term\":1} | 400"
+                        + " | no such database",
+                "POST | /v1/follow | {ID,\"database\":\"visits\",\"term\":1} | 400 | primary",
+                "POST | /v1/follow | {ID,\"database\":\"visits\",\"term\":1,\"primary\":\"x\"}"
                         + " | 400 | primary",
                 "POST | /v1/faults | {\"lagMillis\":-1} | 400 | lagMillis",
                 "POST | /v1/faults | {\"faults\":[{\"kind\":\"x\"}]} | 400 | kind",
-                "POST | /v1/other | {\"database\":\"visits\",\"term\":1} | 400 | no such route",
-                "GET | /v1/status?wait=1 | {} | 400 | since",
+                "POST | /v1/other | {ID,\"database\":\"visits\",\"term\":1} | 400 | no such route",
+                "GET | /v1/status?wait=1&since=0 | {} | 400 | request",
+                "GET | /v1/status?wait=1&request=r-1 | {} | 400 | since",
                 "GET | /v1/replication?database=visits&term=1&afterTerm=0&afterIndex=0&wait=0"
+                        + "&request=r-1"
                         + " | {} | 409 | primary"
             })
     void rejectsInvalidRequests(
             String method, String path, String body, int status, String expectedText)
             throws Exception {
         try (StandInCluster cluster = new StandInCluster(1, Behaviour.NORMAL)) {
-            HttpResponse response = send(cluster, method, path, body);
+            String sent = body.replace("ID,", "\"request\":\"r-1\",");
+            HttpResponse response = send(cluster, method, path, sent);
             assertEquals(status, response.status());
             JsonNode error = Json.read(response.body());
             assertTrue(error.path("message").asText().contains(expectedText), error::toString);
+            String request = (path + sent).contains("r-1") ? "r-1" : "";
+            assertEquals(request, error.path("request").asText());
             assertEquals(0, cluster.status(0).term());
         }
     }
--- a/standin/src/test/java/org/crocusturn/standin/database/StatusMonitorTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/database/StatusMonitorTest.java
@@ -5,10 +5,11 @@
 import static org.crocusturn.standin.database.StandInCluster.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -22,6 +23,7 @@
 import org.crocusturn.daemon.net.HttpLimits;
 import org.crocusturn.daemon.net.HttpResponse;
 import org.crocusturn.daemon.net.HttpServer;
+import org.crocusturn.daemon.net.Json;
 import org.crocusturn.daemon.net.NetThreads;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -86,15 +88,25 @@
             monitor.watch(EndpointId.of("db"), Addresses.format(server.address()));
             await(() -> polls.size() == 1);
             String wait = "&wait=" + silentMillis / 3;
-            assertEquals("/v1/status?since=-1" + wait, polls.get(0).request().path());
+            String first = requestId(polls.get(0));
+            assertEquals(
+                    "/v1/status?since=-1" + wait + "&request=" + first,
+                    polls.get(0).request().path());
             polls.get(0)
                     .respond(
                             HttpResponse.json(
                                     200,
-                                    "{\"version\":7,\"copies\":[]}"
-                                            .getBytes(StandardCharsets.UTF_8)));
+                                    Json.write(
+                                            Json.object()
+                                                    .put("request", first)
+                                                    .put("version", 7)
+                                                    .set("copies", Json.object().arrayNode()))));
             await(() -> polls.size() == 2);
-            assertEquals("/v1/status?since=7" + wait, polls.get(1).request().path());
+            String second = requestId(polls.get(1));
+            assertNotEquals(first, second);
+            assertEquals(
+                    "/v1/status?since=7" + wait + "&request=" + second,
+                    polls.get(1).request().path());
             assertInstanceOf(EndpointObservation.StatusReceived.class, mObservations.get(0));
             await(
                     () ->
@@ -130,6 +142,10 @@
         }
     }
 
+    private static String requestId(HttpExchange poll) {
+        return new QueryStringDecoder(poll.request().path()).parameters().get("request").get(0);
+    }
+
     private StatusMonitor monitor(StandInCluster cluster) {
         return StatusMonitor.start(
                 cluster.threads(), SILENCE_TIMEOUT, Duration.ofMillis(1), mObservations::add);
