Match the replies to forwarded changes by the id of the change

An operator can be told that a change was accepted, or refused, with the outcome of another change.

Cause: a control host numbers the changes that it forwards to the leader from 1 in each process, and the leader replies to the host, not to the process. Order of events: A forwards change x as attempt 1; its commit waits for a majority; A is restarted and forwards change y as attempt 1; x is decided, and its reply goes over the new link of A, which takes it for the outcome of y.

Fix: the outcome names its change, so a reply is used only if both the number and the change id agree. The message format stays as it is.

--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ForwardedChanges.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ForwardedChanges.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.HostId;
@@ -17,11 +19,16 @@
 
 /** Tracks the changes that this host forwarded to the leader. Safe for any thread. */
 final class ForwardedChanges {
+    private static final Logger LOG = LogManager.getLogger(ForwardedChanges.class);
+
     /** Longer than the attempt timeout of {@link ProposalDuty}, which ignores later replies. */
     private static final long REPLY_TIMEOUT_MILLIS = 5_000;
 
     private final BiPredicate<HostId, PeerMessage> mSender;
-    private final Map<Long, CompletableFuture<ChangeOutcome>> mPending = new ConcurrentHashMap<>();
+    private final Map<Long, Pending> mPending = new ConcurrentHashMap<>();
+
+    /** A proposal that was sent to the leader, and its outcome. */
+    private record Pending(ForwardedProposal proposal, CompletableFuture<ChangeOutcome> outcome) {}
 
     private ForwardedChanges(BiPredicate<HostId, PeerMessage> sender) {
         mSender = sender;
@@ -41,8 +48,9 @@
     Optional<CompletableFuture<ProposalEvent.AttemptEnded>> forward(
             HostId leader, long attempt, OperatorCommand command) {
         CompletableFuture<ChangeOutcome> reply = new CompletableFuture<>();
-        mPending.put(attempt, reply);
-        if (!mSender.test(leader, new ForwardedProposal(attempt, command))) {
+        ForwardedProposal proposal = new ForwardedProposal(attempt, command);
+        mPending.put(attempt, new Pending(proposal, reply));
+        if (!mSender.test(leader, proposal)) {
             mPending.remove(attempt);
             return Optional.empty();
         }
@@ -56,9 +64,18 @@
                                                 attempt, Optional.empty(), true)));
     }
 
-    /** Handles a reply of the leader. */
+    /** Handles a reply of the leader; one that belongs to no pending attempt is not used. */
     void onReply(ProposalReply reply) {
-        Optional.ofNullable(mPending.get(reply.id())).ifPresent(f -> f.complete(reply.outcome()));
+        Optional.ofNullable(mPending.get(reply.id()))
+                .filter(pending -> reply.answers(pending.proposal()))
+                .ifPresentOrElse(
+                        pending -> pending.outcome().complete(reply.outcome()),
+                        () ->
+                                LOG.info(
+                                        "controlhosts: the reply to attempt {} of change {} belongs"
+                                                + " to no open attempt",
+                                        reply.id(),
+                                        reply.outcome().changeId()));
     }
 
     private static ProposalEvent.AttemptEnded toAttemptEnded(long attempt, ChangeOutcome outcome) {
