Close HTTP connections on bytes that no request asked for

A connection was closed if a whole response came while no request was outstanding. The first part of one stayed in the decoder, and the next response was read as its rest, with the status line and headers of the earlier one.

Fix: anything that arrives without an outstanding request closes the connection, whether it comes alone or in one packet with the response before it.

--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -11,11 +12,13 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -31,8 +34,10 @@
 /**
  * HTTP/1.1 client connection that carries one request at a time.
  *
- * <p>Thread-safe. A connection whose response did not arrive is closed, so that a late response
- * cannot be matched with another request.
+ * <p>Thread-safe. A connection whose response did not arrive is closed, and so is one on which
+ * anything arrives while no request is outstanding, so that a late response cannot be matched with
+ * another request. A response that comes again while the next request is outstanding cannot be told
+ * apart here: a caller that sends several requests has to check which one a response names.
  */
 public final class HttpClientConnection implements AutoCloseable {
     private static final int MAX_RESPONSE_BYTES = 64 << 20;
@@ -174,16 +179,49 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
-                        .addLast(new HttpClientCodec())
+                        .addLast(new UnrequestedInputGuard(handler))
+                        .addLast(new HttpRequestEncoder())
+                        .addLast(handler.mDecoder)
+                        .addLast(new UnrequestedInputGuard(handler))
                         .addLast(new HttpObjectAggregator(maxResponseBytes))
                         .addLast(handler);
             }
         };
     }
 
+    /** Decodes responses and tells whether bytes of an incomplete one are left. */
+    private static final class ResponseDecoder extends HttpResponseDecoder {
+        private boolean hasRemainder() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    /**
+     * Closes the connection when bytes, or the head of a response that came together with the
+     * previous one, arrive while no request is outstanding.
+     */
+    private static final class UnrequestedInputGuard extends ChannelInboundHandlerAdapter {
+        private final ResponseHandler mHandler;
+
+        private UnrequestedInputGuard(ResponseHandler handler) {
+            mHandler = handler;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (mHandler.mPendingResult == null) {
+                ReferenceCountUtil.release(message);
+                context.close();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+    }
+
     /** Completes the pending request with its response; confined to the event loop. */
     private static final class ResponseHandler
             extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final ResponseDecoder mDecoder = new ResponseDecoder();
         private CompletableFuture<HttpResponse> mPendingResult;
 
         private boolean begin(CompletableFuture<HttpResponse> result) {
@@ -229,6 +267,14 @@
             pending.complete(new HttpResponse(response.status().code(), headers, body, close));
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (mPendingResult == null && mDecoder.hasRemainder()) {
+                context.close();
+            }
+            context.fireChannelReadComplete();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             closeAndFail(
