Refuse database answers whose status contradicts their body

A statement that the database refused was answered as done.

Cause: the beginning of an earlier answer, cut off within its headers, and the own answer after it are one HTTP response, with the status of the earlier answer and the body, request id included, of the own one. The client took the outcome from the status alone.

Fix: an answer has a code exactly if its status is not 200. Another one counts as none, so the outcome is may_have_run.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseCodec.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseCodec.java
@@ -63,6 +63,10 @@
      */
     static DatabaseResult result(RequestId request, int status, JsonNode body) {
         EndpointJson.requireAnswer(request, body);
+        // The status line may be that of an earlier answer, whose rest was cut off.
+        if ((status == 200) == body.has("code")) {
+            throw JsonFields.malformed("the answer has status " + status + " and another outcome");
+        }
         if (status != 200) {
             return new DatabaseResult.Refused(failure(body));
         }
