Leave a change in doubt if its answer cannot be told to be its own

The command line said "rejected, not run" (exit status 1) when the answer of a control host was cut off or came from something in between, and "accepted" when the answer named another change. The change may have been made in the first case and may not have been made in the second.

Cause: a body that is not JSON counted as a malformed request, an answer without a verdict as not run, and changeId in the answer was not compared.

Fix: only the verdict not_run means not run, and an accepted change has to name its change id. A refusal names none; the command line opens a connection for each request, so a repeated one meets no other request.

--- a/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/OperatorClient.java
@@ -12,6 +12,7 @@
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
+import org.crocusturn.core.Verdict;
 import org.crocusturn.daemon.net.Json;
 import org.crocusturn.daemon.settings.Secret;
 
@@ -19,6 +20,7 @@
 public final class OperatorClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+    private static final String MEMBER_CHANGE_ID = "member";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -90,8 +92,9 @@
         try {
             HttpResponse<byte[]> response =
                     mClient.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
-            JsonNode json = Json.read(response.body());
+            JsonNode json = read(host, response);
             if (response.statusCode() == OK) {
+                requireOwn(host, changeId, json);
                 return json;
             }
             throw CrocusturnException.of(failure(response.statusCode(), json));
@@ -106,6 +109,27 @@
         }
     }
 
+    private static JsonNode read(URI host, HttpResponse<byte[]> response) {
+        try {
+            return Json.read(response.body());
+        } catch (CrocusturnException e) {
+            throw CrocusturnException.of(
+                    Failure.mayHaveRun("the answer of " + host + " cannot be read"));
+        }
+    }
+
+    /** Checks that an outcome is that of the change; changes of the members share one id. */
+    private static void requireOwn(URI host, Optional<String> changeId, JsonNode json) {
+        String named = json.path("changeId").asText();
+        boolean other =
+                changeId.filter(id -> !named.equals(id) && !named.equals(MEMBER_CHANGE_ID))
+                        .isPresent();
+        if (other) {
+            throw CrocusturnException.of(
+                    Failure.mayHaveRun("the answer of " + host + " is that of another change"));
+        }
+    }
+
     private static Failure failure(int status, JsonNode json) {
         StringBuilder message = new StringBuilder(json.path("message").asText("refused"));
         json.path("faults")
@@ -119,7 +143,7 @@
                                         .append(f.path("value").asText())
                                         .append(", expected ")
                                         .append(f.path("allowed").asText()));
-        if (json.path("verdict").asText().equals("may_have_run")) {
+        if (!json.path("verdict").asText().equals(Verdict.NOT_RUN.wireName())) {
             return Failure.mayHaveRun(message.toString());
         }
         return Failure.notRun(
