Take the verdict of a command from its result, not from its connection

What callers saw: an acknowledged write was there two or three times, and a transaction answered as not run was there. FailureProofTest found it with database answers that are crossed, cut off or repeated.

Cause: when a connection closed, its listener ran before the pending request was completed, and reported the end of the connection with the verdict "not run". The group took that as the outcome of the command that was running on the connection and sent the write again. The result of the command, "may have run", came after it and was ignored.

Fix: the end of a connection decides nothing about a command that runs on it; the result of the command follows in any case. HttpClientConnection tells the end of a connection after the result of its request. Tests missed it because the simulation let connections fail only while they were being opened.

--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupConnectionEvents.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupConnectionEvents.java
@@ -31,14 +31,8 @@
         if (endpoint == null) {
             return;
         }
-        RunningCommand running = step.mRunning.get(connection);
-        if (running != null) {
-            GroupResults.handleResult(
-                    step,
-                    new GroupInput.ResultReceived(
-                            connection,
-                            running.command(),
-                            new DatabaseResult.Lost(failed.failure())));
+        if (step.mRunning.get(connection) != null) {
+            // Only the result of the command, which follows, tells whether it may have run.
             return;
         }
         step.mTransactions
--- a/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusturn.core.EndpointId;
+import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
@@ -253,7 +254,20 @@
                 lostBefore
                         ? lost("connection reset")
                         : copy.run(send.connection(), send.payload(), caller.expected(), mNowNanos);
-        after(1 + mRandom.nextInt(6), () -> result(send, lostAfter ? lost("answer lost") : result));
+        long delay = 1 + mRandom.nextInt(6);
+        if (faultDraw == 1) {
+            // The end of the connection is reported before the outcome of its command.
+            after(delay, () -> connectionClosed(send.connection()));
+        }
+        after(delay, () -> result(send, lostAfter ? lost("answer lost") : result));
+    }
+
+    private void connectionClosed(long connection) {
+        deliver(
+                new GroupInput.ConnectionFailed(
+                        connection,
+                        Failure.notRun(ErrorCode.UNAVAILABLE, "the connection was closed")),
+                0);
     }
 
     private static DatabaseResult lost(String message) {
--- a/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/net/HttpClientConnection.java
@@ -103,9 +103,12 @@
         return mChannel.isActive();
     }
 
-    /** Runs an action when the connection closes, or at once if it is closed already. */
+    /**
+     * Runs an action when the connection has closed, or at once if it is closed already. The result
+     * of the last request is complete before that.
+     */
     public void onClosed(Runnable action) {
-        mChannel.closeFuture().addListener(done -> ThreadFailures.guardTask(action).run());
+        mHandler.mClosed.thenRun(ThreadFailures.guardTask(action));
     }
 
     @Override
@@ -222,6 +225,7 @@
     private static final class ResponseHandler
             extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final ResponseDecoder mDecoder = new ResponseDecoder();
+        private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
         private CompletableFuture<HttpResponse> mPendingResult;
 
         private boolean begin(CompletableFuture<HttpResponse> result) {
@@ -279,6 +283,7 @@
         public void channelInactive(ChannelHandlerContext context) {
             closeAndFail(
                     context.channel(), "the connection was closed before the response arrived");
+            mClosed.complete(null);
         }
 
         @Override
--- a/daemon/src/test/java/org/crocusturn/daemon/net/HttpClientConnectionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpClientConnectionTest.java
@@ -11,10 +11,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.crocusturn.core.CrocusturnException;
@@ -24,6 +26,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against bytes that arrive while no request is outstanding and become part of a response.
@@ -58,12 +61,7 @@
     @MethodSource("unrequestedBytes")
     void closesConnectionOnBytesWithoutRequest(String bytes, boolean together) throws Exception {
         mThreads.execute(() -> serve(bytes, together));
-        HttpClientConnection connection =
-                HttpClientConnection.connect(
-                                mNetThreads,
-                                (InetSocketAddress) mServer.getLocalSocketAddress(),
-                                TIMEOUT)
-                        .get(10, TimeUnit.SECONDS);
+        HttpClientConnection connection = connect();
         assertEquals(200, send(connection).status());
         mAnswered.countDown();
         CountDownLatch closed = new CountDownLatch(1);
@@ -85,6 +83,42 @@
                 .flatMap(bytes -> Stream.of(Arguments.of(bytes, false), Arguments.of(bytes, true)));
     }
 
+    /** Guards against a request whose end is not known when the end of its connection is told. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "not HTTP\r\n\r\n",
+                "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no",
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok"
+            })
+    void reportsResultBeforeTheEndOfTheConnection(String bytes) throws Exception {
+        mThreads.execute(() -> serveOnce(bytes));
+        HttpClientConnection connection = connect();
+        BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        connection.onClosed(() -> events.add("closed"));
+        connection
+                .send(HttpRequest.of("GET", "/"), TIMEOUT)
+                .whenComplete((response, error) -> events.add("result"));
+        assertEquals("result", events.poll(5, TimeUnit.SECONDS));
+        assertEquals("closed", events.poll(5, TimeUnit.SECONDS));
+    }
+
+    private HttpClientConnection connect() throws Exception {
+        return HttpClientConnection.connect(
+                        mNetThreads, (InetSocketAddress) mServer.getLocalSocketAddress(), TIMEOUT)
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    private void serveOnce(String bytes) {
+        try (Socket socket = mServer.accept()) {
+            socket.getInputStream().read(new byte[4096]);
+            write(socket, bytes);
+        } catch (IOException e) {
+            // The client closed the connection, or the test has ended.
+        }
+    }
+
     private static HttpResponse send(HttpClientConnection connection) throws Exception {
         return connection.send(HttpRequest.of("GET", "/"), TIMEOUT).get(10, TimeUnit.SECONDS);
     }
--- a/standin/src/test/java/org/crocusturn/standin/local/FailureProofTest.java
+++ b/standin/src/test/java/org/crocusturn/standin/local/FailureProofTest.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.crocusturn.core.Verdict;
@@ -18,6 +19,8 @@
 import org.crocusturn.daemon.operators.ConfigurationWriter;
 import org.crocusturn.daemon.operators.OperatorClient;
 import org.crocusturn.standin.database.Behaviour;
+import org.crocusturn.standin.database.Fault;
+import org.crocusturn.standin.database.StandInDatabase;
 import org.crocusturn.standin.history.LoadGenerator;
 import org.crocusturn.standin.history.Operation;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,6 +34,9 @@
  */
 class FailureProofTest {
     private static final long SEED = 20_261_204;
+    private static final int FAULT_ROUNDS = 12;
+    private static final int WRITES_PER_ROUND = 8;
+    private static final String[] OTHER_ROUTES = {"/v1/status", "/v1/replication", "/v1/session"};
 
     /**
      * Failures that may fail requests, with the longest allowed gap between acknowledged writes.
@@ -54,6 +60,33 @@
         }
     }
 
+    /** Faults of database answers, with the delays of late or repeated ones in milliseconds. */
+    enum FaultyAnswers {
+        LATE(Fault.Kind.LATE, 5, 50, 400),
+        SPLIT(Fault.Kind.SPLIT, 0),
+        CROSSED(Fault.Kind.CROSSED, 0),
+        CUT(Fault.Kind.CUT, 0),
+        REPEATED_AT_ONCE(Fault.Kind.REPEATED, 0, 1),
+        REPEATED_LATE(Fault.Kind.REPEATED, 5, 20, 100),
+        REPEATED_AFTER_SECONDS(Fault.Kind.REPEATED, 1_000, 2_000);
+
+        private final Fault.Kind mKind;
+        private final long[] mDelays;
+
+        FaultyAnswers(Fault.Kind kind, long... delays) {
+            mKind = kind;
+            mDelays = delays;
+        }
+
+        /** Returns a fault of two answers in a row, and of one of another route. */
+        private Fault[] faults(Random random) {
+            Fault fault = Fault.once(mKind).withMillis(mDelays[random.nextInt(mDelays.length)]);
+            return new Fault[] {
+                fault.withTimes(2), fault.withRoute(OTHER_ROUTES[random.nextInt(3)])
+            };
+        }
+    }
+
     /** Planned changes under load that must not fail any request. */
     enum PlannedChange {
         DATA_CENTRE_DRAINED(
@@ -104,6 +137,33 @@
         }
     }
 
+    /** Guards against answers of databases that are given to another request or used in part. */
+    @ParameterizedTest
+    @EnumSource
+    void keepsHistoryCorrectDespiteFaultyAnswers(FaultyAnswers kind, @TempDir Path folder) {
+        Random random = new Random(SEED);
+        try (DeploymentUnderLoad system = DeploymentUnderLoad.start(folder, SEED)) {
+            IntStream.range(0, FAULT_ROUNDS)
+                    .forEach(
+                            round -> {
+                                system.deployment()
+                                        .databases()
+                                        .forEach(d -> d.injectFaults(kind.faults(random)));
+                                system.awaitMoreWrites(WRITES_PER_ROUND);
+                            });
+            system.deployment().databases().forEach(StandInDatabase::injectFaults);
+            system.awaitMoreWrites(WRITES_PER_ROUND);
+            List<Operation> history = system.stopAndCheck();
+            System.out.printf(
+                    "proof: %s seed %d, %d rounds, %d operations, %d not acknowledged%n",
+                    kind,
+                    SEED,
+                    FAULT_ROUNDS,
+                    history.size(),
+                    DeploymentUnderLoad.unacknowledged(history).size());
+        }
+    }
+
     /** Guards against requests that fail because of a planned change. */
     @ParameterizedTest
     @EnumSource
