Report the end of a database connection without a verdict

Nothing rests on the verdict any more since the result of a command alone decides, so a second source of verdicts is removed.

--- a/core/src/main/java/org/crocusturn/core/endpoints/GroupInput.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/GroupInput.java
@@ -1,7 +1,6 @@
 package org.crocusturn.core.endpoints;
 
 import java.util.Objects;
-import org.crocusturn.core.Failure;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.callers.GroupRequest;
 import org.crocusturn.core.controlhosts.GrantedTokens;
@@ -46,13 +45,11 @@
     /** A connection was opened. */
     record ConnectionOpened(long connection) implements GroupInput {}
 
-    /** A connection could not be opened or was closed by the endpoint. */
-    record ConnectionFailed(long connection, Failure failure) implements GroupInput {
-        /** Rejects a null failure. */
-        public ConnectionFailed {
-            Objects.requireNonNull(failure, "failure");
-        }
-    }
+    /**
+     * A connection could not be opened or has closed. The result of a command that runs on it
+     * follows.
+     */
+    record ConnectionFailed(long connection) implements GroupInput {}
 
     /** A command ended; results of commands that are no longer running are ignored. */
     record ResultReceived(long connection, long command, DatabaseResult result)
--- a/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusturn.core.EndpointId;
-import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
@@ -209,10 +208,7 @@
         check(count <= LIMITS.connections(), count + " connections to " + open.endpoint());
         SimulatedCopy copy = copy(open.endpoint());
         if (mRandom.nextInt(20) == 0) {
-            deliver(
-                    new GroupInput.ConnectionFailed(
-                            open.connection(), Failure.mayHaveRun("refused")),
-                    3);
+            deliver(new GroupInput.ConnectionFailed(open.connection()), 3);
             return;
         }
         whenUnfrozen(
@@ -263,11 +259,7 @@
     }
 
     private void connectionClosed(long connection) {
-        deliver(
-                new GroupInput.ConnectionFailed(
-                        connection,
-                        Failure.notRun(ErrorCode.UNAVAILABLE, "the connection was closed")),
-                0);
+        deliver(new GroupInput.ConnectionFailed(connection), 0);
     }
 
     private static DatabaseResult lost(String message) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupConnections.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupConnections.java
@@ -42,13 +42,7 @@
         long connection = open.connection();
         mClients.put(new Key(group, connection), Optional.empty());
         if (address.isEmpty()) {
-            offer(
-                    new GroupsEvent.ConnectionFailed(
-                            group,
-                            connection,
-                            Failure.notRun(
-                                    ErrorCode.UNAVAILABLE,
-                                    "the endpoint is no longer registered")));
+            offer(new GroupsEvent.ConnectionFailed(group, connection));
             return;
         }
         DatabaseClient.open(
@@ -65,19 +59,11 @@
 
     private void opened(GroupId group, long connection, DatabaseClient client, Throwable error) {
         if (error != null) {
-            offer(new GroupsEvent.ConnectionFailed(group, connection, failure(error)));
+            offer(new GroupsEvent.ConnectionFailed(group, connection));
             return;
         }
         offer(new GroupsEvent.ConnectionOpened(group, connection, client));
-        client.onClosed(
-                () ->
-                        offer(
-                                new GroupsEvent.ConnectionFailed(
-                                        group,
-                                        connection,
-                                        Failure.notRun(
-                                                ErrorCode.UNAVAILABLE,
-                                                "the connection was closed"))));
+        client.onClosed(() -> offer(new GroupsEvent.ConnectionFailed(group, connection)));
     }
 
     /** Registers an opened connection; closes it and returns false if it is no longer needed. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsDuty.java
@@ -133,9 +133,7 @@
             }
         } else if (event instanceof GroupsEvent.ConnectionFailed failed) {
             mConnections.forget(failed.group(), failed.connection());
-            step(
-                    failed.group(),
-                    new GroupInput.ConnectionFailed(failed.connection(), failed.failure()));
+            step(failed.group(), new GroupInput.ConnectionFailed(failed.connection()));
         } else if (event instanceof GroupsEvent.CommandCompleted completed) {
             step(
                     completed.group(),
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsEvent.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/GroupsEvent.java
@@ -1,7 +1,6 @@
 package org.crocusturn.daemon.endpoints;
 
 import java.util.Objects;
-import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.ControlView;
@@ -39,12 +38,10 @@
     }
 
     /** A connection could not be opened or was closed by the other side. */
-    record ConnectionFailed(GroupId group, long connection, Failure failure)
-            implements GroupsEvent {
-        /** Checks that no part is null. */
+    record ConnectionFailed(GroupId group, long connection) implements GroupsEvent {
+        /** Checks that the group is not null. */
         public ConnectionFailed {
             Objects.requireNonNull(group, "group");
-            Objects.requireNonNull(failure, "failure");
         }
     }
 
