Number the reports of each entry host process apart

A restarted entry host could take the leases and tokens of the process before it as its own, counted from one of its own reports.

Cause: reports are numbered from 1 in each process, an update names the report that it answers by this number alone, and the leader sends it over the present link of the host. Order of events: process P sends report 3 and ends; its successor connects and sends reports 1 to 3, which the leader has not read yet; the leader answers report 3 of P over the new link, and the successor takes the leases of P, with durations that count from its own, later report.

Evidence: ControlViewTest.ignoresUpdatesForEarlierProcesses failed in 4 of 4 cases with reports numbered from 1.

Fix: the numbers of a process begin at a random base that is drawn from its incarnation. An update that answers a report which the process has not sent is outdated, as before. The message format stays as it is.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ControlView.java
@@ -27,6 +27,9 @@
     /** Time for which a grant id is kept after its last receipt; a grant is valid for 1 s. */
     private static final long GRANT_ID_RETENTION_NANOS = 10_000_000_000L;
 
+    /** Bits of a sequence that count the reports of one process. */
+    private static final int SEQUENCE_BITS = 32;
+
     private final StateApplier mApplier;
     private final ControlState mState;
     private final long mLeaderTerm;
@@ -92,6 +95,18 @@
                                 .state());
     }
 
+    /**
+     * Returns an empty view whose reports have other sequences than those of other processes of the
+     * host, so that an update which answers a report of an earlier process is outdated.
+     *
+     * @param incarnation random number drawn at the start of the process
+     */
+    public ControlView ofProcess(long incarnation) {
+        Builder builder = toBuilder();
+        builder.mNextSequence = ((incarnation >>> (SEQUENCE_BITS + 1)) << SEQUENCE_BITS) + 1;
+        return new ControlView(builder);
+    }
+
     /** Creates an empty view that applies commands with the given applier. */
     public static ControlView empty(StateApplier applier) {
         Builder builder = new Builder();
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ControlViewTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ControlViewTest.java
@@ -86,6 +86,33 @@
         assertEquals(7, view.state().version());
     }
 
+    /**
+     * Guards against a restarted process that takes the leases and tokens of the process before it
+     * from an update that comes late.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 2, 1", "1, 2, 3", "-7, 8, 3", "0, -1, 3"})
+    void ignoresUpdatesForEarlierProcesses(long earlier, long later, int reports) {
+        // The upper half of a random number tells the processes apart.
+        ControlView before = sendReports(earlier << 40, reports);
+        ControlView after = sendReports(later << 40, reports);
+        ControlUpdate late = update(2, before.nextSequence() - 1, 5, 1);
+        ControlView view = after.withUpdate(late, NANOS_PER_MILLI);
+        assertEquals(false, view.isLeaseValid(GROUP, NANOS_PER_MILLI));
+        assertEquals(0, view.newTokens().size());
+        ControlUpdate own = update(2, after.nextSequence() - 1, 5, 1);
+        assertEquals(
+                true, view.withUpdate(own, NANOS_PER_MILLI).isLeaseValid(GROUP, NANOS_PER_MILLI));
+    }
+
+    private static ControlView sendReports(long incarnation, int count) {
+        ControlView view = ControlView.empty(ControlViewTest::apply).ofProcess(incarnation);
+        for (int i = 0; i < count; i++) {
+            view = view.withReportSent(view.nextSequence(), 0);
+        }
+        return view;
+    }
+
     @ParameterizedTest
     @CsvSource({"0, 10", "1199, 10", "1200, 0"})
     void ignoresExpiredTokens(long nowMillis, long tokens) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlLinkDuty.java
@@ -105,7 +105,7 @@
             Consumer<List<Member>> onMembers) {
         mOnMembers = onMembers;
         mSelf = self;
-        mView = view;
+        mView = view.ofProcess(self.incarnation());
         mSender = sender;
         mOnView = onView;
         mLastReportNanos = SteadyClock.nanoTime() - REPORT_INTERVAL_NANOS;
