--- a/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/GroupSimulation.java
@@ -208,10 +208,7 @@
         check(count <= LIMITS.connections(), count + " connections to " + open.endpoint());
         SimulatedCopy copy = copy(open.endpoint());
         if (mRandom.nextInt(20) == 0) {
-            deliver(
-                    new GroupInput.ConnectionFailed(
-                            open.connection(), Failure.mayHaveRun("refused")),
-                    3);
+            deliver(new GroupInput.ConnectionFailed(open.connection()), 3);
             return;
         }
         whenUnfrozen(
@@ -253,7 +250,16 @@
                 lostBefore
                         ? lost("connection reset")
                         : copy.run(send.connection(), send.payload(), caller.expected(), mNowNanos);
-        after(1 + mRandom.nextInt(6), () -> result(send, lostAfter ? lost("answer lost") : result));
+        long delay = 1 + mRandom.nextInt(6);
+        if (faultDraw == 1) {
+            // The end of the connection is reported before the outcome of its command.
+            after(delay, () -> connectionClosed(send.connection()));
+        }
+        after(delay, () -> result(send, lostAfter ? lost("answer lost") : result));
+    }
+
+    private void connectionClosed(long connection) {
+        deliver(new GroupInput.ConnectionFailed(connection), 0);
     }
 
     private static DatabaseResult lost(String message) {
