--- a/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
@@ -1,6 +1,7 @@
 package org.crocusturn.core.controlhosts;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.HostId;
@@ -28,10 +30,13 @@
     private final Set<HostId> mDeparted = new HashSet<>();
     private final VirtualTime mTime = new VirtualTime();
     private final Membership mInitialMembership;
+    private final Map<ControlCommand, Long> mProposalIds = new HashMap<>();
+    private Set<HostId> mSeeds;
     private long mProposals;
 
     private ReplacementRun(Membership initialMembership) {
         mInitialMembership = initialMembership;
+        mSeeds = initialMembership.members().stream().map(Member::host).collect(Collectors.toSet());
     }
 
     /** Starts a group with three first voters; further hosts join. */
@@ -94,19 +99,45 @@
 
     /** Takes the power from all hosts at once and the disks from some; all start again. */
     void losePower(Set<HostId> lostDisks) {
-        present().forEach(host -> host.crash(0));
+        losePower(lostDisks, host -> Duration.ZERO);
+    }
+
+    /**
+     * Takes the power from all hosts at once and the disks from some. Unconfirmed writes reach the
+     * disk or not.
+     *
+     * @param downTime time after which each host starts again
+     */
+    void losePower(Set<HostId> lostDisks, Function<HostId, Duration> downTime) {
+        present().forEach(host -> host.crash(mRandom.nextInt(3)));
         lostDisks.forEach(host -> mHosts.get(host).loseDisk());
-        present().forEach(this::restart);
+        present()
+                .forEach(
+                        host ->
+                                mTime.schedule(
+                                        downTime.apply(host.host()).toNanos(),
+                                        () -> restart(host)));
+    }
+
+    /** Replaces the hosts that a host without a log asks to join. */
+    void setSeeds(Set<HostId> seeds) {
+        mSeeds = Set.copyOf(seeds);
     }
 
     /** Proposes a command on the leader and returns it. */
     ControlCommand propose() {
         ControlCommand command =
                 new ControlCommand.RemoveEndpoint(EndpointId.of("e" + ++mProposals));
+        mProposalIds.put(command, mProposals);
         leader().orElseThrow().step(new ConsensusInput.Propose(mProposals, command));
         return command;
     }
 
+    /** Returns whether a command was reported as committed. */
+    boolean isAcknowledged(ControlCommand command) {
+        return mChecks.isAcknowledged(mProposalIds.get(command));
+    }
+
     /** Returns the host whose leader lease is valid, if there is one. */
     Optional<ScheduleHost> leader() {
         return present().stream().filter(h -> h.isLeaseValid(nowNanos())).findFirst();
@@ -148,6 +179,7 @@
                         .map(ScheduleHost::state)
                         .flatMap(Optional::stream)
                         .filter(state -> state.membership().member(state.self()).isEmpty())
+                        .filter(this::reachesLeader)
                         .collect(Collectors.toMap(ConsensusState::self, state -> LINK_ADDRESS));
         Optional<ScheduleHost> leader = leader();
         if (leader.isPresent()) {
@@ -166,4 +198,19 @@
         }
         mTime.schedule(interval, this::maintainMembers);
     }
+
+    /** Returns whether a host knows one that leads or passes a request on to the leader. */
+    private boolean reachesLeader(ConsensusState asking) {
+        Set<HostId> known =
+                asking.membership().members().isEmpty()
+                        ? mSeeds
+                        : asking.membership().members().stream()
+                                .map(Member::host)
+                                .collect(Collectors.toSet());
+        return known.stream()
+                .filter(host -> !mDeparted.contains(host))
+                .flatMap(host -> Optional.ofNullable(mHosts.get(host)).stream())
+                .flatMap(host -> host.state().stream())
+                .anyMatch(state -> state.leaderHint().isPresent());
+    }
 }
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleChecks.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleChecks.java
@@ -12,6 +12,7 @@
     private final Map<Long, HostId> mLeaders = new HashMap<>();
     private final Map<Long, LogEntry> mCommitted = new HashMap<>();
     private final Set<Long> mRejected = new HashSet<>();
+    private final Set<Long> mAcknowledged = new HashSet<>();
     private long mLastCommitted;
 
     void onElected(ConsensusState state) {
@@ -73,6 +74,12 @@
                         ? command.proposalId() == proposalId
                         : mCommitted.get(index).content() instanceof LogContent.MembershipContent;
         check(same, "proposal " + proposalId + " is not the entry at " + index);
+        mAcknowledged.add(proposalId);
+    }
+
+    /** Returns whether a leader has reported a proposal as committed. */
+    boolean isAcknowledged(long proposalId) {
+        return mAcknowledged.contains(proposalId);
     }
 
     int committedCount() {
