Hand the vote of a stopping control host to a learner

Callers' view: after a planned replacement of a control host, a loss of power with as many lost disks as the settings tolerate leaves no leader, so the configuration is not read back.

Cause: a voter that stops is replaced after 2 s of silence. The platform no longer counts a removed machine once its successor has run for catch-up-s. If the successor started before the stop, that time may be over at the stop, and the group still counts a voter that is gone: three voters then bear no lost disk, five bear one.

Change: a host that stops hands over its leadership as before and then resigns. Its replies carry the mark of a recovering member, so that the leader counts them neither for commits nor for the lease, and MembershipPolicy replaces a voter that does not count like a silent one, without the wait. The process stops when the other members have closed their links to it. The wire format and the files stay the same. A voter that recovers from a lost disk is replaced by a ready learner for the same reason.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Consensus.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.crocusturn.core.Decision;
 import org.crocusturn.core.HostId;
 
@@ -68,6 +69,21 @@
         return membersWith(state, p -> nowNanos - p.ackedNanos() >= silenceNanos);
     }
 
+    /**
+     * Returns the members that a learner may replace: those that have been silent for the given
+     * time, and voters that do not count because they are about to stop or lost their log.
+     */
+    public static Set<HostId> replaceableMembers(
+            ConsensusState state, long silenceNanos, long nowNanos) {
+        Set<HostId> uncounted = membersWith(state, p -> !p.counted());
+        return Stream.concat(
+                        silentMembers(state, silenceNanos, nowNanos).stream(),
+                        state.membership().voters().stream()
+                                .map(Member::host)
+                                .filter(uncounted::contains))
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the members whose log has caught up with the leader's commit index. */
     public static Set<HostId> caughtUpMembers(ConsensusState state) {
         return membersWith(
@@ -121,6 +137,8 @@
             return Decision.of(state.withApplyPaused(pause.paused()));
         } else if (input instanceof ConsensusInput.TransferRequested) {
             return Decision.of(LeadershipTransfers.begin(state, nowNanos));
+        } else if (input instanceof ConsensusInput.ResignRequested) {
+            return Decision.of(state.withResigned());
         }
         return state.leaderRole().isPresent()
                 ? LeaderReplication.tick(state, nowNanos)
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusInput.java
@@ -73,4 +73,7 @@
 
     /** A request to transfer the leadership to another voter. */
     record TransferRequested() implements ConsensusInput {}
+
+    /** A request not to count any more, because this host is about to stop. */
+    record ResignRequested() implements ConsensusInput {}
 }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
@@ -24,6 +24,7 @@
  * @param applyPaused whether committed entries wait because the caller is busy with earlier ones
  * @param snapshotRequested whether a snapshot was requested and not delivered yet
  * @param recovery recovery from a lost disk, used only while the hard state says so
+ * @param resigned whether the member no longer counts because it is about to stop
  * @param safeguards safety rules in force
  */
 public record ConsensusState(
@@ -38,6 +39,7 @@
         boolean applyPaused,
         boolean snapshotRequested,
         Recovery recovery,
+        boolean resigned,
         Safeguards safeguards) {
     /** Checks that no part is null. */
     public ConsensusState {
@@ -156,6 +158,7 @@
                 false,
                 false,
                 new Recovery(seed, Optional.empty()),
+                false,
                 Safeguards.ALL);
     }
 
@@ -226,6 +229,7 @@
                 applyPaused,
                 requested,
                 recovery,
+                resigned,
                 safeguards);
     }
 
@@ -242,6 +246,7 @@
                 paused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 safeguards);
     }
 
@@ -262,6 +267,24 @@
                 applyPaused,
                 snapshotRequested,
                 next,
+                resigned,
+                safeguards);
+    }
+
+    ConsensusState withResigned() {
+        return new ConsensusState(
+                self,
+                hardState,
+                log,
+                persistQueue,
+                role,
+                electionTimer,
+                commitIndex,
+                appliedIndex,
+                applyPaused,
+                snapshotRequested,
+                recovery,
+                true,
                 safeguards);
     }
 
@@ -278,6 +301,7 @@
                 applyPaused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 next);
     }
 
@@ -299,6 +323,7 @@
                 applyPaused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 safeguards);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Elections.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Elections.java
@@ -157,7 +157,9 @@
                         .member(state.self())
                         .filter(Member::voter)
                         .isPresent();
-        return !state.hardState().recovering() && (state.isVoter() || committedVoter);
+        return !state.hardState().recovering()
+                && !state.resigned()
+                && (state.isVoter() || committedVoter);
     }
 
     private static boolean isLeaderActive(
--- a/core/src/main/java/org/crocusturn/core/controlhosts/FollowerReplication.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/FollowerReplication.java
@@ -156,6 +156,10 @@
     private static ConsensusMessage appendReply(
             ConsensusState state, boolean success, long index, long round) {
         return new ConsensusMessage.AppendReply(
-                state.term(), success, index, round, state.hardState().recovering());
+                state.term(),
+                success,
+                index,
+                round,
+                state.hardState().recovering() || state.resigned());
     }
 }
--- a/core/src/main/java/org/crocusturn/core/controlhosts/MembershipPolicy.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/MembershipPolicy.java
@@ -12,8 +12,8 @@
  * Chooses the next change of the consensus group that a leader should make.
  *
  * <p>Hosts that ask to join become learners. A learner is promoted if that makes the number of
- * voters odd, or to replace a silent voter, which is removed after the promotion. An even number of
- * voters tolerates no more failures than the odd number below it.
+ * voters odd, or to replace an absent voter, which is removed after the promotion. An even number
+ * of voters tolerates no more failures than the odd number below it.
  */
 public final class MembershipPolicy {
     /**
@@ -43,19 +43,19 @@
      *
      * @param membership membership in force
      * @param joining hosts that recently asked to join, with their link addresses
-     * @param silent members other than the leader that have been silent for {@link
-     *     #REPLACEMENT_SILENCE_NANOS}
+     * @param absent members other than the leader that have been silent for {@link
+     *     #REPLACEMENT_SILENCE_NANOS}, and voters that do not count
      * @param ready learners that have caught up
      */
     public static Optional<MembershipChange> next(
             Membership membership,
             Map<HostId, String> joining,
-            Set<HostId> silent,
+            Set<HostId> absent,
             Set<HostId> ready) {
         return removeMoved(membership, joining)
-                .or(() -> removeSilentLearner(membership, silent))
-                .or(() -> removeExcessVoter(membership, silent))
-                .or(() -> promoteLearner(membership, silent, ready))
+                .or(() -> removeSilentLearner(membership, absent))
+                .or(() -> removeExcessVoter(membership, absent))
+                .or(() -> promoteLearner(membership, absent, ready))
                 .or(() -> addLearner(membership, joining));
     }
 
@@ -70,32 +70,32 @@
     }
 
     private static Optional<MembershipChange> removeSilentLearner(
-            Membership membership, Set<HostId> silent) {
+            Membership membership, Set<HostId> absent) {
         return membership.members().stream()
-                .filter(m -> !m.voter() && silent.contains(m.host()))
+                .filter(m -> !m.voter() && absent.contains(m.host()))
                 .findFirst()
                 .map(m -> new MembershipChange.Remove(m.host()));
     }
 
     private static Optional<MembershipChange> removeExcessVoter(
-            Membership membership, Set<HostId> silent) {
+            Membership membership, Set<HostId> absent) {
         List<Member> voters = membership.voters();
         return voters.size() % 2 == 1
                 ? Optional.empty()
                 : voters.stream()
-                        .filter(m -> silent.contains(m.host()))
+                        .filter(m -> absent.contains(m.host()))
                         .findFirst()
                         .map(m -> new MembershipChange.Remove(m.host()));
     }
 
     private static Optional<MembershipChange> promoteLearner(
-            Membership membership, Set<HostId> silent, Set<HostId> ready) {
+            Membership membership, Set<HostId> absent, Set<HostId> ready) {
         List<Member> voters = membership.voters();
-        boolean hasSilentVoter = voters.stream().anyMatch(m -> silent.contains(m.host()));
+        boolean hasAbsentVoter = voters.stream().anyMatch(m -> absent.contains(m.host()));
         boolean hasEvenVoters = voters.size() % 2 == 0;
         long learners = membership.members().stream().filter(m -> !m.voter()).count();
         // Two learners are promoted one after the other; the number of voters is even only briefly.
-        return hasSilentVoter || hasEvenVoters || learners >= 2
+        return hasAbsentVoter || hasEvenVoters || learners >= 2
                 ? membership.members().stream()
                         .filter(m -> !m.voter() && ready.contains(m.host()))
                         .min(Comparator.comparing(Member::host))
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
@@ -22,6 +22,7 @@
 final class ReplacementRun implements ScheduleNetwork {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
+    private static final long TRANSFER_NANOS = 100 * NANOS_PER_MILLI;
     private static final String LINK_ADDRESS = "127.0.0.1:1";
 
     private final Random mRandom = new Random(1);
@@ -97,6 +98,13 @@
         mHosts.get(host).loseDisk();
     }
 
+    /** Hands the leadership and the vote of a host over, as a host does before it stops. */
+    void resign(HostId host) {
+        ScheduleHost resigning = mHosts.get(host);
+        resigning.step(new ConsensusInput.TransferRequested());
+        mTime.schedule(TRANSFER_NANOS, () -> resigning.step(new ConsensusInput.ResignRequested()));
+    }
+
     /** Takes the power from all hosts at once and the disks from some; all start again. */
     void losePower(Set<HostId> lostDisks) {
         losePower(lostDisks, host -> Duration.ZERO);
@@ -188,7 +196,7 @@
                     MembershipPolicy.next(
                             state.membership(),
                             joining,
-                            Consensus.silentMembers(
+                            Consensus.replaceableMembers(
                                     state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, nowNanos()),
                             Consensus.caughtUpMembers(state));
             if (change.isPresent()) {
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ScheduleRun.java
@@ -133,7 +133,7 @@
             return;
         }
         ScheduleHost host = randomHost();
-        switch (mRandom.nextInt(13)) {
+        switch (mRandom.nextInt(14)) {
             case 0 -> mPartition = Set.of(host.host());
             case 1 -> mPartition = Set.copyOf(List.of(host.host(), randomHost().host()));
             case 2, 3 -> mPartition = Set.of();
@@ -143,6 +143,7 @@
             case 9 -> host.step(new ConsensusInput.TransferRequested());
             case 10 -> changeMembership();
             case 11 -> losePower();
+            case 12 -> restartAsPlanned(host);
             default -> host.takeSnapshot();
         }
         mTime.schedule((20 + mRandom.nextInt(250)) * NANOS_PER_MILLI, this::injectFault);
@@ -166,6 +167,17 @@
                         host.host(), host.disk(), mInitialMembership, mRandom.nextLong(), now));
     }
 
+    /** Lets a host resign, and restarts it some time later. */
+    private void restartAsPlanned(ScheduleHost host) {
+        host.step(new ConsensusInput.ResignRequested());
+        mTime.schedule(
+                (20 + mRandom.nextInt(500)) * NANOS_PER_MILLI,
+                () -> {
+                    host.crash(2);
+                    restart(host);
+                });
+    }
+
     /** Stops all hosts at once, so that only synced state survives. */
     private void losePower() {
         mHosts.values().forEach(host -> host.crash(mRandom.nextInt(2)));
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ToleratedLossesTest.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ToleratedLossesTest.java
@@ -28,6 +28,9 @@
     /** Time after its start from which a new host no longer counts as lost. */
     private static final Duration CATCH_UP = Duration.ofSeconds(4);
 
+    /** Longest time of a host from its stop signal until its process ends. */
+    private static final Duration STOP_TIME = Duration.ofMillis(1_200);
+
     private static final Duration RECOVERY = Duration.ofSeconds(3);
 
     private static final Duration COMMIT = Duration.ofMillis(200);
@@ -81,6 +84,47 @@
         }
     }
 
+    static Stream<Arguments> plannedReplacements() {
+        return Stream.of(Arguments.of(3, 1), Arguments.of(4, 1), Arguments.of(5, 2))
+                .flatMap(
+                        group ->
+                                Stream.of(1_500, 2_000, 3_000, 4_000, 6_000)
+                                        .map(
+                                                millis ->
+                                                        Arguments.of(
+                                                                group.get()[0],
+                                                                group.get()[1],
+                                                                millis)));
+    }
+
+    /**
+     * Guards against a stopped host that the group still counts although its successor has caught
+     * up. The successor starts before the host stops.
+     */
+    @ParameterizedTest(name = "{0} hosts, {1} lost disks, host stops {2} ms after its successor")
+    @MethodSource("plannedReplacements")
+    void electsLeaderAfterPlannedReplacement(int hosts, int disks, int stopMillis) {
+        for (int choice : choices(hosts, disks)) {
+            List<HostId> names = names(hosts);
+            ReplacementRun run = ReplacementRun.start(names);
+            run.advance(STARTUP);
+            List<HostId> present = new ArrayList<>(names);
+            HostId successor = HostId.of("n0");
+            run.advance(PROCESS_START);
+            run.startEmpty(successor);
+            run.advance(Duration.ofMillis(stopMillis));
+            run.resign(present.get(0));
+            run.advance(STOP_TIME);
+            run.depart(present.set(0, successor));
+            Duration left = CATCH_UP.minusMillis(stopMillis).minus(STOP_TIME);
+            run.advance(left.isNegative() ? Duration.ZERO : left);
+            Set<HostId> lost = chosen(present, choice);
+            run.losePower(lost);
+            run.advance(RECOVERY);
+            assertTrue(run.leader().isPresent(), "lost disks of " + lost + ": no leader");
+        }
+    }
+
     /** Replaces the host at a position of the list by a new one, which then catches up. */
     private static void replace(
             ReplacementRun run, List<HostId> present, int position, Duration delay) {
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
@@ -60,16 +60,16 @@
     @Override
     public boolean reconcile(ControlNode node, Map<HostId, String> joining, long nowNanos) {
         ConsensusState state = node.state();
-        Set<HostId> silent =
-                Consensus.silentMembers(
+        Set<HostId> replaceable =
+                Consensus.replaceableMembers(
                         state, MembershipPolicy.REPLACEMENT_SILENCE_NANOS, nowNanos);
-        logTolerableLosses(state.membership(), silent);
+        logTolerableLosses(state.membership(), replaceable);
         if (Consensus.isMembershipChanging(state)) {
             return true;
         }
         Optional<MembershipChange> change =
                 MembershipPolicy.next(
-                        state.membership(), joining, silent, Consensus.caughtUpMembers(state));
+                        state.membership(), joining, replaceable, Consensus.caughtUpMembers(state));
         change.ifPresent(next -> propose(node, next));
         // A change that was rejected is repeated at the usual interval.
         boolean isNew = change.isPresent() && !change.equals(mLastChange);
@@ -82,8 +82,8 @@
         node.changeMembership(change);
     }
 
-    private void logTolerableLosses(Membership membership, Set<HostId> silent) {
-        int losses = membership.tolerableLosses(silent);
+    private void logTolerableLosses(Membership membership, Set<HostId> replaceable) {
+        int losses = membership.tolerableLosses(replaceable);
         if (losses == mLoggedLosses) {
             return;
         }
@@ -91,10 +91,10 @@
         if (losses < mToleratedLosses) {
             LOG.warn(
                     "controlhosts: the group tolerates the loss of {} disks, the settings ask for"
-                            + " {}; silent members are {}",
+                            + " {}; members that are silent or do not count are {}",
                     losses,
                     mToleratedLosses,
-                    silent);
+                    replaceable);
         } else {
             LOG.info("controlhosts: the group tolerates the loss of {} disks", losses);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlMember.java
@@ -40,7 +40,6 @@
 import org.crocusturn.core.ring.ThreadFailures;
 import org.crocusturn.daemon.entryhosts.LeaderDuty;
 import org.crocusturn.daemon.entryhosts.LeaderEvent;
-import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.NetThreads;
 import org.crocusturn.daemon.net.SharedSecret;
 import org.crocusturn.daemon.operators.ControlAccess;
@@ -73,6 +72,7 @@
     private final HostId mSelf;
     private final Consumer<RuntimeException> mOnFailure;
     private final StateHolder mStateHolder = new StateHolder();
+    private final VoteHandover mVoteHandover = new VoteHandover();
     private final ForwardedChanges mForwardedChanges = ForwardedChanges.create(this::sendToMember);
     private final ControlLinks mLinks;
     private final LeaderConnections mConnections;
@@ -101,7 +101,7 @@
             Consumer<RuntimeException> onFailure) {
         mSelf = settings.host();
         mDataFolder = settings.dataFolder();
-        mConfiguredMembers = configuredMembers(settings);
+        mConfiguredMembers = settings.firstMembership();
         mOnFailure = onFailure;
         mConnections =
                 LeaderConnections.create(
@@ -224,6 +224,12 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
+    /** Lets a learner take the place of this voter before it stops, if one is ready in time. */
+    public CompletableFuture<Void> handOverVote() {
+        return node().map(mVoteHandover::start)
+                .orElseGet(() -> CompletableFuture.completedFuture(null));
+    }
+
     @Override
     public CompletableFuture<ChangeOutcome> propose(OperatorCommand command) {
         return propose(command, ProposalDuty.PROPOSAL_TIMEOUT);
@@ -360,13 +366,6 @@
         return Optional.ofNullable(mNode);
     }
 
-    private static Membership configuredMembers(MemberSettings settings) {
-        return new Membership(
-                settings.members().stream()
-                        .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
-                        .toList());
-    }
-
     private void startNode(Optional<Membership> bootstrapMembers) {
         mNode =
                 ControlNode.start(
@@ -562,6 +561,7 @@
 
         @Override
         public void onLinkClosed(HostId host) {
+            node().ifPresent(node -> mVoteHandover.onLinkClosed(node, host));
             offerToLeader(new LeaderEvent.EntryLinkClosed(host));
         }
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/ControlNode.java
@@ -242,6 +242,11 @@
         return done;
     }
 
+    /** Tells the leader that this host no longer counts, because it is about to stop. */
+    void resign() {
+        offer(new ConsensusInput.ResignRequested());
+    }
+
     /** Transfers the leadership and stops the member; the result of open proposals is unknown. */
     public void stop() {
         transferLeadership()
--- a/daemon/src/main/java/org/crocusturn/daemon/settings/MemberSettings.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/settings/MemberSettings.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Objects;
 import org.crocusturn.core.HostId;
+import org.crocusturn.core.controlhosts.Member;
+import org.crocusturn.core.controlhosts.Membership;
+import org.crocusturn.daemon.net.Addresses;
 
 /**
  * Settings of a member of the consensus group.
@@ -38,6 +41,14 @@
         Objects.requireNonNull(linkSecret, "linkSecret");
     }
 
+    /** Returns the members at the first start, all of which vote. */
+    public Membership firstMembership() {
+        return new Membership(
+                members.stream()
+                        .map(m -> new Member(m.host(), Addresses.format(m.address()), true))
+                        .toList());
+    }
+
     /** Returns whether this host is a member at the first start of the deployment. */
     public boolean isFirstMember() {
         return members.stream().anyMatch(m -> m.host().equals(host));
