Double the election timeout after a failed election

Callers' view: with control hosts that are short of processor time, as when all start at once after a loss of power, changes are refused with "no control host is the leader now" for many seconds.

Cause: a member starts a new election 300 to 600 ms after the last one and then ignores the late replies to that one. If replies take about as long, elections fail one after the other.

Change: the timeout is twice as long after an election without a result, until the member hears from a leader. The lease relies on the shortest timeout only.

Evidence: SlowElectionsTest loses the power of all hosts and two of five disks in 40 runs for each delay, with messages that take up to 50 to 250 ms.

--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
@@ -59,17 +59,28 @@
      * @param leader current leader, if known
      * @param lastContactNanos time of the last message from a leader, or of the start of the member
      * @param deadlineNanos time at which the election timeout expires
+     * @param electionFailed whether an election of this member has failed since the last contact,
+     *     so that its timeout is longer
      * @param seed seed of the next election timeout
      */
     public record ElectionTimer(
-            Optional<HostId> leader, long lastContactNanos, long deadlineNanos, long seed) {
+            Optional<HostId> leader,
+            long lastContactNanos,
+            long deadlineNanos,
+            boolean electionFailed,
+            long seed) {
         ElectionTimer withContact(HostId host, long nowNanos) {
-            return new ElectionTimer(Optional.of(host), nowNanos, deadlineNanos, seed)
+            return new ElectionTimer(Optional.of(host), nowNanos, deadlineNanos, false, seed)
                     .withRandomTimeout(nowNanos);
         }
 
+        ElectionTimer withFailedElection() {
+            return new ElectionTimer(leader, lastContactNanos, deadlineNanos, true, seed);
+        }
+
         ElectionTimer withoutLeader() {
-            return new ElectionTimer(Optional.empty(), lastContactNanos, deadlineNanos, seed);
+            return new ElectionTimer(
+                    Optional.empty(), lastContactNanos, deadlineNanos, electionFailed, seed);
         }
 
         ElectionTimer withRandomTimeout(long nowNanos) {
@@ -79,7 +90,14 @@
                             ConsensusTimings.MIN_ELECTION_TIMEOUT_NANOS,
                             ConsensusTimings.MAX_ELECTION_TIMEOUT_NANOS);
             return new ElectionTimer(
-                    leader, lastContactNanos, nowNanos + timeout, random.nextLong());
+                    leader,
+                    lastContactNanos,
+                    nowNanos
+                            + (electionFailed
+                                    ? timeout * ConsensusTimings.FAILED_ELECTION_FACTOR
+                                    : timeout),
+                    electionFailed,
+                    random.nextLong());
         }
     }
 
@@ -145,7 +163,8 @@
             long nowNanos) {
         // The last contact with a leader is not stored, so a restarted member assumes that it was
         // now, and refuses votes for the shortest election timeout.
-        ElectionTimer electionTimer = new ElectionTimer(Optional.empty(), nowNanos, nowNanos, seed);
+        ElectionTimer electionTimer =
+                new ElectionTimer(Optional.empty(), nowNanos, nowNanos, false, seed);
         return new ConsensusState(
                 self,
                 hardState,
--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusTimings.java
@@ -14,6 +14,12 @@
     /** Longest election timeout, in nanoseconds. */
     public static final long MAX_ELECTION_TIMEOUT_NANOS = 600_000_000;
 
+    /**
+     * Factor of the election timeout after an election without a result. Replies that arrive after
+     * the timeout are ignored, so with slow hosts each election would fail for the same reason.
+     */
+    public static final int FAILED_ELECTION_FACTOR = 2;
+
     /**
      * Duration of the leader lease, in nanoseconds. It is 10% below the shortest election timeout,
      * because clock rates may differ by 1%.
--- a/core/src/main/java/org/crocusturn/core/controlhosts/Elections.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/Elections.java
@@ -21,7 +21,7 @@
         }
         ConsensusState timedOut =
                 state.withElectionTimer(
-                        state.electionTimer().withoutLeader().withRandomTimeout(nowNanos));
+                        timerAfterTimeout(state).withoutLeader().withRandomTimeout(nowNanos));
         if (!mayStartElection(state)) {
             return Decision.of(timedOut);
         }
@@ -37,6 +37,12 @@
         return new Decision<>(preCandidate, sends);
     }
 
+    private static ConsensusState.ElectionTimer timerAfterTimeout(ConsensusState state) {
+        return state.role() instanceof ConsensusRole.Follower
+                ? state.electionTimer()
+                : state.electionTimer().withFailedElection();
+    }
+
     /** Starts an election at once at the request of the leader. */
     static Decision<ConsensusState, ConsensusAction> onTransferLeadership(
             ConsensusState state, ConsensusMessage.TransferLeadership transfer, long nowNanos) {
--- a/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
+++ b/core/src/test/java/org/crocusturn/core/controlhosts/ReplacementRun.java
@@ -34,6 +34,7 @@
     private final Map<ControlCommand, Long> mProposalIds = new HashMap<>();
     private Set<HostId> mSeeds;
     private long mProposals;
+    private int mMaxDelayMillis = 3;
 
     private ReplacementRun(Membership initialMembership) {
         mInitialMembership = initialMembership;
@@ -64,7 +65,7 @@
     @Override
     public void send(HostId from, ConsensusAction.Send send) {
         mTime.schedule(
-                (1 + mRandom.nextInt(3)) * NANOS_PER_MILLI,
+                (1 + mRandom.nextInt(mMaxDelayMillis)) * NANOS_PER_MILLI,
                 () ->
                         Optional.ofNullable(mHosts.get(send.to()))
                                 .ifPresent(
@@ -127,6 +128,11 @@
                                         () -> restart(host)));
     }
 
+    /** Sets the longest time that a message takes, with the time in which its host handles it. */
+    void setMaxDelay(Duration delay) {
+        mMaxDelayMillis = Math.toIntExact(delay.toMillis());
+    }
+
     /** Replaces the hosts that a host without a log asks to join. */
     void setSeeds(Set<HostId> seeds) {
         mSeeds = Set.copyOf(seeds);
--- a/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/controlhosts/AutomaticMembership.java
@@ -24,7 +24,7 @@
 
     /**
      * Time without contact to a leader after which a host asks to join, in nanoseconds. It is
-     * longer than an election, which takes at most 600 ms.
+     * longer than the longest election timeout, 1.2 s.
      */
     private static final long LEADERLESS_TIMEOUT_NANOS = 1_500_000_000L;
 
