--- a/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
+++ b/core/src/main/java/org/crocusturn/core/controlhosts/ConsensusState.java
@@ -24,6 +24,7 @@
  * @param applyPaused whether committed entries wait because the caller is busy with earlier ones
  * @param snapshotRequested whether a snapshot was requested and not delivered yet
  * @param recovery recovery from a lost disk, used only while the hard state says so
+ * @param resigned whether the member no longer counts because it is about to stop
  * @param safeguards safety rules in force
  */
 public record ConsensusState(
@@ -38,6 +39,7 @@
         boolean applyPaused,
         boolean snapshotRequested,
         Recovery recovery,
+        boolean resigned,
         Safeguards safeguards) {
     /** Checks that no part is null. */
     public ConsensusState {
@@ -57,17 +59,28 @@
      * @param leader current leader, if known
      * @param lastContactNanos time of the last message from a leader, or of the start of the member
      * @param deadlineNanos time at which the election timeout expires
+     * @param electionFailed whether an election of this member has failed since the last contact,
+     *     so that its timeout is longer
      * @param seed seed of the next election timeout
      */
     public record ElectionTimer(
-            Optional<HostId> leader, long lastContactNanos, long deadlineNanos, long seed) {
+            Optional<HostId> leader,
+            long lastContactNanos,
+            long deadlineNanos,
+            boolean electionFailed,
+            long seed) {
         ElectionTimer withContact(HostId host, long nowNanos) {
-            return new ElectionTimer(Optional.of(host), nowNanos, deadlineNanos, seed)
+            return new ElectionTimer(Optional.of(host), nowNanos, deadlineNanos, false, seed)
                     .withRandomTimeout(nowNanos);
         }
 
+        ElectionTimer withFailedElection() {
+            return new ElectionTimer(leader, lastContactNanos, deadlineNanos, true, seed);
+        }
+
         ElectionTimer withoutLeader() {
-            return new ElectionTimer(Optional.empty(), lastContactNanos, deadlineNanos, seed);
+            return new ElectionTimer(
+                    Optional.empty(), lastContactNanos, deadlineNanos, electionFailed, seed);
         }
 
         ElectionTimer withRandomTimeout(long nowNanos) {
@@ -77,7 +90,14 @@
                             ConsensusTimings.MIN_ELECTION_TIMEOUT_NANOS,
                             ConsensusTimings.MAX_ELECTION_TIMEOUT_NANOS);
             return new ElectionTimer(
-                    leader, lastContactNanos, nowNanos + timeout, random.nextLong());
+                    leader,
+                    lastContactNanos,
+                    nowNanos
+                            + (electionFailed
+                                    ? timeout * ConsensusTimings.FAILED_ELECTION_FACTOR
+                                    : timeout),
+                    electionFailed,
+                    random.nextLong());
         }
     }
 
@@ -143,7 +163,8 @@
             long nowNanos) {
         // The last contact with a leader is not stored, so a restarted member assumes that it was
         // now, and refuses votes for the shortest election timeout.
-        ElectionTimer electionTimer = new ElectionTimer(Optional.empty(), nowNanos, nowNanos, seed);
+        ElectionTimer electionTimer =
+                new ElectionTimer(Optional.empty(), nowNanos, nowNanos, false, seed);
         return new ConsensusState(
                 self,
                 hardState,
@@ -156,6 +177,7 @@
                 false,
                 false,
                 new Recovery(seed, Optional.empty()),
+                false,
                 Safeguards.ALL);
     }
 
@@ -226,6 +248,7 @@
                 applyPaused,
                 requested,
                 recovery,
+                resigned,
                 safeguards);
     }
 
@@ -242,6 +265,7 @@
                 paused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 safeguards);
     }
 
@@ -262,6 +286,24 @@
                 applyPaused,
                 snapshotRequested,
                 next,
+                resigned,
+                safeguards);
+    }
+
+    ConsensusState withResigned() {
+        return new ConsensusState(
+                self,
+                hardState,
+                log,
+                persistQueue,
+                role,
+                electionTimer,
+                commitIndex,
+                appliedIndex,
+                applyPaused,
+                snapshotRequested,
+                recovery,
+                true,
                 safeguards);
     }
 
@@ -278,6 +320,7 @@
                 applyPaused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 next);
     }
 
@@ -299,6 +342,7 @@
                 applyPaused,
                 snapshotRequested,
                 recovery,
+                resigned,
                 safeguards);
     }
 }
