--- a/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
+import org.crocusturn.core.Names;
 
 /**
  * Decides how an entry host processes the statements of a session. All methods are pure functions.
@@ -55,7 +56,7 @@
             return applyLocally(state, statement);
         }
         if (statement.kind() == StatementKind.UNKNOWN) {
-            return refuse(state, malformed("the statement cannot be parsed"));
+            return refuse(state, malformed("the statement or its id is not valid"));
         }
         if (statement.kind().endsTransaction()) {
             return refuse(state, malformed("no transaction is open"));
@@ -84,7 +85,7 @@
             return failTransaction(state, malformed("a transaction is already open"));
         }
         if (statement.kind() == StatementKind.UNKNOWN) {
-            return failTransaction(state, malformed("the statement cannot be parsed"));
+            return failTransaction(state, malformed("the statement or its id is not valid"));
         }
         if (statement.kind() == StatementKind.ROLLBACK) {
             return new SessionStep.Answer(
@@ -150,7 +151,7 @@
                 : Optional.of(
                         Failure.notRun(
                                 ErrorCode.SESSION_INVALID,
-                                "statement " + statement.name() + " is not prepared"));
+                                "statement " + Names.quote(statement.name()) + " is not prepared"));
     }
 
     private static SessionStep answer(SessionState state) {
