--- a/standin/src/main/java/org/crocusturn/standin/database/ReplicationDuty.java
+++ b/standin/src/main/java/org/crocusturn/standin/database/ReplicationDuty.java
@@ -12,7 +12,7 @@
 import org.crocusturn.core.CrocusturnException;
 import org.crocusturn.core.LogPosition;
 import org.crocusturn.core.endpoints.RequestId;
-import org.crocusturn.core.endpoints.RequestIds;
+import org.crocusturn.daemon.endpoints.RequestIds;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.daemon.endpoints.EndpointJson;
 import org.crocusturn.daemon.endpoints.JsonFields;
