Reproduce an endpoint that counts as down after a command was sent again

After an uncertain answer ReplicationProbe sends its pending commands on a new connection, but their time limit runs from the first sending. A healthy primary that answers the second one in less than the limit is marked as down, which starts a failover.

mvn -o -B -ntp -pl daemon -am test -Dtest=ReplicationProbeTest -Dsurefire.failIfNoSpecifiedTests=false

--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicationProbeHistoryTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/ReplicationProbeTest.java
@@ -2,12 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
 import org.crocusturn.core.LogPosition;
+import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.ReplicationStatus;
 import org.crocusturn.core.endpoints.SessionCommand;
 import org.crocusturn.core.endpoints.SessionResult;
@@ -17,26 +20,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against a history of answers that grows for as long as a host holds a lease. */
-class ReplicationProbeHistoryTest {
+/** Guards against faults of the status connection when answers of endpoints are repeated. */
+class ReplicationProbeTest {
     private final FakeGroupContext mContext = new FakeGroupContext();
 
+    /** Guards against a history of answers that grows for as long as a host holds a lease. */
     @ParameterizedTest
     @ValueSource(ints = {1_100, 3_000})
     void replacesConnectionThatHasDeliveredManyAnswers(int commands) {
-        CopyPool copy =
-                new CopyPool(
-                        new EndpointRecord(
-                                EndpointId.of("r"),
-                                "service",
-                                DataCentreId.of("dc"),
-                                "127.0.0.1:1",
-                                "",
-                                List.of(new DatabaseRecord(Service.SINGLE_DATABASE, 2, 16)),
-                                false,
-                                1),
-                        16);
-        ReplicationProbe probe = new ReplicationProbe(copy, mContext, (pool, loss) -> {});
+        ReplicationProbe probe = new ReplicationProbe(copy(), mContext, (pool, loss) -> {});
         long sentOnExhausted =
                 IntStream.range(0, commands)
                         .filter(
@@ -54,6 +46,42 @@
         assertEquals(0, sentOnExhausted);
     }
 
+    /** Guards against an endpoint that counts as down soon after a command was sent again. */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 890})
+    void waitsForAnswerOfCommandThatWasSentAgain(long uncertainAfterMillis) {
+        List<ConnectionLoss> losses = new ArrayList<>();
+        ReplicationProbe probe =
+                new ReplicationProbe(copy(), mContext, (pool, loss) -> losses.add(loss));
+        probe.send(new SessionCommand.GetStatus(), result -> {});
+        mContext.openAll();
+        advance(probe, uncertainAfterMillis);
+        mContext.answer(SessionCommand.GetStatus.class, status(1).asUncertain());
+        mContext.openAll();
+        assertEquals(1, mContext.mSent.size());
+        advance(probe, 450);
+        assertEquals(List.of(), losses);
+    }
+
+    private void advance(ReplicationProbe probe, long millis) {
+        mContext.mNowNanos += Duration.ofMillis(millis).toNanos();
+        probe.tick(mContext.mNowNanos);
+    }
+
+    private static CopyPool copy() {
+        return new CopyPool(
+                new EndpointRecord(
+                        EndpointId.of("r"),
+                        "service",
+                        DataCentreId.of("dc"),
+                        "127.0.0.1:1",
+                        "",
+                        List.of(new DatabaseRecord(Service.SINGLE_DATABASE, 2, 16)),
+                        false,
+                        1),
+                16);
+    }
+
     private static SessionResult status(int index) {
         LogPosition position = LogPosition.of(1, index + 1);
         return new SessionResult(
