Ask probes again with their full time limit, and leave a copy after an uncertain error

A probe sent its commands again on a new connection under the time limit of the first sending, so a healthy endpoint counted as down (ReplicationProbeTest, 2 of 2 cases).

--- a/core/src/main/java/org/crocusturn/core/endpoints/AnswerMatcher.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/AnswerMatcher.java
@@ -11,10 +11,11 @@
  * Matches the answers of one connection to an endpoint with the commands sent on it. Immutable.
  *
  * <p>Answers name no command, and an endpoint may repeat any earlier answer of the connection at
- * any time. It answers commands in their order, and a repeated answer equals the first one. So an
- * answer that the connection has not delivered before is new, and an answer that it has delivered
- * may be new only if the endpoint could give the same answer twice: an error, or a success without
- * a signature in the same state at the same log position.
+ * any time. It is assumed that an endpoint answers each command, in their order; that a repeated
+ * answer equals the first one; that a signature belongs to one run; and that a rollback does not
+ * fail. Then an answer that the connection has not delivered before is new, and one that it has
+ * delivered may be new only if the endpoint could give the same answer twice: an error, or a
+ * success without a signature in the same state at the same log position.
  */
 public final class AnswerMatcher {
     private static final AnswerMatcher START =
--- a/core/src/main/java/org/crocusturn/core/endpoints/ConnectionUse.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/ConnectionUse.java
@@ -25,8 +25,8 @@
             new ConnectionUse(LogPosition.ZERO, LogPosition.ZERO, LogPosition.ZERO, 0);
 
     /**
-     * Answers after which a connection is replaced, which limits the memory for recognizing
-     * repeated ones to 8 KB.
+     * Answers after which a connection is replaced before its next use. Recognizing repeated ones
+     * takes 8 bytes for each.
      */
     static final int MAX_ANSWERS = 1_024;
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ConnectionFailures.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ConnectionFailures.java
@@ -17,8 +17,8 @@
  */
 final class ConnectionFailures {
     /**
-     * Time for which a statement may still get its own answer after an error that repeats an
-     * earlier one; longer than most statements run.
+     * Time for which a statement may still get its own answer after an error that equals an earlier
+     * one. A statement that runs for longer is in doubt, which is safe.
      */
     private static final long CERTAIN_ANSWER_TIMEOUT_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -84,7 +84,9 @@
         mContext.logDecision(run + " may have failed: " + result.text());
         boolean repeatable = run.retryClass() == RetryDecision.RetryClass.READ;
         if (repeatable || run.areValuesUncertain()) {
-            abandonConnection(run);
+            // The error may be the statement's own, so the copy may be overloaded or behind.
+            mGroup.dropConnection(run);
+            retryOrFail(run, LeasedGroup.OVERLOAD_BACKOFF_NANOS, true);
         } else {
             run.awaitCertainAnswer(mContext.nowNanos() + CERTAIN_ANSWER_TIMEOUT_NANOS);
         }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ReplicationProbe.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -61,6 +62,18 @@
         mSession = Optional.of(mContext.open(mCopy, SYSTEM_WORKSPACE, OPEN_TIMEOUT, this));
     }
 
+    /** Sends the commands without an answer on a new connection, with their full time limit. */
+    private void sendAgain() {
+        long nowNanos = mContext.nowNanos();
+        List<PendingCommand> commands =
+                mPending.stream()
+                        .map(p -> new PendingCommand(p.command(), p.onResult(), nowNanos))
+                        .toList();
+        mPending.clear();
+        mPending.addAll(commands);
+        connect();
+    }
+
     void tick(long nowNanos) {
         boolean silent =
                 !mPending.isEmpty()
@@ -80,9 +93,9 @@
     @Override
     public void onResult(PooledSession session, SessionResult result) {
         if (!result.certain() && result.error().isEmpty()) {
-            // Promotions rest on these answers. The first one on a connection is never repeated.
+            // Promotions rest on these answers. The first one on a connection repeats no other.
             mContext.close(session);
-            connect();
+            sendAgain();
             return;
         }
         PendingCommand pending = mPending.poll();
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -253,14 +253,21 @@
                     new SessionCommand.Begin(
                             readOnly, readOnly ? resolveRequiredPosition() : Optional.empty()));
         } else if (confirms) {
+            // The state in the answer to BEGIN differs from that in all answers before it.
             mSession.send(new SessionCommand.Begin(true, Optional.empty()));
             mSession.send(new SessionCommand.Rollback());
         }
-        mStageAfterSetup =
-                begins ? Stage.BEGINNING : confirms ? Stage.CONFIRMING_VALUES : Stage.RUNNING;
+        mStageAfterSetup = stageAfterSetup(begins, confirms);
         continueAfterSetup();
     }
 
+    private static Stage stageAfterSetup(boolean begins, boolean confirms) {
+        if (begins) {
+            return Stage.BEGINNING;
+        }
+        return confirms ? Stage.CONFIRMING_VALUES : Stage.RUNNING;
+    }
+
     private void continueAfterSetup() {
         if (!mPendingSetup.isEmpty()) {
             return;
