Generate request ids outside of the decision code

ArchitectureTest failed in core since the ids of requests are generated there with a counter that is shared by threads. The decision whether an answer belongs to a request stays in core.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/DatabaseClient.java
@@ -12,7 +12,6 @@
 import org.crocusturn.core.endpoints.DatabaseCommand;
 import org.crocusturn.core.endpoints.DatabaseResult;
 import org.crocusturn.core.endpoints.RequestId;
-import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointCommandClient.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointCommandClient.java
@@ -12,7 +12,6 @@
 import org.crocusturn.core.endpoints.EndpointCommand;
 import org.crocusturn.core.endpoints.EndpointCommandResult;
 import org.crocusturn.core.endpoints.RequestId;
-import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.daemon.net.Addresses;
 import org.crocusturn.daemon.net.HttpClientConnection;
 import org.crocusturn.daemon.net.HttpRequest;
--- a/core/src/main/java/org/crocusturn/core/endpoints/RequestIds.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/RequestIds.java
@@ -1,7 +1,8 @@
-package org.crocusturn.core.endpoints;
+package org.crocusturn.daemon.endpoints;
 
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
+import org.crocusturn.core.endpoints.RequestId;
 
 /** Generates request ids that differ from those of all other generators. Thread-safe. */
 public final class RequestIds {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatusMonitorDuty.java
@@ -15,7 +15,6 @@
 import org.crocusturn.core.endpoints.CopyStatus;
 import org.crocusturn.core.endpoints.EndpointObservation;
 import org.crocusturn.core.endpoints.RequestId;
-import org.crocusturn.core.endpoints.RequestIds;
 import org.crocusturn.core.ring.DutyHandler;
 import org.crocusturn.core.ring.SteadyClock;
 import org.crocusturn.core.ring.ThreadFailures;
