--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A new configuration adds a tenant with the name anyone.
+# A key is taken away while a client that uses it has a transaction open.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
@@ -8,4 +8,4 @@
   echo "needs the build of the deploy file and review/build-3.sh" >&2
   exit 2
 fi
-exec java -Xmx1g -cp "$root/target/review-3" review3.TenantName "$root" "$here"
+exec java -Xmx1g -cp "$root/target/review-3" review3.WithdrawnKey "$root" "$here"
