Look up the queues of a priority by their key

Cause: StatementQueues.ahead selected the range from priority to priority + 1. The sum overflows at the end of the type, subMap throws "fromKey > toKey", and the groups duty ends the process.

Change: the queues of a priority are looked up by their key.

Evidence: four of five cases of LeasedGroupTest.runsCallsOfAnyPriorityInOrder failed before with that exception and pass now; WaitReplayTest passes.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
@@ -15,6 +15,7 @@
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.FairQueue;
 import org.crocusturn.core.endpoints.WaitEstimate;
+import org.crocusturn.core.endpoints.WaitEstimate.Backlog;
 import org.crocusturn.core.entryhosts.SessionCall;
 
 /**
@@ -68,37 +69,46 @@
      * @param eligible workspaces whose calls can start
      * @param estimate time that calls take
      */
-    WaitEstimate.Backlog ahead(
-            SessionCall call, Predicate<WorkspaceId> eligible, WaitEstimate estimate) {
+    Backlog ahead(SessionCall call, Predicate<WorkspaceId> eligible, WaitEstimate estimate) {
         int priority = call.options().priority();
-        return work(mPriorities.headMap(priority), estimate, queue -> queue.size(eligible))
-                .plus(
-                        work(
-                                mPriorities.subMap(priority, priority + 1),
-                                estimate,
-                                queue -> queue.ahead(call.workspace(), eligible)));
+        Stream<Backlog> higher =
+                mPriorities.headMap(priority).entrySet().stream()
+                        .map(e -> work(e.getKey(), e.getValue(), estimate, sizeOf(eligible)));
+        Stream<Backlog> same =
+                Stream.ofNullable(mPriorities.get(priority))
+                        .map(
+                                queues ->
+                                        work(
+                                                priority,
+                                                queues,
+                                                estimate,
+                                                queue -> queue.ahead(call.workspace(), eligible)));
+        return Stream.concat(higher, same).reduce(Backlog.NONE, Backlog::plus);
     }
 
     /** Returns the work of all calls that can start. */
-    WaitEstimate.Backlog backlog(Predicate<WorkspaceId> eligible, WaitEstimate estimate) {
-        return work(mPriorities, estimate, queue -> queue.size(eligible));
+    Backlog backlog(Predicate<WorkspaceId> eligible, WaitEstimate estimate) {
+        return mPriorities.entrySet().stream()
+                .map(e -> work(e.getKey(), e.getValue(), estimate, sizeOf(eligible)))
+                .reduce(Backlog.NONE, Backlog::plus);
     }
 
-    private static WaitEstimate.Backlog work(
-            SortedMap<Integer, PriorityQueues> priorities,
+    private static ToIntFunction<FairQueue<StatementRun>> sizeOf(Predicate<WorkspaceId> eligible) {
+        return queue -> queue.size(eligible);
+    }
+
+    private static Backlog work(
+            int priority,
+            PriorityQueues queues,
             WaitEstimate estimate,
             ToIntFunction<FairQueue<StatementRun>> count) {
-        return priorities.entrySet().stream()
-                .map(
-                        e ->
-                                estimate.work(
-                                                new WaitEstimate.Kind(e.getKey(), true),
-                                                count.applyAsInt(e.getValue().mPrimary))
-                                        .plus(
-                                                estimate.work(
-                                                        new WaitEstimate.Kind(e.getKey(), false),
-                                                        count.applyAsInt(e.getValue().mAny))))
-                .reduce(WaitEstimate.Backlog.NONE, WaitEstimate.Backlog::plus);
+        Backlog primary =
+                estimate.work(
+                        new WaitEstimate.Kind(priority, true), count.applyAsInt(queues.mPrimary));
+        Backlog any =
+                estimate.work(
+                        new WaitEstimate.Kind(priority, false), count.applyAsInt(queues.mAny));
+        return primary.plus(any);
     }
 
     /**
@@ -109,10 +119,10 @@
      */
     List<StatementRun> removeLate(
             Predicate<StatementRun> eligible,
-            Function<StatementRun, WaitEstimate.Backlog> work,
-            BiPredicate<StatementRun, WaitEstimate.Backlog> late) {
+            Function<StatementRun, Backlog> work,
+            BiPredicate<StatementRun, Backlog> late) {
         Set<StatementRun> removed = new LinkedHashSet<>();
-        WaitEstimate.Backlog ahead = WaitEstimate.Backlog.NONE;
+        Backlog ahead = Backlog.NONE;
         for (PriorityQueues queues : mPriorities.values()) {
             for (StatementRun run : queues.inOrder().stream().filter(eligible).toList()) {
                 if (late.test(run, ahead)) {
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
@@ -102,6 +102,11 @@
     }
 
     private long call(TransactionStep step, StatementKind kind, Consistency consistency) {
+        return call(step, kind, consistency, 1);
+    }
+
+    private long call(
+            TransactionStep step, StatementKind kind, Consistency consistency, int priority) {
         mLastCall++;
         mGroup.submit(
                 ORIGIN,
@@ -111,7 +116,7 @@
                         GROUP,
                         1,
                         WorkspaceId.of("schools"),
-                        new SessionCall.Options(consistency, 1_500, 1, 800),
+                        new SessionCall.Options(consistency, 1_500, priority, 800),
                         step,
                         new SessionStatement("id" + mLastCall, kind, "x", "", kind + " x"),
                         Optional.empty(),
@@ -140,6 +145,40 @@
         assertEquals(Optional.empty(), mContext.mReplies.get(write).failure());
     }
 
+    /**
+     * Guards against a priority at the end of its type that ends the process or runs out of order.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 2147483647",
+        "2147483646, 2147483647",
+        "2147483647, 2147483647",
+        "-2147483648, 2147483647",
+        "-2147483648, -2147483648"
+    })
+    void runsCallsOfAnyPriorityInOrder(int higher, int lower) {
+        long arrived = call(TransactionStep.NONE, StatementKind.WRITE, Consistency.PRIMARY, lower);
+        mContext.answer(
+                SessionCommand.Run.class, FakeGroupContext.done(SessionResult.State.IDLE, 11));
+        assertEquals(Optional.empty(), mContext.mReplies.get(arrived).failure());
+
+        mContext.mTokenAvailable = false;
+        long first = call(TransactionStep.NONE, StatementKind.WRITE, Consistency.PRIMARY, lower);
+        long second = call(TransactionStep.NONE, StatementKind.WRITE, Consistency.PRIMARY, higher);
+        mContext.mTokenAvailable = true;
+        mGroup.dispatch();
+        mContext.openAll();
+        assertEquals(
+                higher < lower
+                        ? List.of("id" + second, "id" + first)
+                        : List.of("id" + first, "id" + second),
+                mContext.mSent.stream()
+                        .map(FakeGroupContext.Sent::command)
+                        .filter(SessionCommand.Run.class::isInstance)
+                        .map(run -> ((SessionCommand.Run) run).statement().id())
+                        .toList());
+    }
+
     /** Guards against a result that answers the first call of its transaction, not its own call. */
     @Test
     void answersEachStatementOfTransaction() {
