--- a/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
+++ b/core/src/main/java/org/crocusturn/core/operators/ConfigurationValidator.java
@@ -20,15 +20,18 @@
  */
 public final class ConfigurationValidator {
     /** Maximum rate in requests per second; keeps sums of tokens exact in floating point. */
-    static final double MAX_RATE = 1_000_000;
+    public static final long MAX_RATE = 1_000_000;
+
+    /** Maximum number of requests in a burst. */
+    public static final long MAX_BURST = 10_000_000;
 
-    static final long MAX_BURST = 10_000_000;
     static final int MAX_INSTANCES = 9;
 
     /** Maximum number of statements that one copy of a database runs concurrently. */
     public static final int MAX_SLOTS = 10_000;
 
-    static final int MAX_CONNECTIONS = 100_000;
+    /** Maximum number of connections that one copy of a database accepts. */
+    public static final int MAX_CONNECTIONS = 100_000;
 
     private final Configuration mConfiguration;
     private final List<ConfigurationViolation> mViolations = new ArrayList<>();
@@ -101,7 +104,7 @@
                 rate.perSecond() <= MAX_RATE,
                 path + ".rate.perSecond",
                 rate.perSecond(),
-                "more than 0 and at most " + (long) MAX_RATE);
+                "more than 0 and at most " + MAX_RATE);
         check(
                 rate.burst() <= MAX_BURST,
                 path + ".rate.burst",
--- a/core/src/main/java/org/crocusturn/core/operators/LongDurations.java
+++ b/core/src/main/java/org/crocusturn/core/operators/LongDurations.java
@@ -3,14 +3,14 @@
 import java.time.Duration;
 
 /** Limits durations of a configuration to values that hosts can convert to nanoseconds. */
-final class LongDurations {
+public final class LongDurations {
     /** The sum of this and any steady time fits in 64 bits of nanoseconds. */
-    private static final Duration MAX = Duration.ofDays(365);
+    public static final Duration MAX = Duration.ofDays(365);
 
     private LongDurations() {}
 
     /** Returns the duration, or the maximum if it is longer. */
-    static Duration limit(Duration duration) {
+    public static Duration limit(Duration duration) {
         return duration.compareTo(MAX) <= 0 ? duration : MAX;
     }
 }
