Grant at least one token of each burst

Cause: each leader withholds a reserve for its successor, half of the burst at most. Half of 1 was rounded up to 1, and nothing was left to grant.

Change: the reserve leaves at least one token of the burst.

Open: calls that follow each other closely are still refused, since a spent token counts against the burst until it is reported.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/TokenAllocator.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/TokenAllocator.java
@@ -283,8 +283,10 @@
         return nowNanos - earlierGrantsVoidNanos >= 0 ? rate.burst() - reserve : reserve;
     }
 
+    /** At least one token of the burst is granted: with less, the workspace would get none. */
     private static long reserve(RateLimit rate) {
-        return Math.round(Math.min(rate.burst() / 2.0, rate.perSecond() * RESERVE_SECONDS));
+        long reserve = Math.round(Math.min(rate.burst() / 2.0, rate.perSecond() * RESERVE_SECONDS));
+        return Math.min(reserve, rate.burst() - 1);
     }
 
     private TokenAllocator withConfirmed(RegisteredHost host) {
--- a/core/src/test/java/org/crocusturn/core/entryhosts/WorkspaceBelowItsRateTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/WorkspaceBelowItsRateTest.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.stream.IntStream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.HostId;
@@ -80,7 +81,51 @@
         "6, 64, 40"
     })
     void rejectsNothing(int hosts, long rate, long callsPerSecond) {
-        mRate = new RateLimit(rate, rate);
+        run(hosts, new RateLimit(rate, rate), () -> randomPause(callsPerSecond));
+        assertTrue(mRejected == 0, mRejected + " of " + mCalls + " calls were rejected");
+    }
+
+    /** Guards against a reserve for the next leader that leaves nothing of a burst of one. */
+    @ParameterizedTest
+    @CsvSource({
+        // leaseholders, rate, burst
+        "1, 88, 1",
+        "6, 88, 1",
+        "6, 1000000, 1",
+        "6, 10, 1",
+        "6, 88, 2"
+    })
+    void rejectsNoCallEachSecond(int hosts, double rate, long burst) {
+        run(hosts, new RateLimit(rate, burst), () -> 1.0);
+        assertTrue(mRejected == 0, mRejected + " of " + mCalls + " calls were rejected");
+    }
+
+    /** Guards against a burst that is used up by tokens whose spending is not reported yet. */
+    @ParameterizedTest
+    @CsvSource({
+        // leaseholders, rate, burst, calls per second
+        "1, 88, 1, 40",
+        "6, 88, 1, 40",
+        "6, 88, 1, 1",
+        "6, 10, 1, 5",
+        "6, 88, 2, 40"
+    })
+    void rejectsNothingOfASmallBurst(int hosts, double rate, long burst, long callsPerSecond) {
+        run(hosts, new RateLimit(rate, burst), () -> randomPause(callsPerSecond));
+        assertTrue(mRejected == 0, mRejected + " of " + mCalls + " calls were rejected");
+    }
+
+    private double randomPause(long callsPerSecond) {
+        return -Math.log(1 - mRandom.nextDouble()) / callsPerSecond;
+    }
+
+    /**
+     * Replays calls that never exceed rate x time + burst, the limit of the workspace.
+     *
+     * @param pauses time between two calls, in seconds
+     */
+    private void run(int hosts, RateLimit limit, DoubleSupplier pauses) {
+        mRate = limit;
         mHosts = hosts;
         mAllocator =
                 TokenAllocator.startingAt(
@@ -95,12 +140,11 @@
                         -100_000 * MS);
         List<Holder> holders = IntStream.range(0, hosts).mapToObj(Holder::new).toList();
         holders.forEach(h -> at(mRandom.nextInt((int) FULL_REPORT_MILLIS), () -> regular(h)));
-        // Poisson arrivals that never exceed rate x time + burst, the limit of the workspace.
-        double level = rate;
+        double level = limit.burst();
         double last = 2_000;
         for (double t = 2_000; t < RUN_MILLIS; ) {
-            t += -Math.log(1 - mRandom.nextDouble()) * 1_000 / callsPerSecond;
-            level = Math.min(rate, level + (t - last) * rate / 1_000);
+            t += pauses.getAsDouble() * 1_000;
+            level = Math.min(limit.burst(), level + (t - last) * limit.perSecond() / 1_000);
             last = t;
             if (level >= 1) {
                 level--;
@@ -113,7 +157,6 @@
             mNow = event.at;
             event.action.run();
         }
-        assertTrue(mRejected == 0, mRejected + " of " + mCalls + " calls were rejected");
     }
 
     private long mNow;
