--- a/core/src/main/java/org/crocusturn/core/LogPosition.java
+++ b/core/src/main/java/org/crocusturn/core/LogPosition.java
@@ -12,6 +12,9 @@
     /** The position before the first entry. */
     public static final LogPosition ZERO = new LogPosition(0, 0);
 
+    /** Largest term that is accepted from an endpoint, so that each term has a successor. */
+    public static final long MAX_TERM = Long.MAX_VALUE - 1;
+
     private static final Comparator<LogPosition> ORDER =
             Comparator.comparingLong(LogPosition::term).thenComparingLong(LogPosition::index);
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointJson.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/EndpointJson.java
@@ -127,9 +127,9 @@
         return new CopyStatus(
                 JsonFields.text(node, "database"),
                 role(JsonFields.text(node, "role")),
-                JsonFields.integer(node, "term", 0),
+                JsonFields.integer(node, "term", 0, LogPosition.MAX_TERM),
                 LogPosition.of(
-                        JsonFields.integer(node, "logTerm", 0),
+                        JsonFields.integer(node, "logTerm", 0, LogPosition.MAX_TERM),
                         JsonFields.integer(node, "logIndex", 0)),
                 JsonFields.integer(node, "lagMillis", 0));
     }
@@ -192,11 +192,7 @@
     }
 
     private static int count(JsonNode node, String name) {
-        long value = JsonFields.integer(node, name, 1);
-        if (value > Integer.MAX_VALUE) {
-            throw JsonFields.malformed("field \"" + name + "\" is too large");
-        }
-        return (int) value;
+        return (int) JsonFields.integer(node, name, 1, Integer.MAX_VALUE);
     }
 
     private static String name(JsonNode node, String field, String path) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/JsonFields.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/JsonFields.java
@@ -46,6 +46,15 @@
         return field.longValue();
     }
 
+    /** Returns an integer within a range. */
+    public static long integer(JsonNode object, String name, long minimum, long maximum) {
+        long value = integer(object, name, minimum);
+        if (value > maximum) {
+            throw malformed("field \"" + name + "\" must be at most " + maximum);
+        }
+        return value;
+    }
+
     /** Returns a boolean. */
     public static boolean bool(JsonNode object, String name) {
         JsonNode field = required(object, name);
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/EndpointJsonTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/EndpointJsonTest.java
@@ -13,6 +13,7 @@
 import org.crocusturn.daemon.net.Json;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -81,4 +82,39 @@
     private static SqlValue decimal(String text) {
         return new SqlValue.DecimalValue(new BigDecimal(text));
     }
+
+    /** Guards against a term without a successor, which no failover could exceed. */
+    @ParameterizedTest
+    @CsvSource({
+        "9223372036854775806, 9223372036854775806, 9223372036854775807, 9223372036854775807, true",
+        "0, 0, 0, 0, true",
+        "9223372036854775807, 1, 1, 0, false",
+        "1, 9223372036854775807, 1, 0, false",
+        "9223372036854775808, 1, 1, 0, false",
+        "1, 1, 9223372036854775808, 0, false",
+        "1, 1, 1, 9223372036854775808, false",
+        "-1, 1, 1, 0, false",
+        "1, 1, -1, 0, false",
+        "1.5, 1, 1, 0, false",
+        "1e3, 1, 1, 0, false"
+    })
+    void readsTheNumbersOfAStatus(
+            String term, String logTerm, String logIndex, String lag, boolean valid) {
+        byte[] json =
+                ("{\"database\":\"d\",\"role\":\"primary\",\"term\":"
+                                + term
+                                + ",\"logTerm\":"
+                                + logTerm
+                                + ",\"logIndex\":"
+                                + logIndex
+                                + ",\"lagMillis\":"
+                                + lag
+                                + "}")
+                        .getBytes(UTF_8);
+        if (valid) {
+            assertTrue(EndpointJson.status(Json.read(json)).term() + 1 > 0);
+        } else {
+            assertThrows(CrocusturnException.class, () -> EndpointJson.status(Json.read(json)));
+        }
+    }
 }
