Check ports on the command line

A port beyond 65535 ended bin/crocusturn local and the platform's daemons with a stack trace. It is refused as a usage error that names the range. HttpServerConnectionTest has the ends of the type for content lengths, which were handled before.

--- a/daemon/src/main/java/org/crocusturn/daemon/operators/CommandLineParser.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/operators/CommandLineParser.java
@@ -9,6 +9,7 @@
 /** Defines the commands and options of the command line. */
 final class CommandLineParser {
     private static final int HELP_WIDTH = 100;
+    private static final int MAX_PORT = 65_535;
 
     private CommandLineParser() {}
 
@@ -55,6 +56,7 @@
         parser.addArgument("--settings").metavar("FILE").help("configuration file to start with");
         parser.addArgument("--port")
                 .type(Integer.class)
+                .choices(Arguments.range(0, MAX_PORT))
                 .setDefault(0)
                 .help("port of the first entry host; 0 chooses free ports");
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/net/HttpServerConnectionTest.java
@@ -191,6 +191,10 @@
                 "POST / HTTP/1.1~host: a~transfer-encoding: chunked~~zz~~, 400",
                 "POST / HTTP/1.1~host: a~content-length: 1001~~, 413",
                 "POST / HTTP/1.1~host: a~content-length: 99999999999~~, 413",
+                "POST / HTTP/1.1~host: a~content-length: 9223372036854775807~~, 413",
+                "POST / HTTP/1.1~host: a~content-length: 9223372036854775808~~, 400",
+                "POST / HTTP/1.1~host: a~content-length: 1e3~~, 400",
+                "POST / HTTP/1.1~host: a~content-length: 1.0~~a, 400",
                 "POST / HTTP/1.1~host: a~expect: 100-continue~content-length: 1001~~, 413"
             })
     void rejectsMalformedRequests(String request, int status) throws Exception {
--- a/standin/src/main/java/org/crocusturn/standin/LocalMain.java
+++ b/standin/src/main/java/org/crocusturn/standin/LocalMain.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -30,6 +31,7 @@
 public final class LocalMain {
     private static final int CONTROL_HOSTS = 3;
     private static final int ENTRY_HOSTS = 3;
+    private static final int MAX_PORT = 65_535;
 
     private LocalMain() {}
 
@@ -63,6 +65,7 @@
                 .help("file with the initial configuration");
         parser.addArgument("--port")
                 .type(Integer.class)
+                .choices(Arguments.range(0, MAX_PORT))
                 .setDefault(0)
                 .help("port of the first entry host; 0 chooses free ports");
         return parser;
