End the open work of a session when its key is withdrawn

A statement that waited in the leaseholder's queue ran as well, and a transaction whose caller sent nothing more kept its connection and its locks until tx-idle-ms.

Cause: the key was checked only until a transaction had started at a database. The rule that a change of a route applies from the next transaction on was taken to hold for keys, too.

Change: when an entry host learns that a key was withdrawn, moved or went with its workspace, KeyWithdrawal ends the open work of the key's sessions. The leaseholder refuses what it has not sent to a database, lets the rest end with its own answer and rolls the transaction back, also without a word from the caller. The waiting calls of a session, or of a lost entry host, leave the queue as a whole and at once. A change of the route still applies from the next transaction on, also for callers without a key. A read that may have run is no longer refused as not run.

--- a/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
+++ b/core/src/main/java/org/crocusturn/core/callers/RouteCheck.java
@@ -15,11 +15,12 @@
  *
  * @param access the route and the workspace, if the session may use the database
  * @param failure reason for rejecting new work, if it is rejected
- * @param keyLost whether the key no longer belongs to the workspace in which the session was
- *     opened. Unlike a change of the route, this also applies to a transaction that no endpoint has
- *     begun.
+ * @param endsTransaction whether the failure also ends an open transaction, because the key no
+ *     longer belongs to the workspace of the session or this host does not know whether it does. A
+ *     change of the route applies from the next transaction on.
  */
-public record RouteCheck(Optional<RouteAccess> access, Optional<Failure> failure, boolean keyLost) {
+public record RouteCheck(
+        Optional<RouteAccess> access, Optional<Failure> failure, boolean endsTransaction) {
     /** Workspace of callers without a valid key on a route that is open to all. */
     public static final WorkspaceId ANONYMOUS = WorkspaceId.of("anyone");
 
@@ -32,6 +33,11 @@
         }
     }
 
+    /** Creates the check of a session that may not use its database. */
+    public static RouteCheck refused(Failure failure, boolean endsTransaction) {
+        return new RouteCheck(Optional.empty(), Optional.of(failure), endsTransaction);
+    }
+
     /**
      * Checks a database name and a key against a host's copy of the replicated state.
      *
@@ -84,8 +90,7 @@
         return Optional.ofNullable(state.keys().get(keyHash)).map(KeyRecord::workspace);
     }
 
-    private static RouteCheck refused(ErrorCode code, String message, boolean keyLost) {
-        return new RouteCheck(
-                Optional.empty(), Optional.of(Failure.notRun(code, message)), keyLost);
+    private static RouteCheck refused(ErrorCode code, String message, boolean endsTransaction) {
+        return refused(Failure.notRun(code, message), endsTransaction);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
@@ -4,6 +4,7 @@
 import org.crocusturn.core.ErrorCode;
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.Names;
+import org.crocusturn.core.Verdict;
 
 /**
  * Decides how an entry host processes the statements of a session. All methods are pure functions.
@@ -45,9 +46,26 @@
                     ? updated.withFailedTransaction()
                     : updated.withoutTransaction();
         }
-        return outcome.transactionFailed()
-                ? updated.withFailedTransaction()
-                : updated.withStartedTransaction();
+        if (outcome.transactionFailed()) {
+            return updated.withFailedTransaction();
+        }
+        return updated.endReason().isPresent() ? updated : updated.withStartedTransaction();
+    }
+
+    /**
+     * Returns the outcome that the caller gets. If this host has ended the transaction, the caller
+     * gets the reason in place of the leaseholder's, that the transaction is gone.
+     */
+    public static SessionOutcome reported(SessionState state, SessionOutcome outcome) {
+        boolean lost =
+                outcome.failure()
+                        .filter(f -> f.code() == ErrorCode.TRANSACTION_LOST)
+                        .filter(f -> f.verdict() == Verdict.NOT_RUN)
+                        .isPresent();
+        return state.endReason()
+                .filter(reason -> lost)
+                .map(reason -> SessionOutcome.failed(reason, outcome.transactionFailed()))
+                .orElse(outcome);
     }
 
     private static SessionStep decideWithoutTransaction(
@@ -91,10 +109,10 @@
             return new SessionStep.Answer(
                     state.withoutTransaction(), SessionOutcome.DONE, state.transactionStarted());
         }
-        if (route.keyLost() && !state.transactionStarted()) {
-            return statement.kind() == StatementKind.COMMIT
-                    ? refuse(state.withoutTransaction(), route.failure().orElseThrow())
-                    : failTransaction(state, route.failure().orElseThrow());
+        Optional<Failure> ended =
+                state.endReason().or(() -> route.failure().filter(f -> route.endsTransaction()));
+        if (ended.isPresent()) {
+            return endTransaction(state, statement, ended.get());
         }
         Optional<Failure> notPrepared = preparedStatementFailure(state, statement);
         if (notPrepared.isPresent()) {
@@ -163,6 +181,16 @@
         return new SessionStep.Answer(state, SessionOutcome.failed(failure, failed), false);
     }
 
+    /** Refuses a statement of a transaction that must not go on, and rolls it back. */
+    private static SessionStep endTransaction(
+            SessionState state, SessionStatement statement, Failure reason) {
+        boolean commits = statement.kind() == StatementKind.COMMIT;
+        return new SessionStep.Answer(
+                commits ? state.withoutTransaction() : state.withFailedTransaction(),
+                SessionOutcome.failed(reason, !commits),
+                state.transactionStarted());
+    }
+
     private static SessionStep failTransaction(SessionState state, Failure failure) {
         return new SessionStep.Answer(
                 state.withFailedTransaction(), SessionOutcome.failed(failure, true), false);
--- a/core/src/main/java/org/crocusturn/core/callers/SessionState.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionState.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.crocusturn.core.Failure;
 import org.crocusturn.core.LogPosition;
 
 /**
@@ -13,17 +14,25 @@
  * @param access route and workspace of the open transaction, if any; a configuration change applies
  *     from the next transaction on
  * @param lastCommit position of the session's latest commit
+ * @param endReason why this host has ended the open transaction, if it has; its next statement is
+ *     refused with this failure
  */
 public record SessionState(
         SessionContext context,
         Phase phase,
         boolean transactionStarted,
         Optional<RouteAccess> access,
-        LogPosition lastCommit) {
+        LogPosition lastCommit,
+        Optional<Failure> endReason) {
     /** State of a new session. */
     public static final SessionState NEW =
             new SessionState(
-                    SessionContext.EMPTY, Phase.IDLE, false, Optional.empty(), LogPosition.ZERO);
+                    SessionContext.EMPTY,
+                    Phase.IDLE,
+                    false,
+                    Optional.empty(),
+                    LogPosition.ZERO,
+                    Optional.empty());
 
     /** Checks that no component is null. */
     public SessionState {
@@ -31,6 +40,7 @@
         Objects.requireNonNull(phase, "phase");
         Objects.requireNonNull(access, "access");
         Objects.requireNonNull(lastCommit, "lastCommit");
+        Objects.requireNonNull(endReason, "endReason");
     }
 
     /** The state of a session's transaction. */
@@ -47,33 +57,44 @@
 
     /** Returns a copy with another context. */
     public SessionState withContext(SessionContext next) {
-        return new SessionState(next, phase, transactionStarted, access, lastCommit);
+        return new SessionState(next, phase, transactionStarted, access, lastCommit, endReason);
     }
 
     /** Returns a copy with an open transaction that has not been started at a leaseholder. */
     public SessionState withOpenTransaction(RouteAccess transactionAccess, boolean readOnly) {
         Phase next = readOnly ? Phase.OPEN_READ_ONLY : Phase.OPEN;
-        return new SessionState(context, next, false, Optional.of(transactionAccess), lastCommit);
+        return new SessionState(
+                context, next, false, Optional.of(transactionAccess), lastCommit, Optional.empty());
     }
 
     /** Returns a copy whose transaction has been started at a leaseholder. */
     public SessionState withStartedTransaction() {
-        return new SessionState(context, phase, true, access, lastCommit);
+        return new SessionState(context, phase, true, access, lastCommit, endReason);
     }
 
     /** Returns a copy whose transaction has failed. */
     public SessionState withFailedTransaction() {
-        return new SessionState(context, Phase.FAILED, transactionStarted, access, lastCommit);
+        return new SessionState(
+                context, Phase.FAILED, transactionStarted, access, lastCommit, Optional.empty());
     }
 
     /** Returns a copy without a transaction. */
     public SessionState withoutTransaction() {
-        return new SessionState(context, Phase.IDLE, false, Optional.empty(), lastCommit);
+        return new SessionState(
+                context, Phase.IDLE, false, Optional.empty(), lastCommit, Optional.empty());
+    }
+
+    /**
+     * Returns a copy whose transaction is no longer open at a leaseholder, although the caller has
+     * not ended it.
+     */
+    public SessionState withEndedTransaction(Failure reason) {
+        return new SessionState(context, phase, false, access, lastCommit, Optional.of(reason));
     }
 
     /** Returns a copy that includes a commit at a position. */
     public SessionState withCommit(LogPosition position) {
         return new SessionState(
-                context, phase, transactionStarted, access, lastCommit.max(position));
+                context, phase, transactionStarted, access, lastCommit.max(position), endReason);
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionLog.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionLog.java
@@ -32,6 +32,17 @@
         write("session " + session + " is closed: " + reason);
     }
 
+    /** Logs that the open work of a session is ended at its leaseholder. */
+    void ended(long session, Failure reason, long configuration) {
+        write(
+                "session "
+                        + session
+                        + " may not go on with its work"
+                        + under(configuration)
+                        + ": "
+                        + reason.message());
+    }
+
     /** Logs that a session ends because of a failure of this host. */
     void abandoned(long session, RuntimeException failure) {
         LOG.error("callers: closing session {} after a failure of this host", session, failure);
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -15,6 +15,7 @@
 import org.crocusturn.core.Failure;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.WorkspaceId;
+import org.crocusturn.core.callers.KeyWithdrawal;
 import org.crocusturn.core.callers.PreparedShape;
 import org.crocusturn.core.callers.RouteAccess;
 import org.crocusturn.core.callers.RouteCheck;
@@ -150,12 +151,7 @@
         } else if (event instanceof SessionEvent.SessionEnded ended) {
             endSession(ended.session());
         } else if (event instanceof SessionEvent.ViewChanged changed) {
-            mWithdrawnKeys =
-                    mWithdrawnKeys.afterChange(
-                            mView.state(), changed.view().state(), mClock.getAsLong());
-            changeView(changed.view());
-            openPendingSessions();
-            mCalls.onViewChanged();
+            onViewChanged(changed.view());
         } else if (event instanceof SessionEvent.LinkLost lost) {
             mCalls.onLinkLost(lost.host());
         } else if (event instanceof SessionEvent.HostEnding) {
@@ -218,12 +214,34 @@
         endSession(session.mNumber);
     }
 
-    private void changeView(ControlView view) {
-        long before = configurationVersion();
+    private void onViewChanged(ControlView view) {
+        ControlState before = mView.state();
+        mWithdrawnKeys = mWithdrawnKeys.afterChange(before, view.state(), mClock.getAsLong());
         mView = view;
-        if (configurationVersion() != before) {
-            mLog.configurationChanged(before, configurationVersion());
+        if (configurationVersion() != before.configuration().version()) {
+            mLog.configurationChanged(before.configuration().version(), configurationVersion());
         }
+        if (before.keys() != view.state().keys()) {
+            mSessions.values().forEach(session -> contain(session, () -> checkKey(session)));
+        }
+        openPendingSessions();
+        mCalls.onViewChanged();
+    }
+
+    /** Ends the open work of a session if its key was withdrawn. */
+    private void checkKey(CallerSession session) {
+        RouteCheck check = checkWithoutAge(session);
+        if (!check.endsTransaction()) {
+            return;
+        }
+        Failure reason = check.failure().orElseThrow();
+        boolean callSent = session.mCall.filter(call -> call.mSentTo.isPresent()).isPresent();
+        KeyWithdrawal.Effect effect = KeyWithdrawal.of(session.mState, callSent, reason);
+        if (effect.endsAtLeaseholder()) {
+            mLog.ended(session.mNumber, reason, configurationVersion());
+            endWork(session);
+        }
+        session.mState = effect.state();
     }
 
     private void openSession(SessionEvent.OpenRequested request) {
@@ -342,10 +360,14 @@
         session.answer(statement, outcome);
     }
 
+    /** Returns whether a session may use its route now. */
     private RouteCheck check(CallerSession session) {
-        if (!mCurrentState.getAsBoolean()) {
-            return new RouteCheck(Optional.empty(), Optional.of(Refusals.outdated()), false);
-        }
+        return mCurrentState.getAsBoolean()
+                ? checkWithoutAge(session)
+                : RouteCheck.refused(Refusals.outdated(), false);
+    }
+
+    private RouteCheck checkWithoutAge(CallerSession session) {
         // A key that was issued after the session was opened may have given it another workspace.
         WorkspaceId workspace =
                 session.mState.access().map(RouteAccess::workspace).orElse(session.mWorkspace);
@@ -356,19 +378,24 @@
                         .filter(access -> access.workspace().equals(RouteCheck.ANONYMOUS))
                         .isPresent();
         return anonymous && mWithdrawnKeys.contains(session.mKeyHash, mClock.getAsLong())
-                ? new RouteCheck(Optional.empty(), Optional.of(Refusals.recentlyWithdrawn()), true)
+                ? RouteCheck.refused(Refusals.recentlyWithdrawn(), true)
                 : check;
     }
 
     private void endTransaction(CallerSession session) {
-        Optional<GroupId> group =
-                session.mState.access().map(RouteAccess::route).map(SessionsDuty::group);
+        session.mState.access().ifPresent(access -> endAt(session, group(access.route())));
+    }
+
+    /** Ends the transaction of a session, or its statement outside of transactions. */
+    private void endWork(CallerSession session) {
+        session.mCall.ifPresentOrElse(
+                call -> endAt(session, call.mMessage.group()), () -> endTransaction(session));
+    }
+
+    private void endAt(CallerSession session, GroupId group) {
         session.mLeaseholder.ifPresent(
                 leaseholder ->
-                        group.ifPresent(
-                                g ->
-                                        mDispatcher.end(
-                                                leaseholder, new SessionEnd(session.mNumber, g))));
+                        mDispatcher.end(leaseholder, new SessionEnd(session.mNumber, group)));
     }
 
     private static GroupId group(Route route) {
@@ -424,10 +451,11 @@
             }
             return;
         }
-        outcome.failure().ifPresent(failure -> mLog.failed(call.mMessage, failure));
+        SessionOutcome reported = SessionDecisions.reported(session.mState, outcome);
+        reported.failure().ifPresent(failure -> mLog.failed(call.mMessage, failure));
         session.mState =
-                SessionDecisions.applyOutcome(session.mState, call.mMessage.statement(), outcome);
-        session.answer(call.mMessage.statement(), outcome);
+                SessionDecisions.applyOutcome(session.mState, call.mMessage.statement(), reported);
+        session.answer(call.mMessage.statement(), reported);
         session.mCall = Optional.empty();
         runQueued(session);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -165,7 +165,7 @@
         StatementRun run = new StatementRun(this, origin, call, now);
         if (call.step().begins()) {
             // The message that ended the session's previous transaction may have been lost.
-            endTransaction(origin, call.session());
+            endWork(origin, call.session());
         }
         if (call.step() == TransactionStep.CONTINUE) {
             continueTransaction(run, now);
@@ -196,20 +196,27 @@
     }
 
     /**
-     * Rolls back the transaction of a session that ended or abandoned it, also if its first
-     * statement is still queued or has not begun it yet.
+     * Rolls back the transaction of a session that ended or abandoned it, and refuses its statement
+     * if it has not been sent to an endpoint. One that was sent ends first.
      */
-    void endTransaction(HostId origin, long session) {
-        endTransactions(new OpenTransaction.Key(origin, session)::equals);
+    void endWork(HostId origin, long session) {
+        endWork(new OpenTransaction.Key(origin, session)::equals);
     }
 
-    /** Rolls back all transactions of an entry host after its link was lost. */
+    /** Ends the work of all sessions of an entry host after its link was lost. */
     void onOriginLost(HostId origin) {
-        endTransactions(key -> key.origin().equals(origin));
+        endWork(key -> key.origin().equals(origin));
     }
 
-    private void endTransactions(Predicate<OpenTransaction.Key> test) {
-        mTransactions.abandonSessions(test, mWaiting.all(), mRunning);
+    private void endWork(Predicate<OpenTransaction.Key> test) {
+        Predicate<StatementRun> ended = run -> test.test(OpenTransaction.Key.of(run));
+        mWaiting.remove(ended).forEach(this::refuseAbandoned);
+        mRunning.stream().filter(ended).forEach(StatementRun::abandon);
+        mTransactions.abandonAll(transaction -> test.test(transaction.key()));
+    }
+
+    private void refuseAbandoned(StatementRun run) {
+        refuse(run, ErrorCode.MOVED, StatementRun.ABANDONED);
     }
 
     /** Starts queued calls until none can start. */
@@ -307,7 +314,9 @@
     void requeue(StatementRun run, long pauseNanos, boolean excludeCopy) {
         long now = mContext.nowNanos();
         run.resetForQueue(now + pauseNanos, excludeCopy);
-        if (mMoveStartNanos.isPresent()) {
+        if (run.isAbandoned()) {
+            refuseAbandoned(run);
+        } else if (mMoveStartNanos.isPresent()) {
             refuse(run, ErrorCode.MOVED, "the lease moves to another host");
         } else if (now - run.waitUntilNanos() >= 0 && run.attempts() > 2) {
             refuse(run, ErrorCode.OVERLOADED, "no copy could run the statement in time");
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/OpenTransactions.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/OpenTransactions.java
@@ -1,12 +1,10 @@
 package org.crocusturn.daemon.endpoints;
 
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.crocusturn.core.HostId;
 
 /**
@@ -61,20 +59,6 @@
         }
     }
 
-    /**
-     * Abandons the transactions whose key matches a predicate, including those that one of the
-     * given runs has not begun yet.
-     */
-    void abandonSessions(
-            Predicate<OpenTransaction.Key> test,
-            Collection<StatementRun> queued,
-            Collection<StatementRun> running) {
-        Stream.concat(queued.stream(), running.stream())
-                .filter(run -> run.call().step().begins() && test.test(OpenTransaction.Key.of(run)))
-                .forEach(StatementRun::abandon);
-        abandonAll(transaction -> test.test(transaction.key()));
-    }
-
     /** Abandons the transactions that match a predicate. */
     void abandonAll(Predicate<OpenTransaction> test) {
         List.copyOf(mTransactions).stream().filter(test).forEach(this::abandon);
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -169,7 +169,7 @@
             handleLoss(lost);
         } else if (event instanceof SessionGroupsEvent.SessionEnded ended) {
             group(ended.end().group())
-                    .ifPresent(g -> g.endTransaction(ended.origin(), ended.end().session()));
+                    .ifPresent(g -> g.endWork(ended.origin(), ended.end().session()));
         } else if (event instanceof SessionGroupsEvent.HostEnding ending) {
             mCallsEnded = Optional.of(ending.callsEnded());
         } else if (event instanceof SessionGroupsEvent.OriginLost lost) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.crocusturn.core.WorkspaceId;
 import org.crocusturn.core.callers.FairQueue;
@@ -132,19 +133,32 @@
                 }
             }
         }
-        if (!removed.isEmpty()) {
-            mPriorities
-                    .values()
-                    .forEach(
-                            queues -> {
-                                queues.mPrimary = queues.mPrimary.without(removed::contains);
-                                queues.mAny = queues.mAny.without(removed::contains);
-                            });
-            mSize -= removed.size();
-        }
+        remove(removed);
+        return List.copyOf(removed);
+    }
+
+    /** Removes and returns the calls that match a predicate. */
+    List<StatementRun> remove(Predicate<StatementRun> test) {
+        Set<StatementRun> removed =
+                all().stream().filter(test).collect(Collectors.toCollection(LinkedHashSet::new));
+        remove(removed);
         return List.copyOf(removed);
     }
 
+    private void remove(Set<StatementRun> removed) {
+        if (removed.isEmpty()) {
+            return;
+        }
+        mPriorities
+                .values()
+                .forEach(
+                        queues -> {
+                            queues.mPrimary = queues.mPrimary.without(removed::contains);
+                            queues.mAny = queues.mAny.without(removed::contains);
+                        });
+        mSize -= removed.size();
+    }
+
     /** Removes and returns the first call that can start. */
     Optional<StatementRun> take(Predicate<StatementRun> startable) {
         for (PriorityQueues queues : mPriorities.values()) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -26,6 +26,9 @@
  * session values or in the transaction of another call.
  */
 final class StatementRun implements SessionTask {
+    /** Reason for refusing the statement of a session that has ended its work. */
+    static final String ABANDONED = "its session has ended its work";
+
     /** A call may be queued for this fraction of its time; a refusal must leave time to retry. */
     private static final int QUEUE_TIME_DIVISOR = 2;
 
@@ -157,11 +160,15 @@
         mTokenTaken = true;
     }
 
-    /** Prevents the run from sending its statement, because its transaction has been ended. */
+    /** Prevents the run from sending its statement, because its session has ended its work. */
     void abandon() {
         mAbandoned = true;
     }
 
+    boolean isAbandoned() {
+        return mAbandoned;
+    }
+
     int attempts() {
         return mAttempts;
     }
@@ -319,7 +326,7 @@
             return false;
         }
         if (mAbandoned) {
-            mGroup.abortUnsent(this, "its session has ended the transaction");
+            mGroup.abortUnsent(this, ABANDONED);
             return false;
         }
         return true;
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/WaitingCalls.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/WaitingCalls.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.crocusturn.core.ErrorCode;
 
 /**
@@ -138,6 +139,11 @@
         }
     }
 
+    /** Removes and returns the calls that match a predicate. */
+    List<StatementRun> remove(Predicate<StatementRun> test) {
+        return mQueues.remove(test);
+    }
+
     /** Refuses all waiting calls, which may be sent to another host. */
     void refuseAll(String reason) {
         mQueues.all().forEach(run -> mGroup.refuse(run, ErrorCode.MOVED, reason));
