Refuse statements of open transactions without a current state

Seen by reading: an entry host that had lost the control hosts, but not its link to the leaseholder, went on with open transactions for as long as they lasted. Their keys may have been withdrawn meanwhile.

Cause: the check of the state's age covered new work only.

Evidence: the five cases of endsAStartedTransactionWithoutCurrentState fail without the change.

--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -360,11 +360,14 @@
         session.answer(statement, outcome);
     }
 
-    /** Returns whether a session may use its route now. */
+    /**
+     * Returns whether a session may use its route now. Without a current state, its key may have
+     * been withdrawn meanwhile.
+     */
     private RouteCheck check(CallerSession session) {
         return mCurrentState.getAsBoolean()
                 ? checkWithoutAge(session)
-                : RouteCheck.refused(Refusals.outdated(), false);
+                : RouteCheck.refused(Refusals.outdated(), true);
     }
 
     private RouteCheck checkWithoutAge(CallerSession session) {
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
@@ -111,6 +111,32 @@
         assertEquals(List.of(FIRST), mCalls.stream().map(SessionCall::workspace).toList());
     }
 
+    /**
+     * Guards against a transaction that goes on for a key which was withdrawn while this host could
+     * not reach the control hosts.
+     */
+    @ParameterizedTest(name = "{0}, open route {1}, next {2}")
+    @CsvSource({
+        "BEGIN, false, READ",
+        "BEGIN, true, WRITE",
+        "BEGIN, false, COMMIT",
+        "BEGIN_READ_ONLY, false, READ",
+        "BEGIN_READ_ONLY, true, COMMIT"
+    })
+    void endsAStartedTransactionWithoutCurrentState(
+            StatementKind begin, boolean openRoute, StatementKind next) {
+        openSession(openRoute);
+        submit(begin);
+        submit(StatementKind.READ);
+        reply();
+        mControlReachable = false;
+        submit(next);
+        String phase = next == StatementKind.COMMIT ? "IDLE" : "FAILED";
+        assertEquals(List.of("accepted", "done", "done", "UNAVAILABLE " + phase), mAnswers);
+        assertEquals(List.of(new SessionEnd(1, GROUP)), mEnds);
+        assertEquals(1, mCalls.size());
+    }
+
     /** Guards against interrupting a transaction whose key stays while other keys change. */
     @ParameterizedTest(name = "{0}, route open before {1}, after {2}")
     @CsvSource({
