Refuse an abandoned statement that waits for its connection at once

Cause: a statement whose session has ended its work, but which waits for a connection to be opened or to repeat it, was refused only when the connection was open, up to 700 ms later, or when the pause was over.

Change: a statement without an outstanding command is refused at once, and its connection serves another call when it is open.

Evidence: WithdrawnKeyAtLeaseholderTest requires the answer before the endpoint has opened the connection.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -211,10 +211,17 @@
     private void endWork(Predicate<OpenTransaction.Key> test) {
         Predicate<StatementRun> ended = run -> test.test(OpenTransaction.Key.of(run));
         mWaiting.remove(ended).forEach(this::refuseAbandoned);
-        mRunning.stream().filter(ended).forEach(StatementRun::abandon);
+        mRunning.stream().filter(ended).toList().forEach(this::abandon);
         mTransactions.abandonAll(transaction -> test.test(transaction.key()));
     }
 
+    private void abandon(StatementRun run) {
+        run.abandon();
+        if (run.isWaiting()) {
+            abortUnsent(run, StatementRun.ABANDONED);
+        }
+    }
+
     private void refuseAbandoned(StatementRun run) {
         refuse(run, ErrorCode.MOVED, StatementRun.ABANDONED);
     }
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementRun.java
@@ -169,6 +169,11 @@
         return mAbandoned;
     }
 
+    /** Returns whether the run has a connection and no command on it is outstanding. */
+    boolean isWaiting() {
+        return mStage == Stage.OPENING || mBackingOff;
+    }
+
     int attempts() {
         return mAttempts;
     }
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/WithdrawnKeyAtLeaseholderTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/WithdrawnKeyAtLeaseholderTest.java
@@ -119,6 +119,12 @@
             mNextAnswer = nextAnswer;
         }
 
+        /** Returns whether an endpoint has a command of the session to answer. */
+        private boolean isAtEndpoint() {
+            return Set.of(BEGINNING, RUNNING, RUNNING_FIRST, RUNNING_LATER, COMMITTING)
+                    .contains(this);
+        }
+
         private boolean inTransaction() {
             return !Set.of(IDLE, WAITING_FOR_LEASEHOLDER, QUEUED, CONNECTING, RUNNING)
                     .contains(this);
@@ -201,10 +207,8 @@
 
         configure(2, change, false);
         deliver();
-        tick();
-        deliver();
+        assertEquals(progress.isAtEndpoint() ? "" : progress.mAnswer, String.join(", ", mAnswers));
         answerEndpoint();
-
         assertEquals(progress.mAnswer, String.join(", ", mAnswers));
         assertEquals(0, mGroup.activeCount(), "calls and transactions at the leaseholder");
         assertEquals(0, occupiedConnections());
