Report a transaction as lost if its key is in force again

Seen by reading: a transaction that was ended for a withdrawn key kept that reason. If the operator put the key back before the caller's next statement, the statement was refused for the key, although the key was in force.

Change: the session only remembers that its transaction has ended. The next statement is refused for the key if the key is still gone, and otherwise with TRANSACTION_LOST, not run.

--- a/core/src/main/java/org/crocusturn/core/callers/KeyWithdrawal.java
+++ b/core/src/main/java/org/crocusturn/core/callers/KeyWithdrawal.java
@@ -1,7 +1,6 @@
 package org.crocusturn.core.callers;
 
 import java.util.Objects;
-import org.crocusturn.core.Failure;
 
 /**
  * Decides what becomes of the open work of a session whose key was withdrawn or moved to another
@@ -34,14 +33,13 @@
      *
      * @param state session before the withdrawal was known
      * @param callSent whether a statement of the session is at a leaseholder
-     * @param reason failure of what does not run any more
      */
-    public static Effect of(SessionState state, boolean callSent, Failure reason) {
+    public static Effect of(SessionState state, boolean callSent) {
         boolean atLeaseholder = state.transactionStarted() || callSent;
         boolean open =
                 state.phase() == SessionState.Phase.OPEN
                         || state.phase() == SessionState.Phase.OPEN_READ_ONLY;
         return new Effect(
-                open && atLeaseholder ? state.withEndedTransaction(reason) : state, atLeaseholder);
+                open && atLeaseholder ? state.withEndedTransaction() : state, atLeaseholder);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionDecisions.java
@@ -16,6 +16,12 @@
     /** Maximum number of values and prepared statements of one session, which bounds its memory. */
     static final int MAX_CONTEXT_ENTRIES = 1_000;
 
+    /** Failure of a transaction whose key was withdrawn and is in force again. */
+    private static final Failure ENDED =
+            Failure.notRun(
+                    ErrorCode.TRANSACTION_LOST,
+                    "the transaction was ended when its key was withdrawn");
+
     private SessionDecisions() {}
 
     /**
@@ -49,25 +55,35 @@
         if (outcome.transactionFailed()) {
             return updated.withFailedTransaction();
         }
-        return updated.endReason().isPresent() ? updated : updated.withStartedTransaction();
+        return updated.withStartedTransaction();
     }
 
     /**
-     * Returns the outcome that the caller gets. If this host has ended the transaction, the caller
-     * gets the reason in place of the leaseholder's, that the transaction is gone.
+     * Returns the outcome that the caller gets. If the leaseholder has refused a statement because
+     * this host has ended the transaction, the caller gets the reason of this host.
+     *
+     * @param state session before the outcome
+     * @param outcome outcome at the leaseholder
+     * @param route check of the route that is in force for the session
      */
-    public static SessionOutcome reported(SessionState state, SessionOutcome outcome) {
-        boolean lost =
+    public static SessionOutcome reported(
+            SessionState state, SessionOutcome outcome, RouteCheck route) {
+        boolean refused =
                 outcome.failure()
                         .filter(f -> f.code() == ErrorCode.TRANSACTION_LOST)
                         .filter(f -> f.verdict() == Verdict.NOT_RUN)
                         .isPresent();
-        return state.endReason()
-                .filter(reason -> lost)
+        return refusal(route)
+                .filter(reason -> refused && state.transactionEnded())
                 .map(reason -> SessionOutcome.failed(reason, outcome.transactionFailed()))
                 .orElse(outcome);
     }
 
+    /** Returns why the transaction of a session must not go on, if it must not. */
+    private static Optional<Failure> refusal(RouteCheck route) {
+        return route.failure().filter(failure -> route.endsTransaction());
+    }
+
     private static SessionStep decideWithoutTransaction(
             SessionState state, SessionStatement statement, RouteCheck route) {
         if (statement.kind().isLocal()) {
@@ -109,10 +125,11 @@
             return new SessionStep.Answer(
                     state.withoutTransaction(), SessionOutcome.DONE, state.transactionStarted());
         }
-        Optional<Failure> ended =
-                state.endReason().or(() -> route.failure().filter(f -> route.endsTransaction()));
-        if (ended.isPresent()) {
-            return endTransaction(state, statement, ended.get());
+        Optional<Failure> reason =
+                refusal(route)
+                        .or(() -> Optional.of(ENDED).filter(ended -> state.transactionEnded()));
+        if (reason.isPresent()) {
+            return endTransaction(state, statement, reason.get());
         }
         Optional<Failure> notPrepared = preparedStatementFailure(state, statement);
         if (notPrepared.isPresent()) {
--- a/core/src/main/java/org/crocusturn/core/callers/SessionState.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionState.java
@@ -2,7 +2,6 @@
 
 import java.util.Objects;
 import java.util.Optional;
-import org.crocusturn.core.Failure;
 import org.crocusturn.core.LogPosition;
 
 /**
@@ -14,8 +13,8 @@
  * @param access route and workspace of the open transaction, if any; a configuration change applies
  *     from the next transaction on
  * @param lastCommit position of the session's latest commit
- * @param endReason why this host has ended the open transaction, if it has; its next statement is
- *     refused with this failure
+ * @param transactionEnded whether this host has ended the open transaction, which the caller does
+ *     not know yet
  */
 public record SessionState(
         SessionContext context,
@@ -23,7 +22,7 @@
         boolean transactionStarted,
         Optional<RouteAccess> access,
         LogPosition lastCommit,
-        Optional<Failure> endReason) {
+        boolean transactionEnded) {
     /** State of a new session. */
     public static final SessionState NEW =
             new SessionState(
@@ -32,7 +31,7 @@
                     false,
                     Optional.empty(),
                     LogPosition.ZERO,
-                    Optional.empty());
+                    false);
 
     /** Checks that no component is null. */
     public SessionState {
@@ -40,7 +39,6 @@
         Objects.requireNonNull(phase, "phase");
         Objects.requireNonNull(access, "access");
         Objects.requireNonNull(lastCommit, "lastCommit");
-        Objects.requireNonNull(endReason, "endReason");
     }
 
     /** The state of a session's transaction. */
@@ -57,44 +55,49 @@
 
     /** Returns a copy with another context. */
     public SessionState withContext(SessionContext next) {
-        return new SessionState(next, phase, transactionStarted, access, lastCommit, endReason);
+        return new SessionState(
+                next, phase, transactionStarted, access, lastCommit, transactionEnded);
     }
 
     /** Returns a copy with an open transaction that has not been started at a leaseholder. */
     public SessionState withOpenTransaction(RouteAccess transactionAccess, boolean readOnly) {
         Phase next = readOnly ? Phase.OPEN_READ_ONLY : Phase.OPEN;
         return new SessionState(
-                context, next, false, Optional.of(transactionAccess), lastCommit, Optional.empty());
+                context, next, false, Optional.of(transactionAccess), lastCommit, false);
     }
 
     /** Returns a copy whose transaction has been started at a leaseholder. */
     public SessionState withStartedTransaction() {
-        return new SessionState(context, phase, true, access, lastCommit, endReason);
+        return new SessionState(context, phase, true, access, lastCommit, transactionEnded);
     }
 
     /** Returns a copy whose transaction has failed. */
     public SessionState withFailedTransaction() {
         return new SessionState(
-                context, Phase.FAILED, transactionStarted, access, lastCommit, Optional.empty());
+                context, Phase.FAILED, transactionStarted, access, lastCommit, false);
     }
 
     /** Returns a copy without a transaction. */
     public SessionState withoutTransaction() {
-        return new SessionState(
-                context, Phase.IDLE, false, Optional.empty(), lastCommit, Optional.empty());
+        return new SessionState(context, Phase.IDLE, false, Optional.empty(), lastCommit, false);
     }
 
     /**
      * Returns a copy whose transaction is no longer open at a leaseholder, although the caller has
      * not ended it.
      */
-    public SessionState withEndedTransaction(Failure reason) {
-        return new SessionState(context, phase, false, access, lastCommit, Optional.of(reason));
+    public SessionState withEndedTransaction() {
+        return new SessionState(context, phase, false, access, lastCommit, true);
     }
 
     /** Returns a copy that includes a commit at a position. */
     public SessionState withCommit(LogPosition position) {
         return new SessionState(
-                context, phase, transactionStarted, access, lastCommit.max(position), endReason);
+                context,
+                phase,
+                transactionStarted,
+                access,
+                lastCommit.max(position),
+                transactionEnded);
     }
 }
--- a/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/callers/SessionsDuty.java
@@ -234,11 +234,10 @@
         if (!check.endsTransaction()) {
             return;
         }
-        Failure reason = check.failure().orElseThrow();
         boolean callSent = session.mCall.filter(call -> call.mSentTo.isPresent()).isPresent();
-        KeyWithdrawal.Effect effect = KeyWithdrawal.of(session.mState, callSent, reason);
+        KeyWithdrawal.Effect effect = KeyWithdrawal.of(session.mState, callSent);
         if (effect.endsAtLeaseholder()) {
-            mLog.ended(session.mNumber, reason, configurationVersion());
+            mLog.ended(session.mNumber, check.failure().orElseThrow(), configurationVersion());
             endWork(session);
         }
         session.mState = effect.state();
@@ -454,7 +453,8 @@
             }
             return;
         }
-        SessionOutcome reported = SessionDecisions.reported(session.mState, outcome);
+        SessionOutcome reported =
+                SessionDecisions.reported(session.mState, outcome, checkWithoutAge(session));
         reported.failure().ifPresent(failure -> mLog.failed(call.mMessage, failure));
         session.mState =
                 SessionDecisions.applyOutcome(session.mState, call.mMessage.statement(), reported);
--- a/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/callers/WithdrawnKeyInTransactionTest.java
@@ -137,6 +137,32 @@
         assertEquals(1, mCalls.size());
     }
 
+    /**
+     * Guards against a transaction that goes on after a gap in which its key was not in force, and
+     * against refusing a key that is in force.
+     */
+    @ParameterizedTest(name = "{0}, next {1}")
+    @CsvSource({"BEGIN, READ", "BEGIN, COMMIT", "BEGIN_READ_ONLY, READ", "BEGIN_READ_ONLY, COMMIT"})
+    void endsAStartedTransactionWhoseKeyIsInForceAgain(StatementKind begin, StatementKind next) {
+        openSession(false);
+        submit(begin);
+        submit(StatementKind.READ);
+        reply();
+        change(2, List.of(), Optional.of(false));
+        change(3, List.of(key(FIRST)), Optional.of(false));
+        mAnswers.clear();
+        submit(next);
+        submit(StatementKind.ROLLBACK);
+        submit(StatementKind.READ);
+        assertEquals(
+                next == StatementKind.COMMIT
+                        ? List.of("TRANSACTION_LOST IDLE", "MALFORMED_REQUEST IDLE")
+                        : List.of("TRANSACTION_LOST FAILED", "done"),
+                mAnswers);
+        assertEquals(List.of(new SessionEnd(1, GROUP)), mEnds);
+        assertEquals(2, mCalls.size());
+    }
+
     /** Guards against interrupting a transaction whose key stays while other keys change. */
     @ParameterizedTest(name = "{0}, route open before {1}, after {2}")
     @CsvSource({
