--- a/core/src/main/java/org/crocusturn/core/callers/SessionState.java
+++ b/core/src/main/java/org/crocusturn/core/callers/SessionState.java
@@ -10,7 +10,7 @@
  * @param context values and prepared statements
  * @param phase state of the session's transaction
  * @param transactionStarted whether the transaction has been started at a leaseholder
- * @param access route and workspace of the open transaction, if any; a configuration change applies
+ * @param access route and workspace of the open transaction, if any; a change of the route applies
  *     from the next transaction on
  * @param lastCommit position of the session's latest commit
  * @param transactionEnded whether this host has ended the open transaction, which the caller does
