Report the calls of each lease and the lateness of the groups duty

Reports carry the calls per second of each held lease, decayed over 2 s and including refused ones; hosts of an earlier version leave the field out, which counts as unknown. The metric crocusturn_groups_delay_seconds is the time by which the duty ran its timer too late. No decision uses either yet.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -16,6 +16,7 @@
 import org.crocusturn.core.callers.SessionOutcome;
 import org.crocusturn.core.callers.StatementKind;
 import org.crocusturn.core.callers.TransactionStep;
+import org.crocusturn.core.endpoints.CallRate;
 import org.crocusturn.core.endpoints.ConnectionLoss;
 import org.crocusturn.core.endpoints.EndpointError;
 import org.crocusturn.core.endpoints.PositionHistory;
@@ -53,6 +54,7 @@
     private GroupSettings mSettings;
     private Optional<PositionHistory> mHistory = Optional.empty();
     private Optional<Long> mMoveStartNanos = Optional.empty();
+    private CallRate mCallRate = CallRate.NONE;
     private boolean mReleased;
 
     LeasedGroup(GroupId id, long epoch, GroupSettings settings, GroupContext context) {
@@ -138,6 +140,11 @@
         return mWaiting.size() + mRunning.size() + mTransactions.size();
     }
 
+    /** Returns the calls that have arrived recently, per second, including refused ones. */
+    int callsPerSecond() {
+        return mCallRate.perSecond(mContext.nowNanos());
+    }
+
     /** Returns the queued calls, including those that already hold a rate token. */
     List<StatementRun> queued() {
         return mWaiting.all();
@@ -162,6 +169,7 @@
     /** Accepts a call from an entry host: continues its transaction, queues it or refuses it. */
     void submit(HostId origin, SessionCall call) {
         long now = mContext.nowNanos();
+        mCallRate = mCallRate.withCall(now);
         StatementRun run = new StatementRun(this, origin, call, now);
         if (call.step().begins()) {
             // The message that ended the session's previous transaction may have been lost.
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/SessionGroupsDuty.java
@@ -64,6 +64,8 @@
     /** Minimum interval between two requests for the tokens of single workspaces. */
     private static final long TOKEN_REQUEST_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final HostId mSelf;
     private final DataCentreId mDataCentre;
     private final EndpointConnector mConnector;
@@ -81,7 +83,7 @@
     private ControlView mView;
     private List<HeldLease> mLastHeld = List.of();
     private long mNextSessionId = 1;
-    private long mNextTickNanos;
+    private long mNextTickNanos = SteadyClock.nanoTime();
     private long mNextReportNanos;
     private long mNextTokenRequestNanos;
     private boolean mReportUrgent;
@@ -190,12 +192,16 @@
     @Override
     public long onTimer(long nowNanos) {
         if (mNextTickNanos - nowNanos <= 0) {
+            if (!mGroups.isEmpty()) {
+                mMetrics.recordGroupsDelay((nowNanos - mNextTickNanos) / NANOS_PER_SECOND);
+            }
             List.copyOf(mGroups.values()).forEach(g -> g.tick(nowNanos));
             boolean busy =
                     mGroups.values().stream()
                             .anyMatch(g -> g.activeCount() > 0 || g.history().isEmpty());
-            mNextTickNanos =
-                    nowNanos + (busy ? BUSY_TICK_INTERVAL_NANOS : IDLE_TICK_INTERVAL_NANOS);
+            long unusedNanos =
+                    mGroups.isEmpty() ? UNUSED_TICK_INTERVAL_NANOS : IDLE_TICK_INTERVAL_NANOS;
+            mNextTickNanos = nowNanos + (busy ? BUSY_TICK_INTERVAL_NANOS : unusedNanos);
         }
         if (mGroups.values().stream().allMatch(g -> g.activeCount() == 0)) {
             mCallsEnded.ifPresent(ended -> endCalls(ended, nowNanos));
@@ -360,7 +366,8 @@
                                                 0,
                                                 g.isReleased(),
                                                 g.activeCount(),
-                                                g.failover().coveredVersion()))
+                                                g.failover().coveredVersion(),
+                                                g.callsPerSecond()))
                         .toList();
         List<TokenDemand> demands =
                 mGroups.isEmpty()
--- a/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/platform/Metrics.java
@@ -50,6 +50,12 @@
                     .name("crocusturn_queue_seconds")
                     .help("Time that requests waited for a token and a slot")
                     .register(mRegistry);
+    private final Histogram mGroupsDelay =
+            Histogram.builder()
+                    .withoutExemplars()
+                    .name("crocusturn_groups_delay_seconds")
+                    .help("Time by which the duty of the groups ran its timer too late")
+                    .register(mRegistry);
     private final Gauge mConfigurationVersion =
             Gauge.builder()
                     .withoutExemplars()
@@ -168,6 +174,11 @@
         mQueueTime.observe(seconds);
     }
 
+    /** Records by how much the duty of the groups ran its timer too late, in seconds. */
+    public void recordGroupsDelay(double seconds) {
+        mGroupsDelay.observe(seconds);
+    }
+
     /** Sets the versions of the configuration and of the replicated state known to this process. */
     public void setVersions(long configuration, long state) {
         mConfigurationVersion.set(configuration);
--- a/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/wire/ReportMapper.java
@@ -84,6 +84,7 @@
                 .setReleased(value.released())
                 .setBusy(value.busy())
                 .setCoveredVersion(value.coveredVersion())
+                .setCallsPerSecond(value.callsPerSecond())
                 .build();
     }
 
@@ -94,7 +95,8 @@
                 value.getDroppedTerm(),
                 value.getReleased(),
                 value.getBusy(),
-                value.getCoveredVersion());
+                value.getCoveredVersion(),
+                Math.max(0, value.getCallsPerSecond()));
     }
 
     private static ControlHostsProto.TokenDemand encode(TokenDemand value) {
--- a/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/wire/WireSamples.java
@@ -163,7 +163,7 @@
                         "127.0.0.1:7100",
                         17,
                         99,
-                        List.of(new HeldLease(GROUP, 12, 3, true, 2, 41)),
+                        List.of(new HeldLease(GROUP, 12, 3, true, 2, 41, 150)),
                         List.of(new TokenDemand(WORKSPACE, 40, 1_000)),
                         Set.of(ENDPOINT, EndpointId.of("db-2")),
                         true,
