Add failing tests for the loss of service after power has returned

Seven rows of PlacementAfterPowerLossTest fail: leases leave holders that can relay what they are asked to, and groups move one right after the other. The rows have the calls per second of each group now and the replay is 10 s longer, since moves 5 s apart take longer; all earlier checks are kept.

The cost of an event at a leaseholder grows with what waits: six cases of PositionHistoryTest and LeasedGroupTest fail. They count entries read and calls looked at, so they don't depend on the machine's speed.

--- a/core/src/test/java/org/crocusturn/core/endpoints/PositionHistoryTest.java
+++ b/core/src/test/java/org/crocusturn/core/endpoints/PositionHistoryTest.java
@@ -3,13 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Proxy;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.crocusturn.core.LogPosition;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.pcollections.PVector;
 
 /** Guards against reads that miss a commit older than their maximum age. */
 class PositionHistoryTest {
@@ -90,6 +95,67 @@
         assertEquals(expected, copy.isExpectedToHave(needed, history, now * NANOS_PER_MILLI));
     }
 
+    /** Lookups of a history. */
+    enum Lookup {
+        AS_OF {
+            @Override
+            void find(PositionHistory history, long index) {
+                assertEquals(position(index), history.asOf(index * 10 * NANOS_PER_MILLI));
+            }
+        },
+        ACKNOWLEDGED {
+            @Override
+            void find(PositionHistory history, long index) {
+                assertEquals(
+                        index * 10 * NANOS_PER_MILLI, history.acknowledgedNanos(position(index)));
+            }
+        },
+        NEXT_ACKNOWLEDGED {
+            @Override
+            void find(PositionHistory history, long index) {
+                assertEquals(
+                        OptionalLong.of(index * 10 * NANOS_PER_MILLI),
+                        history.nextAcknowledgedNanos(position(index - 1)));
+            }
+        };
+
+        abstract void find(PositionHistory history, long index);
+    }
+
+    /**
+     * Guards against lookups that read the whole history. Each waiting read looks for the position
+     * that it needs, and a leaseholder beside 450 waiting calls used all of its processor for that.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void readsFewEntriesInALookup(Lookup lookup) {
+        PositionHistory history = PositionHistory.startingAt(position(0), 0);
+        for (long i = 1; i < 1_000; i++) {
+            history = history.with(position(i), i * 10 * NANOS_PER_MILLI);
+        }
+        for (long index : new long[] {1, 500, 999}) {
+            AtomicInteger read = new AtomicInteger();
+            lookup.find(new PositionHistory(counting(history.entries(), read)), index);
+            assertTrue(read.get() <= 12, "entries read: " + read);
+        }
+    }
+
+    /** Returns entries that count the calls that read one of them, and fail if all are read. */
+    @SuppressWarnings("unchecked") // the proxy has the type of the entries
+    private static PVector<PositionHistory.Entry> counting(
+            PVector<PositionHistory.Entry> entries, AtomicInteger read) {
+        return (PVector<PositionHistory.Entry>)
+                Proxy.newProxyInstance(
+                        PositionHistoryTest.class.getClassLoader(),
+                        new Class<?>[] {PVector.class},
+                        (proxy, method, arguments) -> {
+                            boolean one = method.getName().equals("get");
+                            boolean size = method.getName().equals("size");
+                            read.addAndGet(one ? 1 : size ? 0 : entries.size());
+                            return method.invoke(entries, arguments);
+                        });
+    }
+
     private static LogPosition position(long index) {
         return LogPosition.of(2, index);
     }
--- a/core/src/test/java/org/crocusturn/core/entryhosts/PlacementAfterPowerLossTest.java
+++ b/core/src/test/java/org/crocusturn/core/entryhosts/PlacementAfterPowerLossTest.java
@@ -24,19 +24,24 @@
 
 /**
  * Guards against leases that go back to processes that have just started, although other hosts ran
- * throughout, and against moves that follow each other within seconds. Replays a loss of power of
- * nine core hosts beside 58 entry hosts with 0.8 of their capacity and six groups.
+ * throughout, against moves that follow each other within seconds, and against leases that leave
+ * holders which can relay all that they are asked to. Replays a loss of power of nine core hosts,
+ * or of all hosts, beside 58 entry hosts with 0.8 of their capacity and six groups.
  */
 class PlacementAfterPowerLossTest {
     private static final long MS = 1_000_000;
     private static final int STEP_MILLIS = 50;
     private static final int REPORT_MILLIS = 200;
-    private static final int END_MILLIS = 60_000;
+    private static final int END_MILLIS = 70_000;
 
     /** Time at the end in which the load changes once. */
     private static final int QUIET_MILLIS = 22_000;
 
     private static final int STAY_MILLIS = 10_000;
+
+    /** Time in which callers lose at most one group to a move. */
+    private static final int MOVE_INTERVAL_MILLIS = 5_000;
+
     private static final int ENTRY_HOSTS = 58;
     private static final int CORE_HOSTS = 9;
     private static final int CORE_CAPACITY = 225;
@@ -54,26 +59,35 @@
     private final List<Event> mEvents = new ArrayList<>();
     private final Map<GroupId, String> mTargets = new HashMap<>();
     private int mMillis;
+    private int mCallsPerSecond;
 
     @ParameterizedTest(name = "core hosts return after {0} ms and {1} ms, uptime {2} ms")
     @CsvSource({
         // times at which two and the other core hosts report, uptime and capacity of entry hosts,
-        // hosts that get the leases first, hosts that have them in the end
-        "100, 900, 3600000, 180, entry, core",
-        "300, 300, 3600000, 180, entry, core",
-        "100, 15000, 3600000, 180, entry, core",
-        "100, 900, 3600000, 450, entry, entry",
-        "100, 900, 3600000, 150, core, core",
+        // calls per second of each group, hosts that get the leases first, hosts that have them in
+        // the end
+        "100, 900, 3600000, 180, 240, entry, core",
+        "300, 300, 3600000, 180, 240, entry, core",
+        "100, 15000, 3600000, 180, 240, entry, core",
+        "100, 900, 3600000, 450, 240, entry, entry",
+        "100, 900, 3600000, 150, 240, core, core",
+        "100, 900, 3600000, 180, 150, entry, entry",
+        "300, 300, 3600000, 180, 150, entry, entry",
+        // the entry hosts lose power too and return before the core hosts
+        "3000, 3500, 2500, 180, 240, entry, core",
+        "3000, 3500, 2500, 180, 150, entry, entry",
         // entry hosts of an earlier version, which report no uptime
-        "100, 900, 0, 180, core, core"
+        "100, 900, 0, 180, 240, core, core"
     })
     void keepsLeasesOnRunningHosts(
             int firstMillis,
             int laterMillis,
             long uptimeMillis,
             int capacity,
+            int callsPerSecond,
             String first,
             String last) {
+        mCallsPerSecond = callsPerSecond;
         step(new LeaderInput.LeadershipGained(2, mControl));
         for (; mMillis < END_MILLIS; mMillis += STEP_MILLIS) {
             IntStream.range(0, ENTRY_HOSTS)
@@ -95,7 +109,13 @@
             assertTrue(
                     assignedMillis(moved.get(n - 1)) <= moved.get(n).millis(),
                     "several moves at a time: " + mEvents);
+            assertTrue(
+                    !first.equals("entry")
+                            || moved.get(n).millis() - moved.get(n - 1).millis()
+                                    >= MOVE_INTERVAL_MILLIS,
+                    "several groups are not served: " + mEvents);
         }
+        assertTrue(!last.equals("entry") || moved.isEmpty(), "needless moves: " + mEvents);
         assertTrue(
                 moved.stream().noneMatch(e -> e.millis() > END_MILLIS - QUIET_MILLIS),
                 "the load moved leases: " + mEvents);
@@ -161,7 +181,7 @@
                 .flatMap(g -> mState.leases().lease(g).stream())
                 .filter(l -> l.epoch() > 1)
                 .filter(l -> l.holder().filter(h -> h.host().equals(host)).isPresent())
-                .map(l -> new HeldLease(l.group(), l.epoch(), 0, l.moving(), 0))
+                .map(l -> new HeldLease(l.group(), l.epoch(), 0, l.moving(), 0, 0, mCallsPerSecond))
                 .toList();
     }
 
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/FakeGroupContext.java
@@ -50,6 +50,10 @@
     UsageMeter mUsage = new NoUsageMeter();
     PromotionService mService = order -> new CompletableFuture<>();
     int mLeasesGivenBack;
+
+    /** Number of times that a workspace was looked at while the group searched its queues. */
+    long mLooks;
+
     final Metrics mMetrics = Metrics.create();
     private long mLastId;
 
@@ -65,6 +69,7 @@
 
     @Override
     public boolean hasToken(WorkspaceId workspace) {
+        mLooks++;
         return mTokenAvailable;
     }
 
--- a/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
+++ b/daemon/src/test/java/org/crocusturn/daemon/endpoints/LeasedGroupTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.EndpointId;
@@ -107,6 +108,15 @@
 
     private long call(
             TransactionStep step, StatementKind kind, Consistency consistency, int priority) {
+        return call("schools", step, kind, consistency, priority);
+    }
+
+    private long call(
+            String workspace,
+            TransactionStep step,
+            StatementKind kind,
+            Consistency consistency,
+            int priority) {
         mLastCall++;
         mGroup.submit(
                 ORIGIN,
@@ -115,7 +125,7 @@
                         7,
                         GROUP,
                         1,
-                        WorkspaceId.of("schools"),
+                        WorkspaceId.of(workspace),
                         new SessionCall.Options(consistency, 1_500, priority, 800),
                         step,
                         new SessionStatement("id" + mLastCall, kind, "x", "", kind + " x"),
@@ -126,6 +136,28 @@
         return mLastCall;
     }
 
+    /**
+     * Guards against a leaseholder that uses all of its processor to look at waiting calls: the
+     * more calls wait, the fewer it serves.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 20, 70})
+    void looksAtNoWaitingCallWhileAllSlotsAreBusy(int waiting) {
+        IntStream.rangeClosed(1, mGroup.slots() + waiting)
+                .forEach(
+                        n ->
+                                call(
+                                        "w" + n,
+                                        TransactionStep.NONE,
+                                        StatementKind.READ,
+                                        Consistency.STATED_AGE,
+                                        1));
+        assertEquals(waiting, mGroup.queued().size());
+        mContext.mLooks = 0;
+        mGroup.dispatch();
+        assertEquals(0, mContext.mLooks);
+    }
+
     private Failure failure(long call) {
         return mContext.mReplies.get(call).failure().orElseThrow();
     }
