Move leases of serving holders only where that is worth what it costs

A move ends the waiting calls, stops writes for 1.2 s, and the new holder opens connections and compiles its code under load. The moves followed each other, since the next one began when the epoch of the last one was assigned, not when its group was served.

Moves that interrupt callers begin 5 s apart, on large sites so that at most one of 32 groups is affected; a holder that is asked for more than twice what it can relay serves next to nothing, so its leases do not wait.

--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaderState.java
@@ -19,6 +19,7 @@
  * @param lastPushNanos time of the last push to all hosts
  * @param groupCursor index of the next group to check at a tick
  * @param placementCursor index of the next group to check for rebalancing
+ * @param nextMoveNanos time from which rebalancing may move another lease
  * @param sentChanges state changes that are on their way to entry hosts
  */
 public record LeaderState(
@@ -35,6 +36,7 @@
         long lastPushNanos,
         int groupCursor,
         int placementCursor,
+        long nextMoveNanos,
         SentChanges sentChanges) {
     /** Checks that no part is null. */
     public LeaderState {
@@ -72,6 +74,7 @@
                 nowNanos,
                 0,
                 0,
+                nowNanos,
                 SentChanges.NONE);
     }
 
@@ -105,6 +108,7 @@
                 lastPushNanos,
                 groupCursor,
                 placementCursor,
+                nextMoveNanos,
                 sentChanges);
     }
 
@@ -143,6 +147,7 @@
                 lastPushNanos,
                 groupCursor,
                 placementCursor,
+                nextMoveNanos,
                 next);
     }
 
@@ -161,6 +166,7 @@
                 nowNanos,
                 groupCursor,
                 placementCursor,
+                nextMoveNanos,
                 sentChanges);
     }
 
@@ -179,6 +185,26 @@
                 lastPushNanos,
                 next,
                 nextPlacement,
+                nextMoveNanos,
+                sentChanges);
+    }
+
+    LeaderState withNextMove(long nanos) {
+        return new LeaderState(
+                term,
+                leadingSinceNanos,
+                lastStepNanos,
+                control,
+                history,
+                registry,
+                leases,
+                tokens,
+                failovers,
+                pushDue,
+                lastPushNanos,
+                groupCursor,
+                placementCursor,
+                nanos,
                 sentChanges);
     }
 
@@ -202,6 +228,7 @@
                 lastPushNanos,
                 groupCursor,
                 placementCursor,
+                nextMoveNanos,
                 sentChanges);
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/LeaseDecisions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.GroupId;
 import org.crocusturn.core.endpoints.FailoverPhase;
@@ -32,6 +33,18 @@
      */
     static final int TICKS_PER_REBALANCING = 25;
 
+    /**
+     * Time from the begin of a move until its group is served again. Rebalancing interrupts no
+     * other group meanwhile.
+     */
+    static final long MOVE_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** Number of groups of which one may be moving; others follow when it is served. */
+    private static final int GROUPS_PER_MOVE = 32;
+
+    private static final List<MovePolicy> MOVE_POLICIES =
+            List.of(new MoveForCapacity(), new MoveForBalance(), new MoveForDataCentre());
+
     private final LeaderStep mStep;
 
     LeaseDecisions(LeaderStep step) {
@@ -178,9 +191,9 @@
         int part = (groups.size() + TICKS_PER_REBALANCING - 1) / TICKS_PER_REBALANCING;
         int count = Math.min(part, Math.max(1, MAX_SCORES_PER_TICK / hosts.size()));
         int start = mStep.mState.placementCursor() % groups.size();
-        for (int i = 0; i < count; i++) {
-            rebalanceGroup(groups.get((start + i) % groups.size()));
-        }
+        IntStream.range(0, count)
+                .mapToObj(i -> groups.get((start + i) % groups.size()))
+                .forEach(this::rebalanceGroup);
         mStep.mState =
                 mStep.mState.withCursors(
                         mStep.mState.groupCursor(), (start + count) % groups.size());
@@ -207,34 +220,50 @@
             return;
         }
         Leaseholder holder = lease.holder().get();
+        boolean live =
+                mStep.mState
+                        .registry()
+                        .isLive(holder.host(), holder.incarnation(), mStep.mNowNanos);
         choose(record)
-                .filter(t -> !t.id().equals(holder.host()))
+                .filter(t -> live && !t.id().equals(holder.host()))
                 .filter(this::isWarmedUp)
                 .filter(t -> !mStep.mState.leases().isMoving(t.id()))
-                .filter(t -> !hasMoreCapacity(t, holder) || mayMoveForCapacity(t))
-                .filter(
-                        t ->
-                                mStep.mState
-                                        .registry()
-                                        .isLive(
-                                                holder.host(),
-                                                holder.incarnation(),
-                                                mStep.mNowNanos))
-                .ifPresent(t -> startMove(record, lease, t, "placement prefers the target"));
+                .map(t -> move(lease, holder, t))
+                .filter(this::isDue)
+                .ifPresent(move -> startIfWorthwhile(record, lease, move));
     }
 
-    private boolean hasMoreCapacity(RegisteredHost target, Leaseholder holder) {
-        return mStep.mState
-                .registry()
-                .host(holder.host())
-                .filter(h -> h.relayCapacity() < target.relayCapacity())
-                .isPresent();
+    private MovePolicy.Move move(LeaseState lease, Leaseholder holder, RegisteredHost target) {
+        return new MovePolicy.Move(
+                mStep.mState.registry().host(holder.host()).orElseThrow(),
+                mStep.leaseCount(holder.host()) - 1,
+                target,
+                mStep.leaseCount(target.id()),
+                mStep.mNowNanos - lease.heldSinceNanos(),
+                mStep.mNowNanos - target.aliveSinceNanos());
+    }
+
+    /** Returns whether a move may begin now beside those that have begun before. */
+    private boolean isDue(MovePolicy.Move move) {
+        return (!move.addsCapacity() || mStep.mState.leases().moveCounts().isEmpty())
+                && (!move.interruptsService()
+                        || mStep.mState.nextMoveNanos() - mStep.mNowNanos <= 0);
+    }
+
+    private void startIfWorthwhile(GroupRecord record, LeaseState lease, MovePolicy.Move move) {
+        MOVE_POLICIES.stream()
+                .filter(policy -> policy.isWorthwhile(move))
+                .findFirst()
+                .ifPresent(
+                        policy -> {
+                            delayNextMove();
+                            startMove(record, lease, move.target(), policy.reason());
+                        });
     }
 
-    /** Returns whether a lease may move to a host that only its capacity makes a better one. */
-    private boolean mayMoveForCapacity(RegisteredHost target) {
-        return mStep.mNowNanos - target.aliveSinceNanos() >= LeaseTimes.MIN_STAY_NANOS
-                && mStep.mState.leases().moveCounts().isEmpty();
+    private void delayNextMove() {
+        int parts = Math.max(1, mStep.mState.failovers().sortedGroups().size() / GROUPS_PER_MOVE);
+        mStep.mState = mStep.mState.withNextMove(mStep.mNowNanos + MOVE_INTERVAL_NANOS / parts);
     }
 
     private void startMove(
--- a/core/src/main/java/org/crocusturn/core/entryhosts/RegisteredHost.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/RegisteredHost.java
@@ -5,6 +5,7 @@
 import org.crocusturn.core.DataCentreId;
 import org.crocusturn.core.HostId;
 import org.crocusturn.core.controlhosts.EntryReport;
+import org.crocusturn.core.controlhosts.HeldLease;
 
 /**
  * State of an entry host as known to the control leader. Immutable.
@@ -27,6 +28,8 @@
  * @param answerConfirmed whether the process has confirmed an answer of this leader
  * @param relayCapacity statements per second that it can relay as a leaseholder; 0 if not known
  * @param uptimeMillis uptime of the process at its latest report; 0 if not reported
+ * @param callsPerSecond calls for its groups that have arrived recently, per second; 0 if not
+ *     reported
  */
 public record RegisteredHost(
         HostId id,
@@ -45,7 +48,8 @@
         long sentAfterNanos,
         boolean answerConfirmed,
         int relayCapacity,
-        long uptimeMillis) {
+        long uptimeMillis,
+        int callsPerSecond) {
     /** Checks that no part is null. */
     public RegisteredHost {
         Objects.requireNonNull(id, "id");
@@ -72,7 +76,8 @@
                 nowNanos,
                 false,
                 report.relayCapacity(),
-                report.uptimeMillis());
+                report.uptimeMillis(),
+                callsPerSecond(report));
     }
 
     /** Returns the host after a later report of the same process. */
@@ -95,7 +100,8 @@
                 confirmed ? probeNanos : sentAfterNanos,
                 answerConfirmed || confirmed,
                 report.relayCapacity(),
-                report.uptimeMillis());
+                report.uptimeMillis(),
+                callsPerSecond(report));
     }
 
     /**
@@ -128,6 +134,16 @@
                 sentAfterNanos,
                 answerConfirmed,
                 relayCapacity,
-                uptimeMillis);
+                uptimeMillis,
+                callsPerSecond);
+    }
+
+    private static int callsPerSecond(EntryReport report) {
+        return report.leases().stream().mapToInt(HeldLease::callsPerSecond).sum();
+    }
+
+    /** Returns whether it is asked to relay more than it can. */
+    boolean isOverloaded() {
+        return relayCapacity > 0 && callsPerSecond > relayCapacity;
     }
 }
