--- a/core/src/main/java/org/crocusturn/core/endpoints/PositionHistory.java
+++ b/core/src/main/java/org/crocusturn/core/endpoints/PositionHistory.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.crocusturn.core.LogPosition;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -9,7 +11,7 @@
 /**
  * Acknowledgement times of recent log positions of a group, for reads with a maximum age.
  *
- * <p>Immutable. Adding a position costs O(log n) and a lookup O(n) for n entries.
+ * <p>Immutable. Adding a position costs O(log n) and a lookup O(log² n) for n entries.
  *
  * @param entries acknowledged positions, oldest first
  */
@@ -52,12 +54,8 @@
 
     /** Returns the newest position acknowledged at or before a time, or the oldest known one. */
     public LogPosition asOf(long nanos) {
-        for (int i = entries.size() - 1; i > 0; i--) {
-            if (entries.get(i).nanos() - nanos <= 0) {
-                return entries.get(i).position();
-            }
-        }
-        return entries.get(0).position();
+        int later = firstIndex(e -> e.nanos() - nanos > 0);
+        return entries.get(Math.max(0, later - 1)).position();
     }
 
     /**
@@ -65,21 +63,37 @@
      * the newest if there is none.
      */
     public long acknowledgedNanos(LogPosition position) {
-        return entries.stream()
-                .filter(e -> e.position().compareTo(position) >= 0)
-                .findFirst()
-                .orElseGet(() -> entries.get(entries.size() - 1))
-                .nanos();
+        int reached = firstIndex(e -> e.position().compareTo(position) >= 0);
+        return entries.get(Math.min(reached, entries.size() - 1)).nanos();
     }
 
     /**
      * Returns the acknowledgement time of the first position after the given one, if there is one.
      */
-    public java.util.OptionalLong nextAcknowledgedNanos(LogPosition position) {
-        return entries.stream()
-                .filter(e -> e.position().compareTo(position) > 0)
-                .mapToLong(Entry::nanos)
-                .findFirst();
+    public OptionalLong nextAcknowledgedNanos(LogPosition position) {
+        int next = firstIndex(e -> e.position().compareTo(position) > 0);
+        return next < entries.size()
+                ? OptionalLong.of(entries.get(next).nanos())
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Returns the index of the first entry that matches, or the number of entries if none does.
+     *
+     * @param test matches every entry after the first one that it matches
+     */
+    private int firstIndex(Predicate<Entry> test) {
+        int low = 0;
+        int high = entries.size();
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (test.test(entries.get(middle))) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
     }
 
     /** Returns the history after an acknowledgement; a position that is not newer is ignored. */
