Look at waiting calls only while a copy can run one of them

Such a leaseholder falls behind, refuses calls that the databases could run, and their repetitions keep it there.

Queues are looked at only if the primary or any copy has a slot, once for each result, and not after a call that was refused on arrival; connections are indexed by workspace.

--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.crocusturn.core.LogPosition;
@@ -22,12 +24,14 @@
     private static final int RESERVED_CONNECTIONS = 3;
 
     private final List<PooledSession> mSessions = new ArrayList<>();
+    private final Map<WorkspaceId, List<PooledSession>> mByWorkspace = new HashMap<>();
     private final Set<WorkspaceId> mClosedForRoom = new HashSet<>();
     private EndpointRecord mRecord;
     private Health mHealth = Health.UNKNOWN;
     private CopyProgress mProgress = CopyProgress.UNKNOWN;
     private Optional<ReplicationStatus> mStatus = Optional.empty();
     private int mConnections;
+    private int mSlots;
     private int mRunningCount;
     private boolean mWarmingUp;
 
@@ -39,17 +43,21 @@
     }
 
     CopyPool(EndpointRecord record, int connections) {
-        mRecord = record;
-        mConnections = connections;
+        update(record, connections);
     }
 
     EndpointRecord record() {
         return mRecord;
     }
 
-    void update(EndpointRecord record, int connections) {
+    final void update(EndpointRecord record, int connections) {
         mRecord = record;
         mConnections = connections;
+        mSlots =
+                record.databases().stream()
+                        .findFirst()
+                        .map(d -> Math.min(d.slots(), ConfigurationValidator.MAX_SLOTS))
+                        .orElse(1);
     }
 
     /** Returns whether a record describes the same incarnation of the same endpoint. */
@@ -99,10 +107,7 @@
 
     /** Returns the slots of the copy, limited so that sums and queue limits do not overflow. */
     int slots() {
-        return mRecord.databases().stream()
-                .findFirst()
-                .map(database -> Math.min(database.slots(), ConfigurationValidator.MAX_SLOTS))
-                .orElse(1);
+        return mSlots;
     }
 
     int runningCount() {
@@ -136,6 +141,7 @@
 
     void add(PooledSession session) {
         mSessions.add(session);
+        mByWorkspace.computeIfAbsent(session.workspace(), w -> new ArrayList<>()).add(session);
         mClosedForRoom.remove(session.workspace());
     }
 
@@ -146,8 +152,7 @@
 
     /** Returns why a call of a workspace needs a new connection. */
     OpeningReason openingReason(WorkspaceId workspace) {
-        List<PooledSession> own =
-                mSessions.stream().filter(s -> s.workspace().equals(workspace)).toList();
+        List<PooledSession> own = sessions(workspace);
         return OpeningReason.of(
                 own.size(),
                 (int) own.stream().filter(PooledSession::isIdle).count(),
@@ -156,12 +161,19 @@
 
     void remove(PooledSession session) {
         mSessions.remove(session);
+        mByWorkspace.computeIfPresent(
+                session.workspace(),
+                (workspace, own) -> own.remove(session) && own.isEmpty() ? null : own);
+    }
+
+    private List<PooledSession> sessions(WorkspaceId workspace) {
+        return mByWorkspace.getOrDefault(workspace, List.of());
     }
 
     /** Returns the idle connection for a call that needs the fewest setup commands. */
     Optional<PooledSession> findIdle(SessionCall call) {
-        return mSessions.stream()
-                .filter(s -> s.isIdle() && s.workspace().equals(call.workspace()))
+        return sessions(call.workspace()).stream()
+                .filter(PooledSession::isIdle)
                 .filter(s -> s.suits(call, mProgress.position()))
                 .min(
                         Comparator.<PooledSession>comparingInt(s -> s.setupCost(call.values()))
@@ -183,7 +195,7 @@
 
     /** Returns whether a workspace has connections to the copy, idle or not. */
     boolean isConnected(WorkspaceId workspace) {
-        return mSessions.stream().anyMatch(s -> s.workspace().equals(workspace));
+        return mByWorkspace.containsKey(workspace);
     }
 
     /** Returns whether a connection is available now, possibly by evicting an idle one. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyRouting.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyRouting.java
@@ -25,20 +25,32 @@
         mContext = context;
     }
 
+    /** Returns whether a call that needs the primary can start now. */
+    boolean isPrimaryFree() {
+        return freePrimary().isPresent();
+    }
+
+    /** Returns whether a copy has a slot for a read, which may still lack what the read needs. */
+    boolean isAnyCopyFree() {
+        return mGroup.history().isPresent()
+                && mGroup.pools().stream().anyMatch(CopyPool::hasFreeSlot);
+    }
+
+    private Optional<CopyPool> freePrimary() {
+        // One statement more than slots hides the round-trip time to the primary.
+        return mGroup.failover()
+                .writablePrimary()
+                .filter(pool -> pool.runningCount() < pool.slots() + 1)
+                .filter(CopyPool::hasAvailableConnection);
+    }
+
     /** Returns the copy on which a call can start now, if any. */
     Optional<CopyPool> selectCopy(StatementRun run) {
         SessionCall call = run.call();
         if (call.needsPrimary()) {
-            // One statement more than slots hides the round-trip time to the primary.
-            return mGroup.failover()
-                    .writablePrimary()
-                    .filter(pool -> pool.runningCount() < pool.slots() + 1)
-                    .filter(CopyPool::hasAvailableConnection);
+            return freePrimary();
         }
-        // Checked first: while all slots are busy, each result looks for a copy for each queued
-        // read.
-        if (mGroup.history().isEmpty()
-                || mGroup.pools().stream().noneMatch(CopyPool::hasFreeSlot)) {
+        if (!isAnyCopyFree()) {
             return Optional.empty();
         }
         long now = mContext.nowNanos();
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/LeasedGroup.java
@@ -180,8 +180,9 @@
         } else if (mMoveStartNanos.isPresent()) {
             refuse(run, ErrorCode.MOVED, "the lease moves to another host");
         } else {
-            mWaiting.add(run);
-            dispatch();
+            if (mWaiting.add(run)) {
+                dispatch();
+            }
         }
     }
 
@@ -389,10 +390,10 @@
         mContext.reply(run.origin(), run.call().id(), outcome);
         if (staysOpen) {
             keepTransactionOpen(run);
+            dispatch();
         } else {
             releaseConnection(run, result.state());
         }
-        dispatch();
     }
 
     private void keepTransactionOpen(StatementRun run) {
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/ServiceTimes.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/ServiceTimes.java
@@ -116,11 +116,9 @@
      * for less than it may is never too late, so that the observations go on.
      */
     boolean isTooLate(StatementRun run, long nowNanos) {
-        double service =
-                Math.min(
-                        mEstimate.serviceNanos(kind(run.call())),
-                        (run.deadlineNanos() - run.arrivedNanos()) / 2.0);
-        return service > run.deadlineNanos() - nowNanos;
+        double mayWait = (run.deadlineNanos() - run.arrivedNanos()) / 2.0;
+        double remaining = run.deadlineNanos() - nowNanos;
+        return mayWait > remaining && mEstimate.serviceNanos(kind(run.call())) > remaining;
     }
 
     /** Returns whether a slot of a copy is expected later than a connection could be opened. */
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/StatementQueues.java
@@ -159,16 +159,24 @@
         mSize -= removed.size();
     }
 
-    /** Removes and returns the first call that can start. */
-    Optional<StatementRun> take(Predicate<StatementRun> startable) {
+    /**
+     * Removes and returns the first call that can start.
+     *
+     * @param startable whether a call can start
+     * @param primaryFree whether calls that need the primary are looked at
+     * @param anyFree whether calls that any copy can run are looked at
+     */
+    Optional<StatementRun> take(
+            Predicate<StatementRun> startable, boolean primaryFree, boolean anyFree) {
         for (PriorityQueues queues : mPriorities.values()) {
-            Optional<FairQueue.Taken<StatementRun>> taken = queues.mPrimary.take(startable);
+            Optional<FairQueue.Taken<StatementRun>> taken =
+                    primaryFree ? queues.mPrimary.take(startable) : Optional.empty();
             if (taken.isPresent()) {
                 queues.mPrimary = taken.get().remaining();
                 mSize--;
                 return Optional.of(taken.get().value());
             }
-            taken = queues.mAny.take(startable);
+            taken = anyFree ? queues.mAny.take(startable) : Optional.empty();
             if (taken.isPresent()) {
                 queues.mAny = taken.get().remaining();
                 mSize--;
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/WaitingCalls.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/WaitingCalls.java
@@ -49,11 +49,14 @@
         return mQueues.all();
     }
 
-    /** Queues a call that has arrived, or refuses it if it would wait for too long. */
-    void add(StatementRun run) {
+    /**
+     * Queues a call that has arrived, or refuses it if it would wait for too long; returns whether
+     * it was queued.
+     */
+    boolean add(StatementRun run) {
         if (mQueues.size() >= CALLS_PER_SLOT * Math.max(1, mGroup.slots())) {
             refuseLater(run, "arrival", "the queue of the group is full");
-            return;
+            return false;
         }
         mPlanner.recordDemand(run.call());
         run.setTokenWaitNanos(mContext.tokenWaitNanos(run.call().workspace()));
@@ -67,6 +70,7 @@
         } else {
             mQueues.add(run, false);
         }
+        return !tooLong;
     }
 
     /** Refuses a call, which may be sent again when the waiting calls are expected to be gone. */
@@ -83,15 +87,24 @@
 
     /** Removes and returns the next call that can start, whose copy and rate token are set. */
     Optional<StatementRun> takeNext() {
-        Optional<StatementRun> next = mQueues.take(this::isTooLateOrAssigned);
+        Optional<StatementRun> next = takeLateOrStartable();
         while (next.filter(this::isTooLate).isPresent()) {
             refuseLater(next.get(), "queued", "the call can no longer end in time");
-            next = mQueues.take(this::isTooLateOrAssigned);
+            next = takeLateOrStartable();
         }
         next.filter(run -> !run.isTokenTaken()).ifPresent(this::takeToken);
         return next;
     }
 
+    /**
+     * Takes a call from the queues whose calls have a copy with a slot. While all slots are busy,
+     * each result would otherwise look at the calls of all workspaces.
+     */
+    private Optional<StatementRun> takeLateOrStartable() {
+        return mQueues.take(
+                this::isTooLateOrAssigned, mRouting.isPrimaryFree(), mRouting.isAnyCopyFree());
+    }
+
     private boolean isTooLateOrAssigned(StatementRun run) {
         return isTooLate(run) || assignCopy(run);
     }
