--- a/core/src/main/java/org/crocusturn/core/entryhosts/MoveForDataCentre.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/MoveForDataCentre.java
@@ -17,6 +17,6 @@
 
     @Override
     public String reason() {
-        return "placement prefers the target";
+        return "the target is in the data centre of the primary";
     }
 }
--- a/core/src/main/java/org/crocusturn/core/entryhosts/MovePolicy.java
+++ b/core/src/main/java/org/crocusturn/core/entryhosts/MovePolicy.java
@@ -34,18 +34,19 @@
             Objects.requireNonNull(target, "target");
         }
 
-        /** Number of times its capacity at which a holder serves next to none of its calls. */
-        private static final int HOPELESS_LOAD = 2;
+        /** Load, as a multiple of its capacity, above which a holder serves few of its calls. */
+        private static final int MAX_SERVED_LOAD = 2;
 
+        /** Returns whether the target can relay more than the holder. */
         boolean addsCapacity() {
             return holder.relayCapacity() < target.relayCapacity();
         }
 
-        /** Returns whether callers of the group are served now, and will not be for some time. */
+        /** Returns whether the holder serves callers, who have to wait for the target. */
         boolean interruptsService() {
             return holder.callsPerSecond() > 0
                     && (holder.relayCapacity() == 0
-                            || holder.callsPerSecond() <= HOPELESS_LOAD * holder.relayCapacity());
+                            || holder.callsPerSecond() <= MAX_SERVED_LOAD * holder.relayCapacity());
         }
     }
 
--- a/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
+++ b/daemon/src/main/java/org/crocusturn/daemon/endpoints/CopyPool.java
@@ -50,7 +50,7 @@
         return mRecord;
     }
 
-    final void update(EndpointRecord record, int connections) {
+    void update(EndpointRecord record, int connections) {
         mRecord = record;
         mConnections = connections;
         mSlots =
